--- /dev/null
+++ b/src/base/events.h
@@ -0,0 +1,81 @@
+// Numbered log events.
+//
+// Each log line is one event of this catalogue; docs/EVENTS.md mirrors the
+// table and a test holds them equal.
+#ifndef SRC_BASE_EVENTS_H_
+#define SRC_BASE_EVENTS_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace buckthorngate::base {
+
+enum class EventId : uint16_t {
+  kStarted = 100,
+  kStopping = 101,
+  kStopped = 102,
+  kSettingsRefused = 103,
+  kTlsOff = 104,
+  kStorageRepaired = 110,
+  kStorageFailed = 111,
+  kStorageCorrupt = 112,
+  kLeaderElected = 200,
+  kLeaderSteppedDown = 201,
+  kMembershipChanged = 202,
+  kPublicationAccepted = 210,
+  kPublicationRefused = 211,
+  kInForceEverywhere = 212,
+  kRevisionApplied = 300,
+  kRevisionRefused = 301,
+  kRelayLost = 302,
+  kRelayConnected = 303,
+  kPeerExchange = 304,
+  kEndpointReady = 400,
+  kEndpointDraining = 401,
+  kEndpointExpired = 402,
+  kEndpointCrashed = 403,
+  kRequestQuarantined = 500,
+  kRequestRefused = 501,
+  kAnswerCrossed = 502,
+  kMoveStep = 600,
+  kMoveDone = 601,
+  kMoveTakenBack = 602,
+  kMoveHeld = 603,
+  kBrakeApplied = 604,
+  kMoveCannotReturn = 605,
+};
+
+enum class Level : uint8_t { kInfo, kWarning, kError };
+
+struct EventInfo {
+  EventId id_;
+  Level level_;
+  std::string_view name_;
+  std::string_view text_;
+};
+
+// All events in the order of their numbers.
+std::span<const EventInfo> EventTable();
+const EventInfo& DescribeEvent(EventId id);
+
+// One named value of a log line.
+struct Field {
+  std::string_view name_;
+  std::string value_;
+};
+
+enum class LogFormat : uint8_t { kText, kJson };
+
+// Starts logging to standard error. Call once, before other threads start.
+void InitLogging(LogFormat format);
+
+// Writes one line: event number, name, text and the fields.
+void LogEvent(EventId id, std::initializer_list<Field> fields);
+
+}  // namespace buckthorngate::base
+
+#endif  // SRC_BASE_EVENTS_H_
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,54 @@
+// Time types and the clock interface.
+//
+// Decisions never read a clock: the present time comes in as a parameter.
+// Adapters read it through Clock, so that tests run on virtual time.
+#ifndef SRC_BASE_TIME_H_
+#define SRC_BASE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace buckthorngate::base {
+
+using Duration = std::chrono::microseconds;
+
+// Monotonic time of one process; not comparable between processes.
+using MonoTime = std::chrono::time_point<std::chrono::steady_clock,
+                                         std::chrono::microseconds>;
+
+// Wall-clock time, comparable between processes up to clock error.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+struct Now {
+  MonoTime mono_;
+  WallTime wall_;
+};
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Now Read() const = 0;
+};
+
+// The machine's clocks.
+class SystemClock : public Clock {
+ public:
+  Now Read() const override {
+    return {std::chrono::time_point_cast<Duration>(
+                std::chrono::steady_clock::now()),
+            std::chrono::time_point_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now())};
+  }
+};
+
+// Conversions for the integer fields of messages (Unix time, milliseconds).
+inline int64_t ToUnixMs(WallTime time) {
+  return time.time_since_epoch().count();
+}
+inline WallTime FromUnixMs(int64_t unix_ms) {
+  return WallTime(std::chrono::milliseconds(unix_ms));
+}
+
+}  // namespace buckthorngate::base
+
+#endif  // SRC_BASE_TIME_H_
--- /dev/null
+++ b/src/blackboard/blackboard.h
@@ -0,0 +1,72 @@
+// The daemon's blackboard: what controllers write and the path of a request
+// reads.
+//
+// Each part has one writer. Readers on the path of a request use the published
+// view and atomics only.
+#ifndef SRC_BLACKBOARD_BLACKBOARD_H_
+#define SRC_BLACKBOARD_BLACKBOARD_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "blackboard/metrics.h"
+#include "blackboard/rcu_cell.h"
+#include "request/call_tree.h"
+#include "request/mesh_view.h"
+#include "request/retry.h"
+#include "rollout/brake.h"
+#include "rollout/evidence_collector.h"
+
+namespace buckthorngate::blackboard {
+
+// State of one service that outlives views; safe for concurrent use.
+struct ServiceState {
+  request::RetryBudget retry_budget_;
+  rollout::Brake brake_;
+  // Calls in flight from this daemon, by route limit.
+  std::atomic<int32_t> in_flight_{0};
+  // Usual size of the call tree below a call, in thousandths.
+  std::atomic<uint32_t> tree_size_milli_{1000};
+};
+
+class Blackboard {
+ public:
+  Blackboard();
+
+  // Written by the control loop, read by each request.
+  RcuCell<request::MeshView>& View() { return view_; }
+
+  // Created at first use; stays valid.
+  ServiceState& Service(const std::string& name);
+
+  rollout::EvidenceCollector& Evidence() { return evidence_; }
+  request::CallTree& Calls() { return calls_; }
+  Metrics& Numbers() { return metrics_; }
+
+  // Set once at shutdown.
+  std::atomic<bool>& Draining() { return draining_; }
+  std::atomic<int64_t>& InFlight() { return in_flight_; }
+
+ private:
+  using ServiceMap =
+      std::unordered_map<std::string, std::shared_ptr<ServiceState>>;
+
+  RcuCell<request::MeshView> view_;
+  // Copied and published anew for each new service, which is rare.
+  RcuCell<ServiceMap> services_;
+  std::mutex services_writer_;
+  rollout::EvidenceCollector evidence_;
+  request::CallTree calls_;
+  Metrics metrics_;
+  std::atomic<bool> draining_{false};
+  std::atomic<int64_t> in_flight_{0};
+};
+
+}  // namespace buckthorngate::blackboard
+
+#endif  // SRC_BLACKBOARD_BLACKBOARD_H_
--- /dev/null
+++ b/src/daemon/destination.cc
@@ -0,0 +1,360 @@
+// The destination side of a daemon.
+#include "daemon/destination.h"
+
+#include <arpa/inet.h>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <utility>
+
+#include "daemon/settings.h"
+#include "request/call_tree.h"
+#include "request/hop_headers.h"
+
+namespace buckthorngate::daemon {
+namespace {
+
+using request::AdmissionQueue;
+using request::AdmissionVerdict;
+
+constexpr base::Duration kUpstreamIdle = std::chrono::seconds(1);
+// How often a waiting handler looks after its caller.
+constexpr base::Duration kWatchSlice = std::chrono::milliseconds(50);
+constexpr std::chrono::milliseconds kDefaultDeadline{10'000};
+constexpr std::chrono::milliseconds kProbeTimeout{200};
+
+std::chrono::milliseconds DeadlineOf(const httplib::Request& request) {
+  const std::string text = HeaderOf(request, request::kDeadlineHeader);
+  int64_t left = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), left);
+  const bool valid =
+      !text.empty() && parsed.ptr == text.data() + text.size() && left >= 0;
+  return valid ? std::chrono::milliseconds(left) : kDefaultDeadline;
+}
+
+// Connects and closes; sends nothing that an upstream could run.
+bool AcceptsConnections(const std::string& address) {
+  sockaddr_in remote = {};
+  remote.sin_family = AF_INET;
+  remote.sin_port = htons(static_cast<uint16_t>(PortOf(address)));
+  inet_pton(AF_INET, HostOf(address).c_str(), &remote.sin_addr);
+  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (file < 0) {
+    return true;
+  }
+  timeval timeout = {};
+  timeout.tv_usec = std::chrono::microseconds(kProbeTimeout).count();
+  setsockopt(file, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+  const int connected =
+      connect(file, reinterpret_cast<sockaddr*>(&remote), sizeof(remote));
+  const bool refused = connected != 0 && errno == ECONNREFUSED;
+  close(file);
+  return !refused;
+}
+
+}  // namespace
+
+struct Destination::Upstream {
+  Upstream(std::string address, std::string service, uint32_t slots)
+      : address_(std::move(address)),
+        service_(std::move(service)),
+        admission_({slots, 1.0}) {}
+
+  const std::string address_;
+  const std::string service_;
+  std::mutex mutex_;
+  std::condition_variable released_;
+  AdmissionQueue admission_;
+  std::map<uint64_t, bool> verdicts_;  // Of tickets that left the queue.
+  std::map<uint64_t, std::string> fingerprints_;  // Running requests.
+  bool crash_reported_ = false;
+
+  // Under mutex_.
+  void ReleaseWaiting(base::MonoTime now) {
+    for (const AdmissionQueue::Released& released :
+         admission_.TakeReleased(now)) {
+      verdicts_[released.ticket_] = released.admitted_;
+    }
+    released_.notify_all();
+  }
+};
+
+// An admitted request's slot; given back once.
+class Destination::Slot {
+ public:
+  Slot(Destination& owner, std::shared_ptr<Upstream> upstream, uint64_t ticket)
+      : owner_(owner), upstream_(std::move(upstream)), ticket_(ticket) {
+    owner_.in_flight_.fetch_add(1);
+  }
+  ~Slot() { Release(/*failed=*/true); }
+  Slot(const Slot&) = delete;
+  Slot& operator=(const Slot&) = delete;
+
+  void Begin(const std::string& fingerprint) {
+    const std::lock_guard<std::mutex> lock(upstream_->mutex_);
+    began_ = owner_.clock_.Read().mono_;
+    upstream_->fingerprints_[ticket_] = fingerprint;
+  }
+
+  void Release(bool failed) {
+    if (released_.exchange(true)) {
+      return;
+    }
+    {
+      const base::MonoTime now = owner_.clock_.Read().mono_;
+      const std::lock_guard<std::mutex> lock(upstream_->mutex_);
+      upstream_->fingerprints_.erase(ticket_);
+      upstream_->admission_.Leave(ticket_, now - began_, failed, now);
+      upstream_->ReleaseWaiting(now);
+    }
+    owner_.in_flight_.fetch_sub(1);
+  }
+
+ private:
+  Destination& owner_;
+  const std::shared_ptr<Upstream> upstream_;
+  const uint64_t ticket_;
+  base::MonoTime began_;
+  std::atomic<bool> released_{false};
+};
+
+Destination::Destination(std::string host,
+                         const base::Clock& clock,
+                         WorkerPool& workers,
+                         blackboard::Blackboard& board,
+                         CrashHandler on_crash)
+    : host_(std::move(host)),
+      clock_(clock),
+      workers_(workers),
+      board_(board),
+      on_crash_(std::move(on_crash)),
+      connections_(kUpstreamIdle) {}
+
+void Destination::SetUpstream(const std::string& endpoint_id,
+                              const std::string& address,
+                              const std::string& service,
+                              uint32_t slots) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  upstreams_[endpoint_id] = std::make_shared<Upstream>(address, service, slots);
+}
+
+void Destination::DrainUpstream(const std::string& endpoint_id) {
+  const std::shared_ptr<Upstream> upstream = Find(endpoint_id);
+  if (upstream != nullptr) {
+    const std::lock_guard<std::mutex> lock(upstream->mutex_);
+    upstream->admission_.Drain();
+  }
+}
+
+void Destination::RemoveUpstream(const std::string& endpoint_id) {
+  DrainUpstream(endpoint_id);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  upstreams_.erase(endpoint_id);
+}
+
+void Destination::DrainAll() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [id, upstream] : upstreams_) {
+    const std::lock_guard<std::mutex> upstream_lock(upstream->mutex_);
+    upstream->admission_.Drain();
+  }
+}
+
+std::shared_ptr<Destination::Upstream> Destination::Find(
+    const std::string& endpoint_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = upstreams_.find(endpoint_id);
+  return found == upstreams_.end() ? nullptr : found->second;
+}
+
+void Destination::Handle(const httplib::Request& request,
+                         const httplib::ContentReader* reader,
+                         httplib::Response& response) {
+  DisableAnswerRewriting(request);
+  const base::MonoTime now = clock_.Read().mono_;
+  const base::MonoTime deadline = now + DeadlineOf(request);
+  const std::string attempt = HeaderOf(request, request::kAttemptHeader);
+  const std::string caller = HeaderOf(request, request::kCallerHeader);
+  RequestBody body(request, reader);
+  const auto refuse = [&](ResultCode code) {
+    body.Drain();
+    AnswerRefusal(code, /*not_run=*/true, "", response);
+    response.set_header(request::kAttemptHeader, attempt);
+  };
+  const std::shared_ptr<Upstream> upstream =
+      Find(HeaderOf(request, request::kEndpointHeader));
+  if (upstream == nullptr) {
+    refuse(ResultCode::kEndpointDraining);
+    return;
+  }
+  const uint64_t ticket = next_ticket_.fetch_add(1);
+  bool admitted = false;
+  {
+    std::unique_lock<std::mutex> lock(upstream->mutex_);
+    const bool draining = upstream->admission_.Draining();
+    const AdmissionVerdict verdict =
+        upstream->admission_.Enter(ticket, caller, deadline, now);
+    if (verdict == AdmissionVerdict::kRefused) {
+      lock.unlock();
+      refuse(draining ? ResultCode::kEndpointDraining
+                      : ResultCode::kEndpointOverloaded);
+      return;
+    }
+    admitted = verdict == AdmissionVerdict::kAdmitted;
+    ConnectionWatch watch(request);
+    while (!admitted) {
+      upstream->released_.wait_for(lock, kWatchSlice);
+      const base::MonoTime present = clock_.Read().mono_;
+      upstream->ReleaseWaiting(present);
+      const auto verdict_found = upstream->verdicts_.find(ticket);
+      if (verdict_found != upstream->verdicts_.end()) {
+        admitted = verdict_found->second;
+        upstream->verdicts_.erase(verdict_found);
+        if (!admitted) {
+          break;
+        }
+      } else if (watch.Closed()) {
+        upstream->admission_.Cancel(ticket);
+        break;
+      }
+    }
+  }
+  if (!admitted) {
+    refuse(ResultCode::kEndpointOverloaded);
+    return;
+  }
+  std::shared_ptr<Slot> slot = std::make_shared<Slot>(*this, upstream, ticket);
+  slot->Begin(HeaderOf(request, request::kFingerprintHeader));
+  // The process may have been stopped for long while the request waited.
+  if (clock_.Read().mono_ >= deadline) {
+    slot->Release(/*failed=*/true);
+    refuse(ResultCode::kDeadlineExceeded);
+    return;
+  }
+  RunAdmitted(upstream, slot, request, body, deadline, response);
+}
+
+ExchangeRequest Destination::MakeUpstreamRequest(
+    const httplib::Request& request,
+    RequestBody& body,
+    base::Duration left) {
+  ExchangeRequest outgoing;
+  outgoing.method_ = request.method;
+  outgoing.target_ = request.target;
+  outgoing.headers_ = PassedHeaders(request);
+  // The upstream learns its time and passes both on with calls of its own.
+  outgoing.headers_.emplace_back(
+      request::kDeadlineHeader,
+      std::to_string(left / std::chrono::milliseconds(1)));
+  if (!HeaderOf(request, request::kBelowRetryHeader).empty()) {
+    outgoing.headers_.emplace_back(request::kBelowRetryHeader, "1");
+  }
+  if (body.Present()) {
+    body.AttachTo(outgoing);
+  }
+  return outgoing;
+}
+
+void Destination::RunAdmitted(const std::shared_ptr<Upstream>& upstream,
+                              std::shared_ptr<Slot> slot,
+                              const httplib::Request& request,
+                              RequestBody& body,
+                              base::MonoTime deadline,
+                              httplib::Response& response) {
+  const std::string attempt = HeaderOf(request, request::kAttemptHeader);
+  const std::string request_id = HeaderOf(request, request::kRequestIdHeader);
+  std::shared_ptr<ExchangeSignal> signal = std::make_shared<ExchangeSignal>();
+  const base::Duration left = deadline - clock_.Read().mono_;
+  const std::shared_ptr<Exchange> exchange =
+      Exchange::Start(workers_, connections_, upstream->address_,
+                      MakeUpstreamRequest(request, body, left), left, signal);
+  ConnectionWatch watch(request);
+  ResultCode code = ResultCode::kOk;
+  while (exchange->CurrentStage() == Exchange::Stage::kWaiting) {
+    signal->Wait(kWatchSlice);
+    if (clock_.Read().mono_ >= deadline) {
+      code = ResultCode::kDeadlineExceeded;
+      break;
+    }
+    if (watch.Closed()) {
+      code = ResultCode::kCallerGone;
+      break;
+    }
+  }
+  if (code != ResultCode::kOk) {
+    exchange->Abort();
+  }
+  if (body.Present()) {
+    exchange->WaitFinished();
+    body.Drain();
+  }
+  const uint32_t calls = board_.Calls().Take(request_id) + 1;
+  bool crashed = false;
+  const auto fail = [&](ResultCode reason, bool not_run) {
+    AnswerRefusal(reason, not_run, "", response);
+    if (crashed) {
+      response.set_header(request::kCrashedHeader, "true");
+    }
+    response.set_header(request::kAttemptHeader, attempt);
+    response.set_header(request::kCallsHeader, std::to_string(calls));
+  };
+  if (code == ResultCode::kOk &&
+      exchange->CurrentStage() == Exchange::Stage::kFailed) {
+    const bool not_run = exchange->NotSent();
+    crashed = NoteBroken(upstream);
+    slot->Release(/*failed=*/true);
+    fail(exchange->Code(), not_run);
+    return;
+  }
+  if (code != ResultCode::kOk) {
+    slot->Release(/*failed=*/true);
+    fail(code, /*not_run=*/false);
+    return;
+  }
+  const bool passed = AnswerFromExchange(
+      exchange, deadline,
+      [slot](bool whole) { slot->Release(/*failed=*/!whole); }, response);
+  if (!passed) {
+    crashed = NoteBroken(upstream);
+    slot->Release(/*failed=*/true);
+    fail(ResultCode::kUpstreamFailed, /*not_run=*/false);
+    return;
+  }
+  response.headers.erase(request::kResultHeader);
+  response.headers.erase(request::kNotRunHeader);
+  response.set_header(request::kAttemptHeader, attempt);
+  response.set_header(request::kCallsHeader, std::to_string(calls));
+}
+
+bool Destination::NoteBroken(const std::shared_ptr<Upstream>& upstream) {
+  // An upstream that no longer accepts connections has died; what it was
+  // running is suspect.
+  if (AcceptsConnections(upstream->address_)) {
+    return false;
+  }
+  rpc::CrashReport report;
+  {
+    const std::lock_guard<std::mutex> lock(upstream->mutex_);
+    if (upstream->crash_reported_) {
+      return true;
+    }
+    upstream->crash_reported_ = true;
+    upstream->admission_.Drain();
+    for (const auto& [ticket, fingerprint] : upstream->fingerprints_) {
+      if (!fingerprint.empty()) {
+        report.add_fingerprints(fingerprint);
+      }
+    }
+  }
+  report.set_service(upstream->service_);
+  report.set_crash_id(host_ + "/" + std::to_string(next_crash_.fetch_add(1)) +
+                      "/" +
+                      std::to_string(base::ToUnixMs(clock_.Read().wall_)));
+  on_crash_(upstream->address_, std::move(report));
+  return true;
+}
+
+}  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/proxy_role.h
@@ -0,0 +1,45 @@
+// The proxy role of a daemon: HTTP servers around the path of a request, and
+// the loop of the proxy's control side.
+#ifndef SRC_DAEMON_PROXY_ROLE_H_
+#define SRC_DAEMON_PROXY_ROLE_H_
+
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "base/time.h"
+#include "buckthorngate/result_code.h"
+#include "daemon/settings.h"
+#include "rpc/mesh_transport.h"
+
+namespace buckthorngate::daemon {
+
+class ProxyRole {
+ public:
+  // All references must outlive the role. Errors: those of ProxyNode::Create.
+  static tl::expected<std::unique_ptr<ProxyRole>, ResultCode> Create(
+      const Settings& settings,
+      uint64_t incarnation,
+      const base::Clock& clock,
+      rpc::MeshTransport& transport);
+  ~ProxyRole();
+
+  // Opens the ports. kBadSettings if one cannot be had.
+  ResultCode Start();
+  // Announces that the host's upstreams leave, waits until others know, and
+  // finishes what runs. New requests of callers are still forwarded meanwhile.
+  void Drain();
+  void Stop();
+
+  rpc::QueryReply Query(const rpc::QueryRequest& request);
+
+ private:
+  class Impl;
+  explicit ProxyRole(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_PROXY_ROLE_H_
--- /dev/null
+++ b/src/distribution/proxy_node.cc
@@ -0,0 +1,360 @@
+// A proxy's control side.
+#include "distribution/proxy_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/events.h"
+
+namespace buckthorngate::distribution {
+namespace {
+
+using base::EventId;
+using base::LogEvent;
+
+constexpr base::Duration kKeepalive = std::chrono::seconds(1);
+constexpr base::Duration kExchangeInterval = std::chrono::seconds(1);
+constexpr size_t kExchangePeers = 3;
+constexpr size_t kCompactBytes = 4 * 1024 * 1024;
+
+}  // namespace
+
+ProxyNode::ProxyNode(ProxyOptions options, storage::Journal& journal)
+    : options_(std::move(options)),
+      journal_(journal),
+      random_(options_.seed_ + 3),
+      follower_(journal),
+      link_(options_.identity_.host_, options_.relays_, options_.seed_ + 2),
+      local_(options_.identity_),
+      claims_(options_.identity_.host_) {}
+
+tl::expected<std::unique_ptr<ProxyNode>, ResultCode> ProxyNode::Create(
+    ProxyOptions options,
+    storage::Journal& journal) {
+  const tl::expected<std::vector<rpc::JournalRecord>, ResultCode> records =
+      journal.Load();
+  if (!records) {
+    return tl::unexpected(records.error());
+  }
+  std::unique_ptr<ProxyNode> node(new ProxyNode(std::move(options), journal));
+  for (const rpc::JournalRecord& record : *records) {
+    node->follower_.Restore(record);
+  }
+  node->claims_.SetGroup(node->follower_.State().Claims());
+  node->view_version_ = 1;
+  return node;
+}
+
+void ProxyNode::OnMessage(const rpc::Envelope& envelope, const base::Now& now) {
+  bytes_in_ += envelope.ByteSizeLong();
+  switch (envelope.body_case()) {
+    case rpc::Envelope::kSnapshot:
+    case rpc::Envelope::kDelta:
+      OnConfig(envelope, now);
+      break;
+    case rpc::Envelope::kFloor:
+      OnFloor(envelope, now);
+      break;
+    case rpc::Envelope::kRetryAfter:
+      link_.DelayResume(
+          envelope.from(),
+          std::chrono::milliseconds(envelope.retry_after().delay_ms()),
+          now.mono_);
+      break;
+    case rpc::Envelope::kRegistry:
+      OnRegistry(envelope, now);
+      break;
+    case rpc::Envelope::kRegistryDigest:
+      OnRegistryDigest(envelope, now);
+      break;
+    case rpc::Envelope::kEndpointHeartbeat:
+      if (envelope.endpoint_heartbeat().announce_again()) {
+        local_.Reannounce();
+      }
+      break;
+    case rpc::Envelope::kQuarantine:
+      OnQuarantine(envelope.quarantine());
+      break;
+    case rpc::Envelope::kClaimReply:
+      claims_.OnReply(envelope.from(), envelope.claim_reply(), outbox_);
+      break;
+    case rpc::Envelope::kPeerDigest:
+      OnPeerDigest(envelope);
+      break;
+    default:
+      break;
+  }
+}
+
+void ProxyNode::OnConfig(const rpc::Envelope& envelope, const base::Now& now) {
+  const ResultCode code = envelope.has_snapshot()
+                              ? follower_.OnSnapshot(envelope.snapshot())
+                              : follower_.OnDelta(envelope.delta());
+  const bool from_relay = envelope.from() == link_.Active();
+  if (from_relay) {
+    link_.Heard(envelope.from(), follower_.State().Revision(),
+                base::Duration(0), now.mono_);
+  }
+  const std::string revision = std::to_string(follower_.State().Revision());
+  if (code == ResultCode::kRevisionOld) {
+    return;
+  }
+  last_result_code_ = static_cast<uint32_t>(code);
+  if (code != ResultCode::kOk) {
+    LogEvent(EventId::kRevisionRefused,
+             {{"from", envelope.from()},
+              {"kept", revision},
+              {"code", std::string(Describe(code).name_)}});
+    link_.ResumeAgain();
+    return;
+  }
+  if (!from_relay) {
+    LogEvent(EventId::kPeerExchange,
+             {{"from", envelope.from()}, {"revision", revision}});
+  }
+  journal_dirty_ = true;
+  ++view_version_;
+  claims_.SetGroup(follower_.State().Claims());
+  for (const std::string& lifted : follower_.State().LiftedFingerprints()) {
+    quarantine_.erase(lifted);
+  }
+  LogEvent(EventId::kRevisionApplied, {{"revision", revision}});
+  next_keepalive_ = base::MonoTime();
+}
+
+void ProxyNode::OnFloor(const rpc::Envelope& envelope, const base::Now& now) {
+  link_.Heard(envelope.from(), envelope.floor().relay_revision(),
+              base::Duration(0), now.mono_);
+  // A proxy that serves already has its own, newer or older, truth; one that
+  // starts must not begin below what the zone has seen.
+  if (!follower_.MayServe()) {
+    follower_.RaiseFloor(envelope.floor().revision());
+    journal_dirty_ = true;
+  }
+}
+
+void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
+                           const base::Now& now) {
+  const rpc::RegistryUpdate& update = envelope.registry();
+  const uint64_t before = endpoints_.Version();
+  if (update.full()) {
+    endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_);
+  } else {
+    for (const rpc::Endpoint& endpoint : update.endpoints()) {
+      endpoints_.Merge(endpoint, now.mono_);
+    }
+  }
+  if (endpoints_.Version() != before) {
+    ++view_version_;
+    ReannounceIfExpired();
+  }
+}
+
+void ProxyNode::ReannounceIfExpired() {
+  for (const rpc::Endpoint& own : local_.Entries()) {
+    const rpc::Endpoint* held = endpoints_.Find(own.id());
+    const bool expired = held != nullptr &&
+                         held->state() == rpc::ENDPOINT_STATE_GONE &&
+                         own.state() != rpc::ENDPOINT_STATE_GONE &&
+                         held->sequence() == own.sequence();
+    if (expired) {
+      local_.Reannounce();
+      return;
+    }
+  }
+}
+
+void ProxyNode::OnRegistryDigest(const rpc::Envelope& envelope,
+                                 const base::Now& now) {
+  link_.Heard(envelope.from(), 0, base::Duration(0), now.mono_);
+  const bool differs =
+      endpoints_.Digest() != envelope.registry_digest().digest();
+  if (differs && envelope.from() == link_.Active()) {
+    outbox_.Add(options_.identity_.host_, envelope.from())
+        .mutable_registry_digest()
+        ->set_digest(endpoints_.Digest());
+  }
+}
+
+void ProxyNode::OnQuarantine(const rpc::QuarantineNotice& notice) {
+  for (const rpc::QuarantineEntry& entry : notice.entries()) {
+    rpc::QuarantineEntry& held = quarantine_[entry.fingerprint()];
+    if (entry.crashes() > held.crashes() || entry.quarantined()) {
+      held = entry;
+      ++view_version_;
+    }
+  }
+}
+
+void ProxyNode::OnPeerDigest(const rpc::Envelope& envelope) {
+  const rpc::PeerDigest& digest = envelope.peer_digest();
+  if (digest.revision() >= follower_.State().Revision()) {
+    return;
+  }
+  rpc::Envelope& answer =
+      outbox_.Add(options_.identity_.host_, envelope.from());
+  rpc::ConfigDelta delta;
+  if (follower_.Deltas().Collect(digest.revision(), delta)) {
+    *answer.mutable_delta() = std::move(delta);
+  } else {
+    *answer.mutable_snapshot() = follower_.State().ToSnapshot();
+  }
+}
+
+void ProxyNode::StartClaim(rpc::ClaimRequest::Action action,
+                           rpc::ClaimRecord record,
+                           const base::Now& now) {
+  claims_.Start(action, std::move(record), now, outbox_);
+}
+
+void ProxyNode::SendEvidence(std::vector<rpc::RouteEvidence> routes) {
+  if (routes.empty() || link_.Active().empty()) {
+    return;
+  }
+  rpc::Evidence& report =
+      *outbox_.Add(options_.identity_.host_, link_.Active()).mutable_evidence();
+  report.set_origin(options_.identity_.host_);
+  report.set_incarnation(options_.identity_.incarnation_);
+  report.set_sequence(++evidence_sequence_);
+  for (rpc::RouteEvidence& route : routes) {
+    *report.add_routes() = std::move(route);
+  }
+}
+
+void ProxyNode::SendBrake(const rpc::BrakeNotice& notice) {
+  LogEvent(EventId::kBrakeApplied, {{"service", notice.service()},
+                                    {"version", notice.version()},
+                                    {"reason", notice.reason()}});
+  *outbox_.Add(options_.identity_.host_, link_.Active()).mutable_brake() =
+      notice;
+}
+
+void ProxyNode::SendCrash(const rpc::CrashReport& report) {
+  for (const std::string& relay : link_.Candidates()) {
+    *outbox_.Add(options_.identity_.host_, relay).mutable_crash() = report;
+  }
+}
+
+void ProxyNode::SendResumes(const base::Now& now) {
+  const uint64_t revision = follower_.State().Revision();
+  for (const std::string& relay : link_.DueResumes(revision, now.mono_)) {
+    rpc::Resume& resume =
+        *outbox_.Add(options_.identity_.host_, relay).mutable_resume();
+    resume.set_role(rpc::NODE_ROLE_PROXY);
+    resume.set_zone(options_.identity_.zone_);
+    resume.set_revision(revision);
+    resume.set_digest(follower_.State().Digest());
+    resume.set_standby(relay != link_.Active());
+  }
+}
+
+void ProxyNode::SendKeepalive(const base::Now& now) {
+  if (now.mono_ < next_keepalive_) {
+    return;
+  }
+  next_keepalive_ = now.mono_ + kKeepalive;
+  for (const std::string& relay : link_.Candidates()) {
+    rpc::Ack& ack = *outbox_.Add(options_.identity_.host_, relay).mutable_ack();
+    ack.set_revision(follower_.State().Revision());
+    ack.set_result_code(last_result_code_);
+    rpc::EndpointHeartbeat& heartbeat =
+        *outbox_.Add(options_.identity_.host_, relay)
+             .mutable_endpoint_heartbeat();
+    heartbeat.set_digest(local_.Digest());
+  }
+}
+
+void ProxyNode::SendLocalChanges() {
+  if (local_.Version() == local_version_sent_) {
+    return;
+  }
+  local_version_sent_ = local_.Version();
+  for (const rpc::Endpoint& endpoint : local_.Entries()) {
+    uint64_t& sent = sent_sequences_[endpoint.id()];
+    if (sent == endpoint.sequence()) {
+      continue;
+    }
+    sent = endpoint.sequence();
+    // The own view changes at once; the relay tells the others.
+    endpoints_.Merge(endpoint, base::MonoTime());
+    ++view_version_;
+    for (const std::string& relay : link_.Candidates()) {
+      *outbox_.Add(options_.identity_.host_, relay).mutable_endpoint() =
+          endpoint;
+    }
+  }
+}
+
+void ProxyNode::NoteRelayLink(const base::Now& now) {
+  const bool connected = link_.Connected(now.mono_);
+  if (connected == relay_connected_) {
+    return;
+  }
+  relay_connected_ = connected;
+  LogEvent(connected ? EventId::kRelayConnected : EventId::kRelayLost,
+           {{"relay", link_.Active()}});
+}
+
+void ProxyNode::ExchangeWithPeers(const base::Now& now) {
+  if (relay_connected_ || now.mono_ < next_exchange_) {
+    return;
+  }
+  next_exchange_ =
+      now.mono_ + kExchangeInterval + random_.Jitter(kExchangeInterval);
+  std::vector<std::string> peers;
+  for (const rpc::Endpoint& endpoint :
+       endpoints_.Live(options_.identity_.zone_)) {
+    const bool known = !peers.empty() && peers.back() == endpoint.host();
+    if (endpoint.host() != options_.identity_.host_ && !known) {
+      peers.push_back(endpoint.host());
+    }
+  }
+  std::shuffle(peers.begin(), peers.end(), random_.Engine());
+  peers.resize(std::min(peers.size(), kExchangePeers));
+  for (const std::string& peer : peers) {
+    rpc::PeerDigest& digest =
+        *outbox_.Add(options_.identity_.host_, peer).mutable_peer_digest();
+    digest.set_revision(follower_.State().Revision());
+    digest.set_digest(follower_.State().Digest());
+  }
+}
+
+void ProxyNode::OnTimer(const base::Now& now) {
+  SendResumes(now);
+  NoteRelayLink(now);
+  local_.Expire(now.mono_);
+  claims_.OnTimer(now, outbox_);
+  ExchangeWithPeers(now);
+  const int64_t wall_ms = base::ToUnixMs(now.wall_);
+  const size_t erased = std::erase_if(quarantine_, [wall_ms](const auto& item) {
+    return item.second.expires_ms() <= wall_ms;
+  });
+  if (erased != 0) {
+    ++view_version_;
+  }
+}
+
+std::vector<rpc::Envelope> ProxyNode::Flush(const base::Now& now) {
+  SendLocalChanges();
+  SendKeepalive(now);
+  if (journal_dirty_) {
+    // A proxy's journal only saves time and keeps the floor; a failure is
+    // logged by the journal and the proxy goes on.
+    (void)journal_.Sync();
+    journal_dirty_ = false;
+    if (journal_.Size() > size_after_compaction_ + kCompactBytes) {
+      (void)journal_.Replace(follower_.AllRecords());
+      size_after_compaction_ = journal_.Size();
+    }
+  }
+  std::vector<rpc::Envelope> messages = outbox_.Take();
+  std::erase_if(messages, [](const rpc::Envelope& envelope) {
+    return envelope.to().empty();
+  });
+  for (const rpc::Envelope& envelope : messages) {
+    bytes_out_ += envelope.ByteSizeLong();
+  }
+  return messages;
+}
+
+}  // namespace buckthorngate::distribution
--- /dev/null
+++ b/src/distribution/relay_node.h
@@ -0,0 +1,118 @@
+// A relay: serves one availability zone.
+//
+// Follows the sources, syncs each revision before it hands it to the zone's
+// proxies, owns the zone's endpoint registry, and holds a ledger of claims, the
+// book of quarantined requests and the merging of evidence. Cut off from the
+// sources it goes on with what it has.
+#ifndef SRC_DISTRIBUTION_RELAY_NODE_H_
+#define SRC_DISTRIBUTION_RELAY_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "base/node.h"
+#include "distribution/config_follower.h"
+#include "distribution/feeder.h"
+#include "distribution/upstream_link.h"
+#include "registry/endpoint_registry.h"
+#include "request/claim_ledger.h"
+#include "request/quarantine.h"
+#include "rollout/evidence.h"
+#include "storage/journal.h"
+
+namespace buckthorngate::distribution {
+
+struct RelayOptions {
+  std::string id_;
+  std::string zone_;
+  std::vector<std::string> sources_;
+  // The other relays, of this and of other zones.
+  std::vector<std::string> relays_;
+  bool has_disk_ = true;
+  uint64_t incarnation_ = 0;
+  uint64_t seed_ = 0;
+};
+
+class RelayNode : public base::Node {
+ public:
+  // Errors: those of Journal::Load. `journal` must outlive the node.
+  static tl::expected<std::unique_ptr<RelayNode>, ResultCode> Create(
+      RelayOptions options,
+      storage::Journal& journal);
+
+  void OnMessage(const rpc::Envelope& envelope, const base::Now& now) override;
+  void OnTimer(const base::Now& now) override;
+  std::vector<rpc::Envelope> Flush(const base::Now& now) override;
+
+  rpc::QueryReply Query(const rpc::QueryRequest& request,
+                        const base::Now& now) const;
+
+  const config::ConfigState& Config() const { return follower_.State(); }
+  const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
+  const request::ClaimLedger& Claims() const { return claims_; }
+  FollowerSummary Proxies() const { return feeder_.Summary(); }
+
+ private:
+  RelayNode(RelayOptions options, storage::Journal& journal);
+
+  void Restore(const std::vector<rpc::JournalRecord>& records);
+
+  // relay_node.cc: configuration.
+  void OnResume(const rpc::Envelope& envelope, const base::Now& now);
+  void OnAck(const rpc::Envelope& envelope, const base::Now& now);
+  void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
+  void OnSourceHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
+  void SendResumes(const base::Now& now);
+  void SendZoneAck(const base::Now& now);
+  ResultCode SyncAndCompact();
+
+  // relay_zone.cc: registry, evidence, quarantine.
+  void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
+  void OnEndpointHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
+  void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
+  void OnRegistryDigest(const rpc::Envelope& envelope);
+  void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
+  void OnQuarantine(const rpc::Envelope& envelope);
+  void ExpireEndpoints(const base::Now& now);
+  void SendRegistryDigests(const base::Now& now);
+  void SendEvidence(const base::Now& now);
+  void SendQuarantine(const std::vector<rpc::QuarantineEntry>& entries,
+                      bool to_relays);
+  void SendToProxies(const rpc::Envelope& content);
+  void SendToRelaysAndSources(const rpc::Envelope& content);
+  void SendFullRegistry(const std::string& to, const std::string& zone);
+  // Proxies get no update that would only repeat what they hold.
+  void ShareEndpoints(const std::vector<rpc::Endpoint>& endpoints,
+                      bool beyond_zone);
+  bool IsRelay(const std::string& id) const;
+  bool IsSource(const std::string& id) const;
+
+  const RelayOptions options_;
+  storage::Journal& journal_;
+  ConfigFollower follower_;
+  Feeder feeder_;
+  UpstreamLink link_;
+  registry::EndpointRegistry endpoints_;
+  request::ClaimLedger claims_;
+  request::QuarantineBook quarantine_;
+  rollout::EvidenceMerger evidence_;
+  base::Outbox outbox_;
+  uint64_t evidence_sequence_ = 0;
+  bool journal_dirty_ = false;
+  bool storage_failed_ = false;
+  size_t size_after_compaction_ = 0;
+  base::MonoTime next_zone_ack_;
+  base::MonoTime next_keepalive_;
+  base::MonoTime next_digest_;
+  base::MonoTime next_evidence_;
+  rpc::ZoneAck last_zone_ack_;
+};
+
+}  // namespace buckthorngate::distribution
+
+#endif  // SRC_DISTRIBUTION_RELAY_NODE_H_
--- /dev/null
+++ b/src/distribution/source_node.cc
@@ -0,0 +1,313 @@
+// A source: message handling, replication and feeding.
+#include "distribution/source_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/events.h"
+#include "consensus/raft_journal.h"
+
+namespace buckthorngate::distribution {
+namespace {
+
+using base::EventId;
+using base::LogEvent;
+
+constexpr base::Duration kHeartbeatToRelays = std::chrono::milliseconds(500);
+constexpr base::Duration kZoneTimeout = std::chrono::seconds(6);
+
+}  // namespace
+
+SourceNode::SourceNode(SourceOptions options, storage::Journal& journal)
+    : options_(std::move(options)),
+      journal_(journal),
+      feeder_(options_.id_, options_.seed_ + 1),
+      controller_(rollout::MakeMovePolicy(options_.policy_)) {}
+
+tl::expected<std::unique_ptr<SourceNode>, ResultCode> SourceNode::Create(
+    SourceOptions options,
+    storage::Journal& journal,
+    const base::Now& now) {
+  tl::expected<consensus::PersistentState, ResultCode> persistent =
+      consensus::LoadPersistentState(journal);
+  if (!persistent) {
+    return tl::unexpected(persistent.error());
+  }
+  std::unique_ptr<SourceNode> node(new SourceNode(std::move(options), journal));
+  const std::string& saved = persistent->snapshot_.state();
+  if (!saved.empty() && !node->state_.Restore(saved)) {
+    return tl::unexpected(ResultCode::kStorageCorrupt);
+  }
+  node->raft_ = std::make_unique<consensus::RaftCore>(
+      node->options_.id_, node->options_.members_, std::move(*persistent),
+      node->options_.seed_, now);
+  return node;
+}
+
+void SourceNode::OnMessage(const rpc::Envelope& envelope,
+                           const base::Now& now) {
+  switch (envelope.body_case()) {
+    case rpc::Envelope::kRaft:
+      raft_->Step(envelope.from(), envelope.raft(), now);
+      break;
+    case rpc::Envelope::kResume:
+      OnResume(envelope, now);
+      break;
+    case rpc::Envelope::kAck:
+      feeder_.OnAck(envelope.from(), envelope.ack(), state_.Config(),
+                    state_.Deltas(), now, outbox_);
+      break;
+    case rpc::Envelope::kZoneAck:
+      OnZoneAck(envelope, now);
+      break;
+    case rpc::Envelope::kRegistry:
+      OnRegistry(envelope, now);
+      break;
+    case rpc::Envelope::kRegistryDigest:
+      OnRegistryDigest(envelope);
+      break;
+    case rpc::Envelope::kEvidence:
+      if (leading_) {
+        controller_.OnEvidence(envelope.evidence());
+      } else {
+        ForwardToLeader(envelope);
+      }
+      break;
+    case rpc::Envelope::kBrake:
+      if (leading_) {
+        controller_.OnBrake(envelope.from(), envelope.brake());
+      } else {
+        ForwardToLeader(envelope);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+void SourceNode::ForwardToLeader(const rpc::Envelope& envelope) {
+  const std::string& leader = raft_->LeaderId();
+  if (leader.empty() || leader == options_.id_) {
+    return;
+  }
+  rpc::Envelope& forwarded = outbox_.Add(envelope.from(), leader);
+  if (envelope.has_evidence()) {
+    *forwarded.mutable_evidence() = envelope.evidence();
+  } else {
+    *forwarded.mutable_brake() = envelope.brake();
+  }
+}
+
+void SourceNode::OnResume(const rpc::Envelope& envelope, const base::Now& now) {
+  const rpc::Resume& resume = envelope.resume();
+  if (resume.role() == rpc::NODE_ROLE_RELAY && resume.has_disk()) {
+    claims_.NoteRelay(envelope.from(), resume.zone(), now.mono_);
+  }
+  rpc::Floor& floor =
+      *outbox_.Add(options_.id_, envelope.from()).mutable_floor();
+  floor.set_revision(state_.Config().Revision());
+  floor.set_relay_revision(state_.Config().Revision());
+  feeder_.OnResume(envelope.from(), resume, state_.Config(), state_.Deltas(),
+                   now, outbox_);
+}
+
+void SourceNode::OnZoneAck(const rpc::Envelope& envelope,
+                           const base::Now& now) {
+  Zone& zone = zones_[envelope.from()];
+  zone.ack_ = envelope.zone_ack();
+  zone.heard_ = now.mono_;
+  claims_.NoteReady(envelope.from(), zone.ack_.claim_epoch(), now.mono_);
+  NoteInForce();
+}
+
+uint64_t SourceNode::RevisionInForce() const {
+  uint64_t lowest = state_.Config().Revision();
+  for (const auto& [relay, zone] : zones_) {
+    if (zone.ack_.proxies() > 0) {
+      lowest = std::min(lowest, zone.ack_.min_revision());
+    }
+  }
+  return lowest;
+}
+
+void SourceNode::NoteInForce() {
+  const uint64_t in_force = RevisionInForce();
+  const bool whole = in_force == state_.Config().Revision() && in_force > 0;
+  if (leading_ && whole && in_force > reported_in_force_) {
+    reported_in_force_ = in_force;
+    LogEvent(EventId::kInForceEverywhere,
+             {{"revision", std::to_string(in_force)}});
+  }
+}
+
+void SourceNode::OnRegistry(const rpc::Envelope& envelope,
+                            const base::Now& now) {
+  const rpc::RegistryUpdate& update = envelope.registry();
+  if (update.full()) {
+    endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_);
+    return;
+  }
+  for (const rpc::Endpoint& endpoint : update.endpoints()) {
+    endpoints_.Merge(endpoint, now.mono_);
+  }
+}
+
+void SourceNode::OnRegistryDigest(const rpc::Envelope& envelope) {
+  const rpc::RegistryDigest& digest = envelope.registry_digest();
+  const uint64_t held = endpoints_.Digest(digest.zone());
+  if (held != digest.digest()) {
+    rpc::RegistryDigest& answer =
+        *outbox_.Add(options_.id_, envelope.from()).mutable_registry_digest();
+    answer.set_zone(digest.zone());
+    answer.set_digest(held);
+  }
+}
+
+bool SourceNode::HasEndpoints(const std::string& service,
+                              const std::string& version) const {
+  return endpoints_.HasReady(service, version);
+}
+
+void SourceNode::OnTimer(const base::Now& now) {
+  raft_->Tick(now);
+  WatchLeadership();
+  feeder_.DropSilent(now);
+  std::erase_if(zones_, [&now](const auto& item) {
+    return now.mono_ - item.second.heard_ > kZoneTimeout;
+  });
+  endpoints_.DropTombstones(now.mono_);
+  if (leading_ && raft_->CanServe()) {
+    RunController(now);
+  }
+  SendHeartbeats(now);
+}
+
+void SourceNode::WatchLeadership() {
+  const bool leads = raft_->IsLeader();
+  if (leads == leading_) {
+    return;
+  }
+  leading_ = leads;
+  if (leads) {
+    controller_.Reset();
+    claims_.Reset();
+    LogEvent(
+        EventId::kLeaderElected,
+        {{"source", options_.id_}, {"term", std::to_string(raft_->Term())}});
+  } else {
+    LogEvent(EventId::kLeaderSteppedDown, {{"source", options_.id_}});
+    FailPending(ResultCode::kOutcomeUnknown);
+  }
+}
+
+void SourceNode::RunController(const base::Now& now) {
+  const std::vector<rpc::MoveStep> steps = controller_.Tick(
+      state_.Config(), *this, now.mono_, raft_->MedianClock(now));
+  for (const rpc::MoveStep& step : steps) {
+    rpc::Command command;
+    *command.mutable_move_step() = step;
+    Propose(command);
+  }
+  // Relays attached to this source are alive.
+  for (const auto& [id, follower] : feeder_.Followers()) {
+    if (follower.resume_.has_disk()) {
+      claims_.NoteRelay(id, follower.resume_.zone(), follower.last_heard_);
+    }
+  }
+  const std::optional<rpc::ClaimGroupChange> change =
+      claims_.Plan(state_.Config().Claims(), now);
+  if (change) {
+    rpc::Command command;
+    *command.mutable_claim_group() = *change;
+    Propose(command);
+  }
+}
+
+void SourceNode::SendHeartbeats(const base::Now& now) {
+  if (now.mono_ < next_heartbeat_) {
+    return;
+  }
+  next_heartbeat_ = now.mono_ + kHeartbeatToRelays;
+  const int64_t age_ms = raft_->ContactAge(now) / std::chrono::milliseconds(1);
+  for (const auto& [id, follower] : feeder_.Followers()) {
+    rpc::SourceHeartbeat& heartbeat =
+        *outbox_.Add(options_.id_, id).mutable_heartbeat();
+    heartbeat.set_revision(state_.Config().Revision());
+    heartbeat.set_contact_age_ms(age_ms);
+  }
+}
+
+void SourceNode::Propose(const rpc::Command& command) {
+  // Without leadership the command is dropped; its owner decides again.
+  (void)raft_->Propose(command.SerializeAsString());
+}
+
+std::vector<rpc::Envelope> SourceNode::Flush(const base::Now& now) {
+  const ResultCode synced = consensus::SyncPending(*raft_, journal_, now);
+  WatchLeadership();
+  if (synced != ResultCode::kOk) {
+    FailPending(ResultCode::kStorageFailed);
+    outbox_.Take();
+    return {};
+  }
+  ApplyCommitted(now);
+  for (consensus::AddressedMessage& message : raft_->TakeMessages(now)) {
+    *outbox_.Add(options_.id_, message.to_).mutable_raft() =
+        std::move(message.message_);
+  }
+  feeder_.Push(state_.Config(), state_.Deltas(), now, outbox_);
+  MaybeCompact();
+  return outbox_.Take();
+}
+
+void SourceNode::ApplyCommitted(const base::Now& now) {
+  const std::optional<rpc::LogSnapshot> installed =
+      raft_->TakeInstalledSnapshot();
+  if (installed && !state_.Restore(installed->state())) {
+    raft_->Halt();
+    return;
+  }
+  for (const rpc::LogEntry& entry : raft_->TakeCommitted()) {
+    ApplyEntry(entry, now);
+  }
+}
+
+void SourceNode::ApplyEntry(const rpc::LogEntry& entry, const base::Now& now) {
+  if (entry.kind() == rpc::ENTRY_KIND_MEMBERSHIP) {
+    LogEvent(EventId::kMembershipChanged,
+             {{"members",
+               std::to_string(raft_->CurrentMembership().members_size())}});
+  }
+  const Applied applied = state_.Apply(entry);
+  if (applied.outcome_) {
+    AnswerPublication(entry, applied);
+  }
+  if (applied.move_ && leading_) {
+    LogMove(*applied.move_);
+  }
+  (void)now;
+}
+
+void SourceNode::LogMove(const rpc::Move& move) {
+  EventId event = EventId::kMoveStep;
+  if (move.phase() == rpc::MOVE_PHASE_DONE) {
+    event = move.watch_open() ? EventId::kMoveDone : EventId::kMoveCannotReturn;
+  } else if (move.phase() == rpc::MOVE_PHASE_TAKEN_BACK) {
+    event = EventId::kMoveTakenBack;
+  }
+  LogEvent(event, {{"service", move.service()},
+                   {"to", move.to()},
+                   {"share_permille", std::to_string(move.share_permille())},
+                   {"reason", move.reason()}});
+}
+
+void SourceNode::MaybeCompact() {
+  if (journal_.Size() < size_after_compaction_ + kCompactBytes) {
+    return;
+  }
+  (void)consensus::CompactJournal(*raft_, journal_, state_.AppliedIndex(),
+                                  state_.Save());
+  size_after_compaction_ = journal_.Size();
+}
+
+}  // namespace buckthorngate::distribution
--- /dev/null
+++ b/src/distribution/source_state.h
@@ -0,0 +1,76 @@
+// State machine of the sources: what the committed log adds up to.
+#ifndef SRC_DISTRIBUTION_SOURCE_STATE_H_
+#define SRC_DISTRIBUTION_SOURCE_STATE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "config/config_state.h"
+#include "mesh.pb.h"
+
+namespace buckthorngate::distribution {
+
+// Bounds of what is kept.
+inline constexpr size_t kMaxAuditRecords = 20'000;
+inline constexpr size_t kMaxOutcomes = 20'000;
+inline constexpr size_t kMaxDeltas = 512;
+
+// What one committed entry changed.
+struct Applied {
+  // Set for a publication: its outcome and the refusal's detail.
+  std::optional<rpc::PublicationOutcome> outcome_;
+  std::string detail_;
+  // Set for a move whose step applied.
+  std::optional<rpc::Move> move_;
+  bool config_changed_ = false;
+};
+
+// Deterministic: replicas that apply the same entries hold the same state.
+class SourceState {
+ public:
+  Applied Apply(const rpc::LogEntry& entry);
+
+  std::string Save() const;
+  // False if the bytes are not a state.
+  bool Restore(const std::string& bytes);
+
+  const config::ConfigState& Config() const { return config_; }
+  const config::DeltaWindow& Deltas() const { return deltas_; }
+  const std::deque<rpc::AuditRecord>& Audit() const { return audit_; }
+  uint64_t AppliedIndex() const { return applied_index_; }
+
+  // What an earlier publication with this number got; null if there is none.
+  const rpc::PublicationOutcome* FindOutcome(uint64_t number) const;
+
+  // The outcome that `publication` would have now, apart from its content.
+  // kOk, kNumberConflict, kNumberStale or kDigestMismatch.
+  ResultCode CheckNumber(const rpc::Publication& publication) const;
+
+ private:
+  void ApplyPublish(const rpc::PublishCommand& command,
+                    uint64_t index,
+                    Applied& applied);
+  void ApplyMoveStep(const rpc::MoveStep& step,
+                     uint64_t index,
+                     Applied& applied);
+  void ApplyClaimGroup(const rpc::ClaimGroupChange& change,
+                       uint64_t index,
+                       Applied& applied);
+  // Gives `next` the revision `index` and makes it current.
+  void Commit(config::ConfigState next, uint64_t index, Applied& applied);
+  void AddAudit(rpc::AuditRecord record);
+
+  config::ConfigState config_;
+  config::DeltaWindow deltas_{kMaxDeltas};
+  std::map<uint64_t, rpc::PublicationOutcome> outcomes_;
+  // Highest number accepted or trimmed; lower unknown numbers are stale.
+  uint64_t highest_number_ = 0;
+  std::deque<rpc::AuditRecord> audit_;
+  uint64_t applied_index_ = 0;
+};
+
+}  // namespace buckthorngate::distribution
+
+#endif  // SRC_DISTRIBUTION_SOURCE_STATE_H_
--- /dev/null
+++ b/src/distribution/upstream_link.cc
@@ -0,0 +1,133 @@
+// Choice of the process to follow.
+#include "distribution/upstream_link.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace buckthorngate::distribution {
+namespace {
+
+// A standby may be ahead for this long before the active one is left.
+constexpr base::Duration kLagTolerance = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+UpstreamLink::UpstreamLink(const std::string& self,
+                           std::vector<std::string> candidates,
+                           uint64_t seed)
+    : random_(seed), order_(std::move(candidates)) {
+  std::sort(order_.begin(), order_.end(),
+            [&self](const std::string& a, const std::string& b) {
+              return base::RendezvousScore(self, a) >
+                     base::RendezvousScore(self, b);
+            });
+  for (const std::string& id : order_) {
+    candidates_[id] = Candidate();
+  }
+  if (!order_.empty()) {
+    active_ = order_.front();
+  }
+}
+
+void UpstreamLink::Heard(const std::string& candidate,
+                         uint64_t revision,
+                         base::Duration contact_age,
+                         base::MonoTime now) {
+  const auto found = candidates_.find(candidate);
+  if (found == candidates_.end()) {
+    return;
+  }
+  Candidate& state = found->second;
+  state.last_heard_ = now;
+  state.heard_ = true;
+  state.revision_ = std::max(state.revision_, revision);
+  state.contact_age_ = contact_age;
+  state.backoff_ = kResumeBackoffMin;
+}
+
+void UpstreamLink::DelayResume(const std::string& candidate,
+                               base::Duration delay,
+                               base::MonoTime now) {
+  const auto found = candidates_.find(candidate);
+  if (found == candidates_.end()) {
+    return;
+  }
+  found->second.resumed_ = false;
+  found->second.next_resume_ = now + delay;
+}
+
+bool UpstreamLink::Healthy(const Candidate& candidate,
+                           base::MonoTime now) const {
+  return candidate.heard_ && now - candidate.last_heard_ < kLinkSilence &&
+         candidate.contact_age_ < kStaleContact;
+}
+
+void UpstreamLink::ChooseActive(uint64_t own_revision, base::MonoTime now) {
+  const Candidate& current = candidates_[active_];
+  const bool behind =
+      HighestRevision() > std::max(own_revision, current.revision_);
+  if (!behind) {
+    lagging_ = false;
+  } else if (!lagging_) {
+    lagging_ = true;
+    lag_since_ = now;
+  }
+  const bool lagged = lagging_ && now - lag_since_ > kLagTolerance;
+  if (Healthy(current, now) && !lagged) {
+    return;
+  }
+  for (const std::string& id : order_) {
+    Candidate& candidate = candidates_[id];
+    const bool ahead = !lagged || candidate.revision_ > current.revision_;
+    if (id != active_ && Healthy(candidate, now) && ahead) {
+      active_ = id;
+      lagging_ = false;
+      candidate.resumed_ = false;
+      candidate.next_resume_ = now;
+      return;
+    }
+  }
+}
+
+std::vector<std::string> UpstreamLink::DueResumes(uint64_t own_revision,
+                                                  base::MonoTime now) {
+  std::vector<std::string> due;
+  if (order_.empty()) {
+    return due;
+  }
+  ChooseActive(own_revision, now);
+  for (const std::string& id : order_) {
+    Candidate& candidate = candidates_[id];
+    const bool silent =
+        !candidate.heard_ || now - candidate.last_heard_ >= kLinkSilence;
+    if (now < candidate.next_resume_ || (candidate.resumed_ && !silent)) {
+      continue;
+    }
+    due.push_back(id);
+    candidate.resumed_ = true;
+    candidate.next_resume_ =
+        now + kResumeBackoffMin + random_.Jitter(candidate.backoff_);
+    candidate.backoff_ = std::min(candidate.backoff_ * 2, kResumeBackoffMax);
+  }
+  return due;
+}
+
+void UpstreamLink::ResumeAgain() {
+  candidates_[active_].resumed_ = false;
+}
+
+bool UpstreamLink::Connected(base::MonoTime now) const {
+  const auto found = candidates_.find(active_);
+  return found != candidates_.end() && Healthy(found->second, now);
+}
+
+uint64_t UpstreamLink::HighestRevision() const {
+  uint64_t highest = 0;
+  for (const auto& [id, candidate] : candidates_) {
+    highest = std::max(highest, candidate.revision_);
+  }
+  return highest;
+}
+
+}  // namespace buckthorngate::distribution
--- /dev/null
+++ b/src/registry/endpoint_registry.cc
@@ -0,0 +1,155 @@
+// Merging and expiry of endpoint entries.
+#include "registry/endpoint_registry.h"
+
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace buckthorngate::registry {
+namespace {
+
+bool IsGone(const rpc::Endpoint& endpoint) {
+  return endpoint.state() == rpc::ENDPOINT_STATE_GONE;
+}
+
+bool Supersedes(const rpc::Endpoint& offered, const rpc::Endpoint& held) {
+  const std::pair<uint64_t, uint64_t> offered_pair(offered.incarnation(),
+                                                   offered.sequence());
+  const std::pair<uint64_t, uint64_t> held_pair(held.incarnation(),
+                                                held.sequence());
+  if (offered_pair != held_pair) {
+    return offered_pair > held_pair;
+  }
+  return IsGone(offered) && !IsGone(held);
+}
+
+bool InZone(const rpc::Endpoint& endpoint, const std::string& zone) {
+  return zone.empty() || endpoint.zone() == zone;
+}
+
+}  // namespace
+
+uint64_t EntryDigest(const rpc::Endpoint& endpoint) {
+  const uint64_t pair = base::Hash(std::to_string(endpoint.incarnation()) +
+                                   ":" + std::to_string(endpoint.sequence()));
+  return base::Hash(endpoint.id(), pair);
+}
+
+bool EndpointRegistry::Merge(const rpc::Endpoint& endpoint,
+                             base::MonoTime now) {
+  const auto [found, added] = entries_.try_emplace(endpoint.id());
+  Entry& entry = found->second;
+  if (!added && !Supersedes(endpoint, entry.endpoint_)) {
+    return false;
+  }
+  entry.endpoint_ = endpoint;
+  entry.renewed_ = now;
+  ++version_;
+  return true;
+}
+
+bool EndpointRegistry::Heartbeat(const std::string& host,
+                                 uint64_t digest,
+                                 base::MonoTime now) {
+  uint64_t held = 0;
+  // Identities start with their host's name, so they are neighbours.
+  for (auto found = entries_.lower_bound(host + "/");
+       found != entries_.end() && found->second.endpoint_.host() == host;
+       ++found) {
+    if (!IsGone(found->second.endpoint_)) {
+      found->second.renewed_ = now;
+      held += EntryDigest(found->second.endpoint_);
+    }
+  }
+  return held == digest;
+}
+
+void EndpointRegistry::MarkGone(Entry& entry, base::MonoTime now) {
+  entry.endpoint_.set_state(rpc::ENDPOINT_STATE_GONE);
+  entry.renewed_ = now;
+  ++version_;
+}
+
+std::vector<rpc::Endpoint> EndpointRegistry::ExpireLeases(
+    const std::string& zone,
+    base::MonoTime now) {
+  std::vector<rpc::Endpoint> expired;
+  for (auto& [id, entry] : entries_) {
+    const bool live = InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_);
+    if (live && now - entry.renewed_ > kEndpointLease) {
+      MarkGone(entry, now);
+      expired.push_back(entry.endpoint_);
+    }
+  }
+  return expired;
+}
+
+void EndpointRegistry::DropTombstones(base::MonoTime now) {
+  std::erase_if(entries_, [now](const auto& item) {
+    return IsGone(item.second.endpoint_) &&
+           now - item.second.renewed_ > kTombstoneAge;
+  });
+}
+
+bool EndpointRegistry::ReplaceZone(
+    const std::string& zone,
+    const google::protobuf::RepeatedPtrField<rpc::Endpoint>& all,
+    base::MonoTime now) {
+  bool changed = false;
+  std::set<std::string> listed;
+  for (const rpc::Endpoint& endpoint : all) {
+    listed.insert(endpoint.id());
+    changed |= Merge(endpoint, now);
+  }
+  for (auto& [id, entry] : entries_) {
+    const bool live = InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_);
+    if (live && listed.count(id) == 0) {
+      MarkGone(entry, now);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+const rpc::Endpoint* EndpointRegistry::Find(const std::string& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second.endpoint_;
+}
+
+std::vector<rpc::Endpoint> EndpointRegistry::Live(
+    const std::string& zone) const {
+  std::vector<rpc::Endpoint> live;
+  for (const auto& [id, entry] : entries_) {
+    if (InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_)) {
+      live.push_back(entry.endpoint_);
+    }
+  }
+  return live;
+}
+
+bool EndpointRegistry::HasReady(const std::string& service,
+                                const std::string& version) const {
+  if (ready_version_ != version_) {
+    ready_.clear();
+    for (const auto& [id, entry] : entries_) {
+      if (entry.endpoint_.state() == rpc::ENDPOINT_STATE_READY) {
+        ready_.emplace(entry.endpoint_.service(), entry.endpoint_.version());
+      }
+    }
+    ready_version_ = version_;
+  }
+  return ready_.count({service, version}) != 0;
+}
+
+uint64_t EndpointRegistry::Digest(const std::string& zone) const {
+  uint64_t digest = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_)) {
+      digest += EntryDigest(entry.endpoint_);
+    }
+  }
+  return digest;
+}
+
+}  // namespace buckthorngate::registry
--- /dev/null
+++ b/src/registry/local_endpoints.cc
@@ -0,0 +1,106 @@
+// The upstreams of one host.
+#include "registry/local_endpoints.h"
+
+#include "registry/endpoint_registry.h"
+
+namespace buckthorngate::registry {
+
+LocalEndpoints::LocalEndpoints(HostIdentity identity)
+    : identity_(std::move(identity)) {}
+
+std::string LocalEndpoints::EndpointId(const std::string& address) const {
+  return identity_.host_ + "/" + address;
+}
+
+bool LocalEndpoints::Announce(const Announcement& announcement,
+                              base::MonoTime now) {
+  const auto [found, added] = upstreams_.try_emplace(announcement.address_);
+  Local& local = found->second;
+  local.renewed_ = now;
+  rpc::Endpoint& endpoint = local.endpoint_;
+  const bool same_instance = local.instance_ == announcement.instance_;
+  local.instance_ = announcement.instance_;
+  const bool same = !added && same_instance &&
+                    endpoint.service() == announcement.service_ &&
+                    endpoint.version() == announcement.version_ &&
+                    endpoint.slots() == announcement.slots_ &&
+                    (endpoint.state() == rpc::ENDPOINT_STATE_READY ||
+                     endpoint.state() == rpc::ENDPOINT_STATE_DRAINING);
+  if (same) {
+    return false;
+  }
+  endpoint.set_id(EndpointId(announcement.address_));
+  endpoint.set_host(identity_.host_);
+  endpoint.set_zone(identity_.zone_);
+  endpoint.set_incarnation(identity_.incarnation_);
+  endpoint.set_sequence(next_sequence_++);
+  endpoint.set_service(announcement.service_);
+  endpoint.set_version(announcement.version_);
+  endpoint.set_peer_address(identity_.peer_address_);
+  endpoint.set_control_address(identity_.control_address_);
+  endpoint.set_slots(announcement.slots_);
+  endpoint.set_state(rpc::ENDPOINT_STATE_READY);
+  ++version_;
+  return true;
+}
+
+bool LocalEndpoints::SetState(const std::string& address,
+                              rpc::EndpointState state) {
+  const auto found = upstreams_.find(address);
+  if (found == upstreams_.end() || found->second.endpoint_.state() == state) {
+    return false;
+  }
+  found->second.endpoint_.set_state(state);
+  found->second.endpoint_.set_sequence(next_sequence_++);
+  ++version_;
+  return true;
+}
+
+bool LocalEndpoints::Drain(const std::string& address) {
+  return SetState(address, rpc::ENDPOINT_STATE_DRAINING);
+}
+
+bool LocalEndpoints::Leave(const std::string& address) {
+  return SetState(address, rpc::ENDPOINT_STATE_GONE);
+}
+
+bool LocalEndpoints::Crash(const std::string& address) {
+  return SetState(address, rpc::ENDPOINT_STATE_CRASHED);
+}
+
+void LocalEndpoints::Reannounce() {
+  for (auto& [address, local] : upstreams_) {
+    local.endpoint_.set_sequence(next_sequence_++);
+  }
+  ++version_;
+}
+
+bool LocalEndpoints::Expire(base::MonoTime now) {
+  bool changed = false;
+  for (auto& [address, local] : upstreams_) {
+    if (now - local.renewed_ > kAnnounceLease) {
+      changed |= SetState(address, rpc::ENDPOINT_STATE_GONE);
+    }
+  }
+  return changed;
+}
+
+std::vector<rpc::Endpoint> LocalEndpoints::Entries() const {
+  std::vector<rpc::Endpoint> entries;
+  for (const auto& [address, local] : upstreams_) {
+    entries.push_back(local.endpoint_);
+  }
+  return entries;
+}
+
+uint64_t LocalEndpoints::Digest() const {
+  uint64_t digest = 0;
+  for (const auto& [address, local] : upstreams_) {
+    if (local.endpoint_.state() != rpc::ENDPOINT_STATE_GONE) {
+      digest += EntryDigest(local.endpoint_);
+    }
+  }
+  return digest;
+}
+
+}  // namespace buckthorngate::registry
--- /dev/null
+++ b/src/registry/local_endpoints.h
@@ -0,0 +1,78 @@
+// The upstreams of one host, as they announce themselves to its daemon.
+#ifndef SRC_REGISTRY_LOCAL_ENDPOINTS_H_
+#define SRC_REGISTRY_LOCAL_ENDPOINTS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "buckthorngate/result_code.h"
+#include "mesh.pb.h"
+
+namespace buckthorngate::registry {
+
+// An upstream that stays silent for this long is no longer announced.
+inline constexpr base::Duration kAnnounceLease = std::chrono::seconds(3);
+
+// What an upstream says of itself.
+struct Announcement {
+  std::string service_;
+  std::string version_;
+  std::string address_;  // IP:port of the upstream on this host.
+  uint32_t slots_ = 0;
+  // Differs at each start of the upstream; a new one ends a drain.
+  std::string instance_;
+};
+
+// Identity of the daemon that the entries belong to.
+struct HostIdentity {
+  std::string host_;
+  std::string zone_;
+  std::string peer_address_;
+  std::string control_address_;
+  uint64_t incarnation_ = 0;  // Larger at each start of the daemon.
+};
+
+// The single writer of the host's endpoint entries.
+class LocalEndpoints {
+ public:
+  explicit LocalEndpoints(HostIdentity identity);
+
+  // Adds or renews an upstream; true if its entry changed.
+  bool Announce(const Announcement& announcement, base::MonoTime now);
+  // Each returns true if the entry changed.
+  bool Drain(const std::string& address);
+  bool Leave(const std::string& address);
+  bool Crash(const std::string& address);
+
+  // Announces each entry anew, with a higher sequence.
+  void Reannounce();
+  // Removes upstreams whose announcements stopped; true if any.
+  bool Expire(base::MonoTime now);
+
+  std::vector<rpc::Endpoint> Entries() const;
+  // Digest over the entries that are not gone.
+  uint64_t Digest() const;
+  uint64_t Version() const { return version_; }
+  std::string EndpointId(const std::string& address) const;
+
+ private:
+  struct Local {
+    rpc::Endpoint endpoint_;
+    base::MonoTime renewed_;
+    std::string instance_;
+  };
+
+  bool SetState(const std::string& address, rpc::EndpointState state);
+
+  const HostIdentity identity_;
+  std::map<std::string, Local> upstreams_;
+  // Invariant: larger than the sequence of each entry.
+  uint64_t next_sequence_ = 1;
+  uint64_t version_ = 0;
+};
+
+}  // namespace buckthorngate::registry
+
+#endif  // SRC_REGISTRY_LOCAL_ENDPOINTS_H_
--- /dev/null
+++ b/src/request/call_tree.h
@@ -0,0 +1,65 @@
+// Counts the calls below a request on the host that it runs on.
+//
+// An upstream passes the request's id on with its own calls, which go through
+// the same host's daemon. The daemon adds up what they caused and reports the
+// sum with the answer, so that each daemon knows the usual size of the trees
+// below it: the price of a retry.
+#ifndef SRC_REQUEST_CALL_TREE_H_
+#define SRC_REQUEST_CALL_TREE_H_
+
+#include <array>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "base/hash.h"
+
+namespace buckthorngate::request {
+
+// Safe for concurrent use.
+class CallTree {
+ public:
+  // Adds calls that the request `id` caused.
+  void Add(const std::string& id, uint32_t calls) {
+    Shard& shard = ShardOf(id);
+    const std::lock_guard<std::mutex> lock(shard.mutex_);
+    if (shard.calls_.size() >= kMaxRequests) {
+      shard.calls_.clear();
+    }
+    shard.calls_[id] += calls;
+  }
+
+  // Returns and forgets the sum.
+  uint32_t Take(const std::string& id) {
+    Shard& shard = ShardOf(id);
+    const std::lock_guard<std::mutex> lock(shard.mutex_);
+    const auto found = shard.calls_.find(id);
+    if (found == shard.calls_.end()) {
+      return 0;
+    }
+    const uint32_t calls = found->second;
+    shard.calls_.erase(found);
+    return calls;
+  }
+
+ private:
+  static constexpr size_t kShards = 16;
+  // Requests whose answer never passes by; forgotten together.
+  static constexpr size_t kMaxRequests = 4096;
+
+  struct Shard {
+    std::mutex mutex_;
+    std::unordered_map<std::string, uint32_t> calls_;
+  };
+
+  Shard& ShardOf(const std::string& id) {
+    return shards_[base::Hash(id) % kShards];
+  }
+
+  std::array<Shard, kShards> shards_;
+};
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_CALL_TREE_H_
--- /dev/null
+++ b/src/request/claim_coordinator.h
@@ -0,0 +1,77 @@
+// Claims of requests that may run at most once: the daemon's side.
+//
+// Asks each member of the claim group and counts the answers. A request runs
+// only after a majority has synced its claim. Without a majority the claim is
+// given back and the request refused as not run.
+#ifndef SRC_REQUEST_CLAIM_COORDINATOR_H_
+#define SRC_REQUEST_CLAIM_COORDINATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/node.h"
+#include "base/time.h"
+#include "buckthorngate/result_code.h"
+#include "mesh.pb.h"
+
+namespace buckthorngate::request {
+
+inline constexpr base::Duration kClaimTimeout = std::chrono::milliseconds(800);
+
+// What became of one claim, answer or release.
+struct ClaimOutcome {
+  std::string owner_;
+  rpc::ClaimRequest::Action action_ = rpc::ClaimRequest::CLAIM;
+  // kOk: run it. kKeyReused, kClaimOutcomeUnknown: do not run, ever.
+  // kClaimNoQuorum: not run; may be sent again.
+  ResultCode code_ = ResultCode::kOk;
+  // The stored answer, if an earlier run has one.
+  std::optional<rpc::StoredAnswer> answer_;
+};
+
+class ClaimCoordinator {
+ public:
+  explicit ClaimCoordinator(std::string self);
+
+  void SetGroup(const rpc::ClaimGroup& group) { group_ = group; }
+
+  // `record.owner` must be unique to the request and action.
+  void Start(rpc::ClaimRequest::Action action,
+             rpc::ClaimRecord record,
+             const base::Now& now,
+             base::Outbox& outbox);
+  void OnReply(const std::string& from,
+               const rpc::ClaimReply& reply,
+               base::Outbox& outbox);
+  void OnTimer(const base::Now& now, base::Outbox& outbox);
+  std::vector<ClaimOutcome> TakeOutcomes();
+
+ private:
+  struct Pending {
+    rpc::ClaimRequest request_;
+    base::MonoTime deadline_;
+    size_t members_ = 0;
+    std::set<std::string> granted_;
+    std::set<std::string> answered_;
+    // Strongest refusal so far.
+    ResultCode refusal_ = ResultCode::kClaimNoQuorum;
+    std::optional<rpc::StoredAnswer> answer_;
+  };
+  using Key = std::pair<std::string, rpc::ClaimRequest::Action>;
+
+  void Send(const rpc::ClaimRequest& request, base::Outbox& outbox);
+  void Finish(const Key& key, ResultCode code, base::Outbox& outbox);
+
+  const std::string self_;
+  rpc::ClaimGroup group_;
+  std::map<Key, Pending> pending_;
+  std::vector<ClaimOutcome> outcomes_;
+};
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_CLAIM_COORDINATOR_H_
--- /dev/null
+++ b/src/request/endpoint_picker.h
@@ -0,0 +1,35 @@
+// Picks a version by the move's share and an endpoint by power of two choices.
+#ifndef SRC_REQUEST_ENDPOINT_PICKER_H_
+#define SRC_REQUEST_ENDPOINT_PICKER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "request/mesh_view.h"
+
+namespace buckthorngate::request {
+
+// A new endpoint gets a share of work that grows over this time.
+inline constexpr base::Duration kWarmUp = std::chrono::seconds(10);
+// The own zone spills over when its endpoints are this full on average.
+inline constexpr double kSpillLoad = 0.8;
+
+// The version that serves this request: steady for one request id, so that a
+// retry goes to the same version. `braked` keeps the move's target out.
+std::string PickVersion(const rpc::ServiceState& service,
+                        std::string_view request_id,
+                        bool braked);
+
+// Returns null if there is no endpoint that was not tried. Ejected endpoints
+// are a last resort.
+const EndpointView* PickEndpoint(const VersionView& version,
+                                 const std::vector<std::string>& tried,
+                                 base::MonoTime now,
+                                 base::Random& random);
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_ENDPOINT_PICKER_H_
--- /dev/null
+++ b/src/request/endpoint_stats.cc
@@ -0,0 +1,53 @@
+// Endpoint statistics.
+#include "request/endpoint_stats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthorngate::request {
+namespace {
+
+constexpr double kDecaySeconds = 5.0;
+constexpr int64_t kFirstEjectionUs = 200'000;
+constexpr int64_t kMaxEjectionUs = 5'000'000;
+constexpr uint32_t kMaxDoublings = 5;
+
+}  // namespace
+
+void EndpointStats::End(base::Duration latency,
+                        bool failed,
+                        base::MonoTime now) {
+  in_flight_.fetch_sub(1, std::memory_order_relaxed);
+  if (failed) {
+    return;
+  }
+  failures_in_row_.store(0, std::memory_order_relaxed);
+  const int64_t now_us = now.time_since_epoch().count();
+  const int64_t last_us =
+      updated_us_.exchange(now_us, std::memory_order_relaxed);
+  const int64_t old_us = latency_us_.load(std::memory_order_relaxed);
+  const int64_t seen_us = latency.count();
+  if (seen_us >= old_us) {
+    latency_us_.store(seen_us, std::memory_order_relaxed);
+    return;
+  }
+  const double elapsed =
+      static_cast<double>(std::max<int64_t>(now_us - last_us, 0)) / 1e6;
+  // At least a small weight, so that a busy endpoint forgets as well.
+  const double weight =
+      std::max(0.05, 1.0 - std::exp(-elapsed / kDecaySeconds));
+  const double blended = static_cast<double>(old_us) +
+                         weight * static_cast<double>(seen_us - old_us);
+  latency_us_.store(static_cast<int64_t>(blended), std::memory_order_relaxed);
+}
+
+void EndpointStats::Eject(base::MonoTime now) {
+  const uint32_t failures =
+      failures_in_row_.fetch_add(1, std::memory_order_relaxed);
+  const int64_t length = std::min(
+      kFirstEjectionUs << std::min(failures, kMaxDoublings), kMaxEjectionUs);
+  ejected_until_us_.store(now.time_since_epoch().count() + length,
+                          std::memory_order_relaxed);
+}
+
+}  // namespace buckthorngate::request
--- /dev/null
+++ b/src/request/endpoint_stats.h
@@ -0,0 +1,53 @@
+// What a daemon has itself seen of an endpoint: atomics that outlive views.
+#ifndef SRC_REQUEST_ENDPOINT_STATS_H_
+#define SRC_REQUEST_ENDPOINT_STATS_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+
+namespace buckthorngate::request {
+
+// Safe for concurrent use.
+class EndpointStats {
+ public:
+  explicit EndpointStats(base::MonoTime created) : created_(created) {}
+
+  void Begin() { in_flight_.fetch_add(1, std::memory_order_relaxed); }
+  // Ends a call; failures that say nothing of latency count by `failed`.
+  void End(base::Duration latency, bool failed, base::MonoTime now);
+  // The endpoint could not be reached or refused: it is left out for a time
+  // that doubles with each failure in a row.
+  void Eject(base::MonoTime now);
+
+  int32_t InFlight() const {
+    return in_flight_.load(std::memory_order_relaxed);
+  }
+  // Peak-sensitive latency estimate: rises at once, decays with time.
+  base::Duration Latency() const {
+    return base::Duration(latency_us_.load(std::memory_order_relaxed));
+  }
+  bool Ejected(base::MonoTime now) const {
+    return now.time_since_epoch().count() <
+           ejected_until_us_.load(std::memory_order_relaxed);
+  }
+  base::MonoTime Created() const { return created_; }
+
+ private:
+  const base::MonoTime created_;
+  std::atomic<int32_t> in_flight_{0};
+  std::atomic<int64_t> latency_us_{0};
+  std::atomic<int64_t> updated_us_{0};
+  std::atomic<int64_t> ejected_until_us_{0};
+  std::atomic<uint32_t> failures_in_row_{0};
+};
+
+using EndpointStatsPtr = std::shared_ptr<EndpointStats>;
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_ENDPOINT_STATS_H_
--- /dev/null
+++ b/src/request/hop_headers.h
@@ -0,0 +1,36 @@
+// Headers between daemons, and between a daemon and its upstream.
+#ifndef SRC_REQUEST_HOP_HEADERS_H_
+#define SRC_REQUEST_HOP_HEADERS_H_
+
+#include <string_view>
+
+namespace buckthorngate::request {
+
+// Identifies one request through all hops. An upstream passes it on with its
+// own calls, so that a call tree is known as one.
+inline constexpr char kRequestIdHeader[] = "X-Request-Id";
+// Remaining time in milliseconds.
+inline constexpr char kDeadlineHeader[] = "Bg-Deadline-Ms";
+// Present below a retry: no further retries of what may have run.
+inline constexpr char kBelowRetryHeader[] = "Bg-Below-Retry";
+// Calls that an answer caused, itself included.
+inline constexpr char kCallsHeader[] = "Bg-Calls";
+// Number and name of a result code, on answers of a daemon.
+inline constexpr char kResultHeader[] = "Bg-Result";
+// "true" only if the request certainly did not run.
+inline constexpr char kNotRunHeader[] = "Bg-Not-Run";
+// Between daemons only: the upstream died under this request.
+inline constexpr char kCrashedHeader[] = "Bg-Crashed";
+// Between daemons only: the attempt's id, echoed by the answer.
+inline constexpr char kAttemptHeader[] = "Bg-Attempt";
+// Between daemons only: the endpoint that was picked, and its service.
+inline constexpr char kEndpointHeader[] = "Bg-Endpoint";
+inline constexpr char kCallerHeader[] = "Bg-Caller";
+inline constexpr char kFingerprintHeader[] = "Bg-Fingerprint";
+
+// Prefix of all headers that only daemons may set.
+inline constexpr std::string_view kPrefix = "Bg-";
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_HOP_HEADERS_H_
--- /dev/null
+++ b/src/request/mesh_view.h
@@ -0,0 +1,72 @@
+// What the path of a request reads: one immutable view of configuration,
+// endpoints and quarantine, published as a whole.
+#ifndef SRC_REQUEST_MESH_VIEW_H_
+#define SRC_REQUEST_MESH_VIEW_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "base/time.h"
+#include "config/config_state.h"
+#include "registry/endpoint_registry.h"
+#include "request/endpoint_stats.h"
+#include "request/route_table.h"
+
+namespace buckthorngate::request {
+
+struct EndpointView {
+  rpc::Endpoint endpoint_;
+  EndpointStatsPtr stats_;
+};
+
+// Endpoints of one version that may get new work: own zone first.
+struct VersionView {
+  std::vector<EndpointView> endpoints_;
+  size_t own_zone_ = 0;  // The first so many are in the own zone.
+};
+
+struct MeshView {
+  bool may_serve_ = false;
+  uint64_t revision_ = 0;
+  std::shared_ptr<const RouteTable> routes_;
+  // By service, then version.
+  std::unordered_map<std::string, std::unordered_map<std::string, VersionView>>
+      services_;
+  std::unordered_set<std::string> quarantined_;
+  // Suspects are served but never retried.
+  std::unordered_set<std::string> suspects_;
+
+  // Null if no endpoint of the version may get work.
+  const VersionView* Find(const std::string& service,
+                          const std::string& version) const;
+};
+
+// Builds views; keeps the statistics of endpoints from view to view and
+// reuses the route table while the configuration is unchanged.
+class MeshViewBuilder {
+ public:
+  explicit MeshViewBuilder(std::string own_zone);
+
+  std::shared_ptr<const MeshView> Build(
+      bool may_serve,
+      const config::ConfigState& config,
+      const registry::EndpointRegistry& endpoints,
+      const std::map<std::string, rpc::QuarantineEntry>& quarantine,
+      base::MonoTime now);
+
+ private:
+  EndpointStatsPtr StatsOf(const rpc::Endpoint& endpoint, base::MonoTime now);
+
+  const std::string own_zone_;
+  std::unordered_map<std::string, EndpointStatsPtr> stats_;
+  std::shared_ptr<const RouteTable> routes_;
+  uint64_t routes_revision_ = 0;
+};
+
+}  // namespace buckthorngate::request
+
+#endif  // SRC_REQUEST_MESH_VIEW_H_
--- /dev/null
+++ b/src/request/quarantine.cc
@@ -0,0 +1,80 @@
+// Suspects and quarantine.
+#include "request/quarantine.h"
+
+#include <algorithm>
+
+namespace buckthorngate::request {
+namespace {
+
+constexpr size_t kMaxSeenCrashes = 4096;
+
+}  // namespace
+
+std::vector<rpc::QuarantineEntry> QuarantineBook::OnCrash(
+    const rpc::CrashReport& report,
+    base::WallTime now) {
+  std::vector<rpc::QuarantineEntry> changed;
+  if (!seen_crashes_.insert(report.crash_id()).second) {
+    return changed;
+  }
+  if (seen_crashes_.size() > kMaxSeenCrashes) {
+    seen_crashes_.erase(seen_crashes_.begin());
+  }
+  for (const std::string& fingerprint : report.fingerprints()) {
+    const uint32_t lifted = LiftedCrashes(fingerprint);
+    rpc::QuarantineEntry& entry = entries_[fingerprint];
+    entry.set_fingerprint(fingerprint);
+    entry.set_service(report.service());
+    entry.set_crashes(std::max(entry.crashes(), lifted) + 1);
+    entry.set_quarantined(entry.crashes() - lifted >= kCrashesToQuarantine);
+    const std::chrono::milliseconds lifetime =
+        entry.quarantined() ? std::chrono::milliseconds(kQuarantineLifetime)
+                            : std::chrono::milliseconds(kSuspectLifetime);
+    entry.set_expires_ms(base::ToUnixMs(now + lifetime));
+    changed.push_back(entry);
+  }
+  return changed;
+}
+
+std::vector<rpc::QuarantineEntry> QuarantineBook::Merge(
+    const rpc::QuarantineNotice& notice) {
+  std::vector<rpc::QuarantineEntry> changed;
+  for (const rpc::QuarantineEntry& offered : notice.entries()) {
+    if (offered.crashes() <= LiftedCrashes(offered.fingerprint())) {
+      continue;
+    }
+    rpc::QuarantineEntry& held = entries_[offered.fingerprint()];
+    const bool news = offered.crashes() > held.crashes() ||
+                      (offered.quarantined() && !held.quarantined());
+    if (news) {
+      held = offered;
+      changed.push_back(offered);
+    }
+  }
+  return changed;
+}
+
+void QuarantineBook::Lift(const std::set<std::string>& fingerprints) {
+  for (const std::string& fingerprint : fingerprints) {
+    if (lifted_.count(fingerprint) != 0) {
+      continue;
+    }
+    const auto held = entries_.find(fingerprint);
+    lifted_[fingerprint] = held == entries_.end() ? 0 : held->second.crashes();
+    entries_.erase(fingerprint);
+  }
+}
+
+uint32_t QuarantineBook::LiftedCrashes(const std::string& fingerprint) const {
+  const auto found = lifted_.find(fingerprint);
+  return found == lifted_.end() ? 0 : found->second;
+}
+
+void QuarantineBook::Expire(base::WallTime now) {
+  const int64_t now_ms = base::ToUnixMs(now);
+  std::erase_if(entries_, [now_ms](const auto& item) {
+    return item.second.expires_ms() <= now_ms;
+  });
+}
+
+}  // namespace buckthorngate::request
--- /dev/null
+++ b/src/request/retry.cc
@@ -0,0 +1,61 @@
+// Retry decisions.
+#include "request/retry.h"
+
+#include <algorithm>
+#include <string>
+
+namespace buckthorngate::request {
+namespace {
+
+constexpr base::Duration kLeastTimeForRetry = std::chrono::milliseconds(2);
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+bool Failed(const AttemptOutcome& outcome) {
+  return outcome.code_ != ResultCode::kOk || outcome.status_ == kBadGateway ||
+         outcome.status_ == kUnavailable || outcome.status_ == kGatewayTimeout;
+}
+
+}  // namespace
+
+void RetryBudget::NoteFirstTry(uint32_t percent) {
+  const int64_t earned = kMilli * percent / 100;
+  const int64_t most = static_cast<int64_t>(kBudgetTokens) * kMilli;
+  int64_t held = tokens_.load(std::memory_order_relaxed);
+  while (held < most &&
+         !tokens_.compare_exchange_weak(held, std::min(most, held + earned),
+                                        std::memory_order_relaxed)) {
+  }
+}
+
+bool RetryBudget::Spend(double calls) {
+  const int64_t cost =
+      static_cast<int64_t>(calls * static_cast<double>(kMilli));
+  int64_t held = tokens_.load(std::memory_order_relaxed);
+  while (held >= cost) {
+    if (tokens_.compare_exchange_weak(held, held - cost,
+                                      std::memory_order_relaxed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool WorthRetry(const AttemptOutcome& outcome, const RetryContext& context) {
+  if (!Failed(outcome) || context.attempts_ >= kMaxAttempts ||
+      context.left_ < kLeastTimeForRetry || !context.body_replayable_) {
+    return false;
+  }
+  if (outcome.not_run_) {
+    // Nothing ran, so nothing is multiplied; the budget still counts it.
+    return true;
+  }
+  return context.repeatable_ && !context.below_retry_ && !context.suspect_;
+}
+
+bool IsSafeMethod(const std::string& method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+}  // namespace buckthorngate::request
--- /dev/null
+++ b/src/rollout/move_controller.cc
@@ -0,0 +1,166 @@
+// Controller of all moves.
+#include "rollout/move_controller.h"
+
+#include <utility>
+
+namespace buckthorngate::rollout {
+namespace {
+
+// A step that is not committed by then was lost and is decided again.
+constexpr base::Duration kProposalTimeout = std::chrono::seconds(3);
+
+}  // namespace
+
+MoveController::MoveController(std::unique_ptr<MovePolicy> policy)
+    : policy_(std::move(policy)) {}
+
+void MoveController::Reset() {
+  tracked_.clear();
+  brakes_.clear();
+  merger_ = EvidenceMerger();
+}
+
+void MoveController::OnEvidence(const rpc::Evidence& report) {
+  merger_.Add(report);
+}
+
+void MoveController::OnBrake(const std::string& proxy,
+                             const rpc::BrakeNotice& notice) {
+  brakes_.emplace_back(proxy, notice);
+}
+
+MoveController::Tracked& MoveController::Track(const rpc::Move& move,
+                                               base::MonoTime now) {
+  const auto [found, added] = tracked_.try_emplace(move.service());
+  Tracked& tracked = found->second;
+  if (added || tracked.to_ != move.to()) {
+    tracked = Tracked();
+    tracked.to_ = move.to();
+    tracked.step_ = move.step();
+    tracked.step_began_ = now;
+  }
+  if (tracked.step_ != move.step()) {
+    tracked.step_ = move.step();
+    tracked.step_began_ = now;
+    tracked.proposed_.reset();
+    tracked.brakes_.clear();
+    for (auto& [name, route] : tracked.routes_) {
+      route.new_.Clear();
+      route.old_.Clear();
+      route.test_.StartStep();
+      if (tracked.restart_tests_) {
+        route.test_.Restart();
+      }
+    }
+    tracked.restart_tests_ = false;
+  }
+  return tracked;
+}
+
+void MoveController::AddWindow(Tracked& tracked,
+                               const rpc::Move& move,
+                               const std::vector<rpc::RouteEvidence>& window) {
+  std::map<std::string, std::pair<rpc::RouteEvidence, rpc::RouteEvidence>>
+      by_route;
+  for (const auto& [name, route] : tracked.routes_) {
+    by_route[name] = {};
+  }
+  for (const rpc::RouteEvidence& evidence : window) {
+    if (evidence.service() != move.service()) {
+      continue;
+    }
+    if (evidence.version() == move.to()) {
+      MergeEvidence(evidence, by_route[evidence.route()].first);
+    } else if (evidence.version() == move.from()) {
+      MergeEvidence(evidence, by_route[evidence.route()].second);
+    }
+  }
+  for (const auto& [name, pair] : by_route) {
+    RouteView& route = tracked.routes_[name];
+    route.test_.Add(pair.first, pair.second);
+    MergeEvidence(pair.first, route.new_);
+    MergeEvidence(pair.second, route.old_);
+  }
+}
+
+std::vector<rpc::MoveStep> MoveController::Tick(
+    const config::ConfigState& config,
+    const EndpointPresence& presence,
+    base::MonoTime now,
+    base::WallTime wall) {
+  std::vector<rpc::MoveStep> steps;
+  if (now < next_decision_) {
+    return steps;
+  }
+  next_decision_ = now + kDecisionInterval;
+  const std::vector<rpc::RouteEvidence> window = merger_.Take();
+  const auto brakes = std::exchange(brakes_, {});
+  for (const auto& [name, service] : config.Services()) {
+    if (!service->has_move()) {
+      tracked_.erase(name);
+      continue;
+    }
+    const rpc::Move& move = service->move();
+    Tracked& tracked = Track(move, now);
+    AddWindow(tracked, move, window);
+    for (const auto& [proxy, notice] : brakes) {
+      if (notice.service() == name && notice.version() == move.to() &&
+          notice.step() == move.step()) {
+        tracked.brakes_.insert(proxy);
+      }
+    }
+    if (tracked.proposed_ && now - *tracked.proposed_ < kProposalTimeout) {
+      continue;
+    }
+    MoveView view;
+    view.move_ = &move;
+    view.routes_ = &tracked.routes_;
+    view.now_ = wall;
+    view.in_step_ = now - tracked.step_began_;
+    view.new_endpoints_ = presence.HasEndpoints(name, move.to());
+    view.old_endpoints_ = presence.HasEndpoints(name, move.from());
+    view.brakes_ = static_cast<uint32_t>(tracked.brakes_.size());
+    tracked.hold_reason_.clear();
+    const std::optional<MoveDecision> decision =
+        policy_->Decide(view, tracked.hold_reason_);
+    if (!decision) {
+      continue;
+    }
+    tracked.proposed_ = now;
+    tracked.restart_tests_ = decision->restart_tests_;
+    rpc::MoveStep& step = steps.emplace_back();
+    step.set_service(name);
+    step.set_to(move.to());
+    step.set_expected_step(move.step());
+    step.set_phase(decision->phase_);
+    step.set_share_permille(decision->share_permille_);
+    step.set_reason(decision->reason_);
+    step.set_watch_open(decision->watch_open_);
+    step.set_at_ms(base::ToUnixMs(wall));
+  }
+  return steps;
+}
+
+std::vector<MoveStatus> MoveController::Status(
+    const config::ConfigState& config) const {
+  std::vector<MoveStatus> all;
+  for (const auto& [name, service] : config.Services()) {
+    if (!service->has_move()) {
+      continue;
+    }
+    MoveStatus& status = all.emplace_back();
+    status.move_ = service->move();
+    const auto found = tracked_.find(name);
+    if (found == tracked_.end()) {
+      continue;
+    }
+    status.forecast_ = found->second.hold_reason_;
+    for (const auto& [route, view] : found->second.routes_) {
+      status.evidence_.push_back(view.new_);
+      status.evidence_.push_back(view.old_);
+    }
+  }
+  return all;
+}
+
+}  // namespace buckthorngate::rollout
--- /dev/null
+++ b/src/rollout/move_controller.h
@@ -0,0 +1,89 @@
+// Controller of all moves: runs at the leading source.
+//
+// The moves themselves are state in the log. The controller holds evidence
+// only; after a failover the new leader starts with none, and goes on from the
+// logged step. A step names the step number that it was decided on and applies
+// only to that one, so that no step is made twice.
+#ifndef SRC_ROLLOUT_MOVE_CONTROLLER_H_
+#define SRC_ROLLOUT_MOVE_CONTROLLER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "config/config_state.h"
+#include "mesh.pb.h"
+#include "rollout/evidence.h"
+#include "rollout/move_policy.h"
+
+namespace buckthorngate::rollout {
+
+// Evidence is judged at this interval.
+inline constexpr base::Duration kDecisionInterval =
+    std::chrono::milliseconds(500);
+
+// Which versions of a service have endpoints that can serve.
+class EndpointPresence {
+ public:
+  virtual ~EndpointPresence() = default;
+  virtual bool HasEndpoints(const std::string& service,
+                            const std::string& version) const = 0;
+};
+
+// Why a move stands where it stands, for operators.
+struct MoveStatus {
+  rpc::Move move_;
+  std::vector<rpc::RouteEvidence> evidence_;
+  std::string forecast_;
+};
+
+class MoveController {
+ public:
+  explicit MoveController(std::unique_ptr<MovePolicy> policy);
+
+  // Forgets all evidence, when leadership begins.
+  void Reset();
+
+  void OnEvidence(const rpc::Evidence& report);
+  void OnBrake(const std::string& proxy, const rpc::BrakeNotice& notice);
+
+  // Steps to propose now. `wall` is the median clock of the sources.
+  std::vector<rpc::MoveStep> Tick(const config::ConfigState& config,
+                                  const EndpointPresence& presence,
+                                  base::MonoTime now,
+                                  base::WallTime wall);
+
+  std::vector<MoveStatus> Status(const config::ConfigState& config) const;
+
+ private:
+  struct Tracked {
+    uint64_t step_ = 0;
+    std::string to_;
+    base::MonoTime step_began_;
+    // Set while a proposed step waits to be committed.
+    std::optional<base::MonoTime> proposed_;
+    std::map<std::string, RouteView> routes_;
+    std::set<std::string> brakes_;
+    std::string hold_reason_;
+    bool restart_tests_ = false;
+  };
+
+  Tracked& Track(const rpc::Move& move, base::MonoTime now);
+  void AddWindow(Tracked& tracked,
+                 const rpc::Move& move,
+                 const std::vector<rpc::RouteEvidence>& window);
+
+  const std::unique_ptr<MovePolicy> policy_;
+  EvidenceMerger merger_;
+  std::map<std::string, Tracked> tracked_;
+  std::vector<std::pair<std::string, rpc::BrakeNotice>> brakes_;
+  base::MonoTime next_decision_;
+};
+
+}  // namespace buckthorngate::rollout
+
+#endif  // SRC_ROLLOUT_MOVE_CONTROLLER_H_
--- /dev/null
+++ b/src/rollout/move_policy.h
@@ -0,0 +1,66 @@
+// Policies that decide the next step of a move.
+//
+// A policy is a pure function of the move, the evidence so far and the time.
+// Three exist, to be compared by benchmark/moves: fixed steps on a timer, fixed
+// thresholds, and the sequential test with an exposure budget (the default).
+#ifndef SRC_ROLLOUT_MOVE_POLICY_H_
+#define SRC_ROLLOUT_MOVE_POLICY_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "mesh.pb.h"
+#include "rollout/harm_test.h"
+
+namespace buckthorngate::rollout {
+
+inline constexpr uint32_t kWholeShare = 1000;  // permille
+
+// Evidence of one route, as a policy sees it.
+struct RouteView {
+  HarmTest test_;
+  // Sums since the current step.
+  rpc::RouteEvidence new_;
+  rpc::RouteEvidence old_;
+};
+
+struct MoveView {
+  const rpc::Move* move_ = nullptr;
+  const std::map<std::string, RouteView>* routes_ = nullptr;
+  base::WallTime now_;         // Median clock of the sources.
+  base::Duration in_step_{0};  // Time since the current step was logged.
+  bool new_endpoints_ = false;
+  bool old_endpoints_ = false;
+  // Proxies that braked the new version at the current step.
+  uint32_t brakes_ = 0;
+};
+
+struct MoveDecision {
+  rpc::MovePhase phase_ = rpc::MOVE_PHASE_WAITING;
+  uint32_t share_permille_ = 0;
+  std::string reason_;
+  bool watch_open_ = true;
+  // The comparison starts anew at the next step.
+  bool restart_tests_ = false;
+};
+
+class MovePolicy {
+ public:
+  virtual ~MovePolicy() = default;
+
+  // Returns the step to log now, or nothing to stay. `hold_reason` says why.
+  virtual std::optional<MoveDecision> Decide(
+      const MoveView& view,
+      std::string& hold_reason) const = 0;
+};
+
+enum class PolicyKind : uint8_t { kTimer, kThreshold, kSequential };
+
+std::unique_ptr<MovePolicy> MakeMovePolicy(PolicyKind kind);
+
+}  // namespace buckthorngate::rollout
+
+#endif  // SRC_ROLLOUT_MOVE_POLICY_H_
--- /dev/null
+++ b/src/rpc/control_client.cc
@@ -0,0 +1,169 @@
+// Client of the control API.
+#include "buckthorngate/control_client.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "mesh.grpc.pb.h"
+#include "rpc/credentials.h"
+#include "rpc/mesh_transport.h"
+
+namespace buckthorngate {
+namespace {
+
+constexpr std::chrono::milliseconds kPause{100};
+constexpr std::chrono::milliseconds kCallTimeout{6000};
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+bool WorthAnotherServer(ResultCode code) {
+  return code == ResultCode::kNotLeader ||
+         code == ResultCode::kOutcomeUnknown ||
+         code == ResultCode::kOverloaded ||
+         code == ResultCode::kStorageFailed ||
+         code == ResultCode::kMembershipBusy;
+}
+
+}  // namespace
+
+class ControlClient::Impl {
+ public:
+  Impl(std::vector<std::string> servers,
+       ClientTls tls,
+       std::chrono::milliseconds timeout)
+      : servers_(std::move(servers)), timeout_(timeout) {
+    tls_.ca_file_ = std::move(tls.ca_file_);
+    tls_.cert_file_ = std::move(tls.cert_file_);
+    tls_.key_file_ = std::move(tls.key_file_);
+    tls_.server_name_ = std::move(tls.server_name_);
+  }
+
+  rpc::Control::Stub& StubFor(const std::string& address) {
+    std::unique_ptr<rpc::Control::Stub>& stub = stubs_[address];
+    if (stub == nullptr) {
+      stub = rpc::Control::NewStub(rpc::MakeChannel(address, tls_));
+    }
+    return *stub;
+  }
+
+  // Calls servers in turn until one takes the write.
+  template <typename Request, typename Method>
+  tl::expected<rpc::PublishReply, ResultCode> Write(const Request& request,
+                                                    Method method) {
+    const SteadyTime give_up = std::chrono::steady_clock::now() + timeout_;
+    ResultCode last = ResultCode::kConnectionLost;
+    std::string preferred;
+    size_t next = 0;
+    while (std::chrono::steady_clock::now() < give_up) {
+      const std::string address =
+          preferred.empty() ? servers_[next++ % servers_.size()] : preferred;
+      preferred.clear();
+      grpc::ClientContext context;
+      context.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
+      rpc::PublishReply reply;
+      const grpc::Status status =
+          (StubFor(address).*method)(&context, request, &reply);
+      const ResultCode code = ResultCodeFromNumber(reply.result_code());
+      if (status.ok() && !WorthAnotherServer(code)) {
+        return reply;
+      }
+      last = status.ok() ? code : ResultCode::kConnectionLost;
+      preferred = status.ok() ? reply.leader() : std::string();
+      if (preferred.empty()) {
+        std::this_thread::sleep_for(kPause);
+      }
+    }
+    return tl::unexpected(last == ResultCode::kNotLeader ? ResultCode::kNoQuorum
+                                                         : last);
+  }
+
+  tl::expected<rpc::QueryReply, ResultCode> QueryAt(
+      const std::string& address,
+      const rpc::QueryRequest& request) {
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
+    rpc::QueryReply reply;
+    const grpc::Status status =
+        StubFor(address).Query(&context, request, &reply);
+    if (!status.ok()) {
+      return tl::unexpected(ResultCode::kConnectionLost);
+    }
+    const ResultCode code = ResultCodeFromNumber(reply.result_code());
+    if (code != ResultCode::kOk) {
+      return tl::unexpected(code);
+    }
+    return reply;
+  }
+
+  tl::expected<rpc::QueryReply, ResultCode> Query(
+      const rpc::QueryRequest& request) {
+    ResultCode last = ResultCode::kConnectionLost;
+    for (const std::string& address : servers_) {
+      tl::expected<rpc::QueryReply, ResultCode> reply =
+          QueryAt(address, request);
+      if (reply) {
+        return reply;
+      }
+      last = reply.error();
+    }
+    return tl::unexpected(last);
+  }
+
+  std::vector<std::string> servers_;
+  rpc::TlsOptions tls_;
+  const std::chrono::milliseconds timeout_;
+  std::map<std::string, std::unique_ptr<rpc::Control::Stub>> stubs_;
+};
+
+ControlClient::ControlClient(std::vector<std::string> servers,
+                             ClientTls tls,
+                             std::chrono::milliseconds timeout)
+    : impl_(
+          std::make_unique<Impl>(std::move(servers), std::move(tls), timeout)) {
+}
+ControlClient::~ControlClient() = default;
+
+tl::expected<rpc::PublishReply, ResultCode> ControlClient::Publish(
+    const rpc::Publication& publication) {
+  rpc::PublishRequest request;
+  *request.mutable_publication() = publication;
+  using Method = grpc::Status (rpc::Control::Stub::*)(
+      grpc::ClientContext*, const rpc::PublishRequest&, rpc::PublishReply*);
+  return impl_->Write(request,
+                      static_cast<Method>(&rpc::Control::Stub::Publish));
+}
+
+tl::expected<rpc::PublishReply, ResultCode> ControlClient::ChangeMember(
+    const rpc::MemberRequest& request) {
+  using Method = grpc::Status (rpc::Control::Stub::*)(
+      grpc::ClientContext*, const rpc::MemberRequest&, rpc::PublishReply*);
+  return impl_->Write(request,
+                      static_cast<Method>(&rpc::Control::Stub::ChangeMember));
+}
+
+tl::expected<rpc::QueryReply, ResultCode> ControlClient::Query(
+    const rpc::QueryRequest& request) {
+  return impl_->Query(request);
+}
+
+tl::expected<rpc::QueryReply, ResultCode> ControlClient::QueryLeader(
+    const rpc::QueryRequest& request) {
+  tl::expected<rpc::QueryReply, ResultCode> first = impl_->Query(request);
+  if (!first || first->leader().empty() || first->leader() == first->node()) {
+    return first;
+  }
+  for (const rpc::Member& member : first->membership().members()) {
+    if (member.id() == first->leader()) {
+      tl::expected<rpc::QueryReply, ResultCode> led =
+          impl_->QueryAt(member.address(), request);
+      return led ? led : first;
+    }
+  }
+  return first;
+}
+
+}  // namespace buckthorngate
