--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -77,6 +77,8 @@
 };
 
 std::atomic<LogFormat> g_format{LogFormat::kText};
+// Programs and tests that do not start logging write nothing.
+std::atomic<bool> g_started{false};
 
 const char* LevelName(Level level) {
   switch (level) {
@@ -152,9 +154,13 @@
       format == LogFormat::kJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger::getRoot().addAppender(appender);
+  g_started = true;
 }
 
 void LogEvent(EventId id, std::initializer_list<Field> fields) {
+  if (!g_started) {
+    return;
+  }
   const EventInfo& info = DescribeEvent(id);
   const std::string line = g_format.load() == LogFormat::kJson
                                ? FormatJson(info, fields)
--- a/src/cli/init.cc
+++ b/src/cli/init.cc
@@ -14,8 +14,8 @@
 # Versions that may run, and the one that serves now.
 versions = ["v1", "v2"]
 version = "v1"
-# Retries are at most this share of the first tries, in percent (0 to 20).
-retry_percent = 20
+# Retries are at most this share of the first tries, in percent (0 to 18).
+retry_percent = 18
 
 [[route]]
 name = "pages"
--- a/src/config/service_file.h
+++ b/src/config/service_file.h
@@ -15,8 +15,8 @@
 inline constexpr int64_t kMaxTimeoutMs = 3'600'000;
 inline constexpr int64_t kDefaultTimeoutMs = 10'000;
 inline constexpr int64_t kMaxConcurrency = 100'000;
-inline constexpr uint32_t kDefaultRetryPercent = 20;
-inline constexpr uint32_t kMaxRetryPercent = 20;
+inline constexpr uint32_t kDefaultRetryPercent = 18;
+inline constexpr uint32_t kMaxRetryPercent = 18;
 inline constexpr uint32_t kDefaultUnprovenPermille = 50;
 inline constexpr uint32_t kMaxUnprovenPermille = 500;
 
--- a/src/config/toml_reader.cc
+++ b/src/config/toml_reader.cc
@@ -35,7 +35,7 @@
 
 void TomlReader::Report(ResultCode code,
                         std::string_view key,
-                        std::string detail) {
+                        const std::string& detail) {
   std::string text(key);
   if (!detail.empty()) {
     text += ": " + detail;
--- a/src/config/toml_reader.h
+++ b/src/config/toml_reader.h
@@ -40,7 +40,7 @@
   // Reports each key that was not read as kUnknownKey.
   void RejectUnknownKeys();
 
-  void Report(ResultCode code, std::string_view key, std::string detail);
+  void Report(ResultCode code, std::string_view key, const std::string& detail);
 
  private:
   const toml::node* Find(std::string_view key);
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -277,7 +277,11 @@
     return;
   }
   probe_answers_.insert(from);
-  if (probe_answers_.size() == OtherMembers(true).size()) {
+  // A joining source would be a voter by a committed entry, which a majority
+  // knows. A first member's vote may be known to one other only.
+  const size_t others = OtherMembers(true).size();
+  const size_t needed = IsVoter(id_) ? others : others / 2 + 1;
+  if (probe_answers_.size() >= needed) {
     confirmed_ = true;
     records_.confirmed_ = true;
     role_ = Role::kFollower;
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -36,7 +36,7 @@
 inline constexpr base::Duration kHeartbeatInterval =
     std::chrono::milliseconds(100);
 inline constexpr size_t kMaxEntriesPerMessage = 256;
-inline constexpr size_t kMaxEntryBytesPerMessage = 1024 * 1024;
+inline constexpr size_t kMaxEntryBytesPerMessage = size_t{1024} * 1024;
 
 enum class Role : uint8_t {
   kProbation,  // First start: not yet known to be new.
@@ -128,6 +128,10 @@
   // this follower last heard from a leader.
   base::Duration ContactAge(const base::Now& now) const;
 
+  // Send time of the latest contact that a majority acknowledged: this leader
+  // was the only one then.
+  base::MonoTime MajorityContact(const base::Now& now) const;
+
   // Median of the voters' clocks, as far as they are known to this leader.
   base::WallTime MedianClock(const base::Now& now) const;
 
@@ -179,6 +183,9 @@
   void OnSnapshot(const std::string& from,
                   const rpc::RaftMessage& message,
                   const base::Now& now);
+  void FollowLeader(const std::string& leader,
+                    const rpc::RaftMessage& message,
+                    const base::Now& now);
   void AcceptEntries(const rpc::RaftMessage& message);
   void AppendOwn(rpc::EntryKind kind, std::string payload);
   void TruncateFrom(uint64_t index);
@@ -203,8 +210,6 @@
   ResultCode CheckMembershipChange() const;
   void PromoteCaughtUpLearner();
   void CheckQuorum(const base::Now& now);
-  base::MonoTime MajorityContact(const base::Now& now) const;
-
   rpc::RaftMessage& Queue(const std::string& to,
                           rpc::RaftType type,
                           uint64_t term);
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -89,6 +89,20 @@
   }
 }
 
+void RaftCore::FollowLeader(const std::string& leader,
+                            const rpc::RaftMessage& message,
+                            const base::Now& now) {
+  BecomeFollower(message.term(), leader);
+  last_leader_contact_ = now.mono_;
+  ResetElectionTimer(now);
+  // Who follows a leader votes for nobody else in its term, not even if an
+  // earlier vote of this identity was forgotten.
+  if (hard_state_.voted_for().empty()) {
+    hard_state_.set_voted_for(leader);
+    hard_state_changed_ = true;
+  }
+}
+
 void RaftCore::OnAppend(const std::string& from,
                         const rpc::RaftMessage& message,
                         const base::Now& now) {
@@ -97,9 +111,7 @@
         .set_reject(true);
     return;
   }
-  BecomeFollower(message.term(), from);
-  last_leader_contact_ = now.mono_;
-  ResetElectionTimer(now);
+  FollowLeader(from, message, now);
   rpc::RaftMessage& reply =
       Queue(from, rpc::RAFT_TYPE_APPEND_REPLY, hard_state_.term());
   reply.set_round(message.round());
@@ -256,9 +268,7 @@
         .set_reject(true);
     return;
   }
-  BecomeFollower(message.term(), from);
-  last_leader_contact_ = now.mono_;
-  ResetElectionTimer(now);
+  FollowLeader(from, message, now);
   const rpc::LogSnapshot& snapshot = message.snapshot();
   if (snapshot.index() > commit_) {
     // Entries behind the snapshot may conflict with it; the leader resends.
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -259,7 +259,7 @@
 }
 
 void Destination::RunAdmitted(const std::shared_ptr<Upstream>& upstream,
-                              std::shared_ptr<Slot> slot,
+                              const std::shared_ptr<Slot>& slot,
                               const httplib::Request& request,
                               RequestBody& body,
                               base::MonoTime deadline,
@@ -353,7 +353,7 @@
   report.set_crash_id(host_ + "/" + std::to_string(next_crash_.fetch_add(1)) +
                       "/" +
                       std::to_string(base::ToUnixMs(clock_.Read().wall_)));
-  on_crash_(upstream->address_, std::move(report));
+  on_crash_(upstream->address_, report);
   return true;
 }
 
--- a/src/daemon/destination.h
+++ b/src/daemon/destination.h
@@ -29,8 +29,8 @@
 namespace buckthorngate::daemon {
 
 // Told when an upstream died under its requests.
-using CrashHandler =
-    std::function<void(const std::string& address, rpc::CrashReport report)>;
+using CrashHandler = std::function<void(const std::string& address,
+                                        const rpc::CrashReport& report)>;
 
 // Safe for concurrent use.
 class Destination {
@@ -63,7 +63,7 @@
 
   std::shared_ptr<Upstream> Find(const std::string& endpoint_id);
   void RunAdmitted(const std::shared_ptr<Upstream>& upstream,
-                   std::shared_ptr<Slot> slot,
+                   const std::shared_ptr<Slot>& slot,
                    const httplib::Request& request,
                    RequestBody& body,
                    base::MonoTime deadline,
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -24,7 +24,7 @@
 namespace buckthorngate::daemon {
 
 // Told when this daemon's own evidence stops a move's target.
-using BrakeHandler = std::function<void(rpc::BrakeNotice notice)>;
+using BrakeHandler = std::function<void(const rpc::BrakeNotice& notice)>;
 
 // Safe for concurrent use.
 class Entry {
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -222,7 +222,7 @@
     notice.set_version(attempt.version_);
     notice.set_step(service.move().step());
     notice.set_reason("failures in a row on route " + record.route_);
-    entry_.on_brake_(std::move(notice));
+    entry_.on_brake_(notice);
   }
 }
 
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -24,9 +24,9 @@
 
 // What httplib sets itself, or what belongs to one connection only.
 bool IsConnectionHeader(const std::string& name) {
-  static const char* const kNames[] = {"Connection",        "Keep-Alive",
-                                       "Transfer-Encoding", "Upgrade",
-                                       "Proxy-Connection",  "Content-Length"};
+  static constexpr const char* kNames[] = {
+      "Connection", "Keep-Alive",       "Transfer-Encoding",
+      "Upgrade",    "Proxy-Connection", "Content-Length"};
   return std::any_of(
       std::begin(kNames), std::end(kNames),
       [&name](const char* known) { return EqualsIgnoringCase(name, known); });
--- a/src/daemon/http_answer.cc
+++ b/src/daemon/http_answer.cc
@@ -15,7 +15,7 @@
 namespace buckthorngate::daemon {
 namespace {
 
-constexpr uint64_t kSmallBodyBytes = 64 * 1024;
+constexpr uint64_t kSmallBodyBytes = uint64_t{64} * 1024;
 constexpr std::chrono::milliseconds kBodyWaitSlice{200};
 constexpr time_t kKeepAliveSeconds = 30;
 constexpr std::chrono::seconds kServerReadTimeout{60};
@@ -75,15 +75,19 @@
   bool whole_ = false;
 };
 
+// Headers that httplib sets itself for each answer.
+bool IsServersOwn(const std::string& name) {
+  static constexpr const char* kOwn[] = {"Connection", "Keep-Alive",
+                                         "Transfer-Encoding", "Content-Length"};
+  return std::any_of(std::begin(kOwn), std::end(kOwn),
+                     [&name](const char* known) {
+                       return strcasecmp(name.c_str(), known) == 0;
+                     });
+}
+
 void CopyHeaders(const ExchangeHead& head, httplib::Response& response) {
-  static const char* const kOwn[] = {"Connection", "Keep-Alive",
-                                     "Transfer-Encoding", "Content-Length"};
   for (const auto& [name, value] : head.headers_) {
-    const bool own =
-        std::any_of(std::begin(kOwn), std::end(kOwn), [&](const char* known) {
-          return strcasecmp(name.c_str(), known) == 0;
-        });
-    if (!own) {
+    if (!IsServersOwn(name)) {
       response.headers.emplace(name, value);
     }
   }
--- a/src/daemon/node_loop.cc
+++ b/src/daemon/node_loop.cc
@@ -86,12 +86,12 @@
         return;
       }
     }
-    RunOnce(std::move(messages), std::move(tasks));
+    RunOnce(messages, tasks);
   }
 }
 
-void NodeLoop::RunOnce(std::vector<rpc::Envelope> messages,
-                       std::vector<Task> tasks) {
+void NodeLoop::RunOnce(const std::vector<rpc::Envelope>& messages,
+                       const std::vector<Task>& tasks) {
   const base::Now now = clock_.Read();
   for (const rpc::Envelope& message : messages) {
     node_.OnMessage(message, now);
--- a/src/daemon/node_loop.h
+++ b/src/daemon/node_loop.h
@@ -42,7 +42,8 @@
 
  private:
   void Loop();
-  void RunOnce(std::vector<rpc::Envelope> messages, std::vector<Task> tasks);
+  void RunOnce(const std::vector<rpc::Envelope>& messages,
+               const std::vector<Task>& tasks);
 
   base::Node& node_;
   const base::Clock& clock_;
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -134,23 +134,24 @@
       // Each exchange of either side holds one worker.
       workers_(settings.exchange_threads_),
       claims_(loop_, *node_),
-      destination_(settings.host_,
-                   clock,
-                   workers_,
-                   board_,
-                   [this](const std::string& address, rpc::CrashReport report) {
-                     loop_.Run([this, address, report](const base::Now&) {
-                       node_->Local().Crash(address);
-                       node_->SendCrash(report);
-                     });
-                   }),
+      destination_(
+          settings.host_,
+          clock,
+          workers_,
+          board_,
+          [this](const std::string& address, const rpc::CrashReport& report) {
+            loop_.Run([this, address, report](const base::Now&) {
+              node_->Local().Crash(address);
+              node_->SendCrash(report);
+            });
+          }),
       entry_(settings.host_,
              incarnation,
              clock,
              workers_,
              board_,
              claims_,
-             [this](rpc::BrakeNotice notice) {
+             [this](const rpc::BrakeNotice& notice) {
                loop_.Run([this, notice](const base::Now&) {
                  node_->SendBrake(notice);
                });
--- a/src/distribution/feeder.cc
+++ b/src/distribution/feeder.cc
@@ -43,10 +43,13 @@
                    base::Outbox& outbox) {
   const auto found = followers_.find(from);
   if (found == followers_.end()) {
+    // Its resume was lost, or this feeder has restarted.
+    outbox.Add(self_, from).mutable_retry_after()->set_delay_ms(0);
     return;
   }
   Follower& follower = found->second;
   follower.last_heard_ = now.mono_;
+  follower.resume_.set_standby(ack.standby());
   follower.acked_ = std::max(follower.acked_, ack.revision());
   follower.result_code_ = ack.result_code();
   const bool behind = ack.revision() < state.Revision();
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -15,7 +15,7 @@
 constexpr base::Duration kKeepalive = std::chrono::seconds(1);
 constexpr base::Duration kExchangeInterval = std::chrono::seconds(1);
 constexpr size_t kExchangePeers = 3;
-constexpr size_t kCompactBytes = 4 * 1024 * 1024;
+constexpr size_t kCompactBytes = size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -41,6 +41,7 @@
     node->follower_.Restore(record);
   }
   node->claims_.SetGroup(node->follower_.State().Claims());
+  node->floor_known_ = node->follower_.State().Revision() > 0;
   node->view_version_ = 1;
   return node;
 }
@@ -55,6 +56,10 @@
     case rpc::Envelope::kFloor:
       OnFloor(envelope, now);
       break;
+    case rpc::Envelope::kHeartbeat:
+      link_.Heard(envelope.from(), envelope.heartbeat().revision(),
+                  base::Duration(0), now.mono_);
+      break;
     case rpc::Envelope::kRetryAfter:
       link_.DelayResume(
           envelope.from(),
@@ -125,12 +130,14 @@
 void ProxyNode::OnFloor(const rpc::Envelope& envelope, const base::Now& now) {
   link_.Heard(envelope.from(), envelope.floor().relay_revision(),
               base::Duration(0), now.mono_);
-  // A proxy that serves already has its own, newer or older, truth; one that
-  // starts must not begin below what the zone has seen.
-  if (!follower_.MayServe()) {
-    follower_.RaiseFloor(envelope.floor().revision());
-    journal_dirty_ = true;
+  if (floor_known_) {
+    return;
   }
+  follower_.RaiseFloor(envelope.floor().revision());
+  journal_dirty_ = true;
+  floors_heard_.insert(envelope.from());
+  floor_known_ = envelope.floor().confirmed() ||
+                 floors_heard_.size() == link_.Candidates().size();
 }
 
 void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
@@ -257,6 +264,8 @@
     rpc::Ack& ack = *outbox_.Add(options_.identity_.host_, relay).mutable_ack();
     ack.set_revision(follower_.State().Revision());
     ack.set_result_code(last_result_code_);
+    ack.set_needs_floor(!floor_known_);
+    ack.set_standby(relay != link_.Active());
     rpc::EndpointHeartbeat& heartbeat =
         *outbox_.Add(options_.identity_.host_, relay)
              .mutable_endpoint_heartbeat();
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,7 @@
   void SendCrash(const rpc::CrashReport& report);
 
   // Whether the request path may serve.
-  bool MayServe() const { return follower_.MayServe(); }
+  bool MayServe() const { return floor_known_ && follower_.MayServe(); }
   const config::ConfigState& Config() const { return follower_.State(); }
   const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
   const std::map<std::string, rpc::QuarantineEntry>& Quarantine() const {
@@ -103,6 +104,10 @@
   uint64_t view_version_ = 0;
   uint64_t bytes_in_ = 0;
   uint64_t bytes_out_ = 0;
+  // A proxy without memory must learn first what its zone has seen: from a
+  // relay that the leader has confirmed, or from all relays of the zone.
+  bool floor_known_ = false;
+  std::set<std::string> floors_heard_;
   bool journal_dirty_ = false;
   bool relay_connected_ = false;
   uint32_t last_result_code_ = 0;
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -15,7 +15,7 @@
 constexpr base::Duration kZoneAckInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kZoneAckMinInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kKeepalive = std::chrono::seconds(1);
-constexpr size_t kCompactBytes = 8 * 1024 * 1024;
+constexpr size_t kCompactBytes = size_t{8} * 1024 * 1024;
 
 }  // namespace
 
@@ -139,6 +139,10 @@
 
 void RelayNode::OnAck(const rpc::Envelope& envelope, const base::Now& now) {
   const rpc::Ack& ack = envelope.ack();
+  if (ack.needs_floor() && unconfirmed_.count(envelope.from()) == 0) {
+    unconfirmed_[envelope.from()] = ++nonce_;
+    next_keepalive_ = base::MonoTime();
+  }
   // A proxy that another relay fed may be ahead of this one.
   if (ack.revision() > follower_.Floor()) {
     follower_.RaiseFloor(ack.revision());
@@ -176,6 +180,23 @@
   const rpc::SourceHeartbeat& heartbeat = envelope.heartbeat();
   link_.Heard(envelope.from(), heartbeat.revision(),
               std::chrono::milliseconds(heartbeat.contact_age_ms()), now.mono_);
+  ConfirmFloors(heartbeat);
+}
+
+void RelayNode::ConfirmFloors(const rpc::SourceHeartbeat& heartbeat) {
+  if (follower_.State().Revision() < heartbeat.revision()) {
+    return;
+  }
+  std::erase_if(unconfirmed_, [&](const auto& item) {
+    if (heartbeat.confirmed_nonce() < item.second) {
+      return false;
+    }
+    rpc::Floor& floor = *outbox_.Add(options_.id_, item.first).mutable_floor();
+    floor.set_revision(follower_.Floor());
+    floor.set_relay_revision(follower_.State().Revision());
+    floor.set_confirmed(true);
+    return true;
+  });
 }
 
 void RelayNode::SendResumes(const base::Now& now) {
@@ -194,7 +215,22 @@
   }
   next_keepalive_ = now.mono_ + kKeepalive;
   for (const std::string& source : options_.sources_) {
-    outbox_.Add(options_.id_, source).mutable_ack()->set_revision(revision);
+    rpc::Ack& ack = *outbox_.Add(options_.id_, source).mutable_ack();
+    ack.set_revision(revision);
+    ack.set_nonce(nonce_);
+    ack.set_standby(source != link_.Active());
+  }
+}
+
+void RelayNode::SendHeartbeats(const base::Now& now) {
+  if (now.mono_ < next_heartbeat_) {
+    return;
+  }
+  next_heartbeat_ = now.mono_ + kKeepalive;
+  for (const auto& [id, follower] : feeder_.Followers()) {
+    outbox_.Add(options_.id_, id)
+        .mutable_heartbeat()
+        ->set_revision(follower_.State().Revision());
   }
 }
 
@@ -222,6 +258,7 @@
 
 void RelayNode::OnTimer(const base::Now& now) {
   SendResumes(now);
+  SendHeartbeats(now);
   feeder_.DropSilent(now);
   claims_.OnTimer(now, outbox_);
   quarantine_.Expire(now.wall_);
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -68,6 +68,10 @@
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
   void OnSourceHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
   void SendResumes(const base::Now& now);
+  // Tells new proxies that nothing newer was in force when they resumed.
+  void ConfirmFloors(const rpc::SourceHeartbeat& heartbeat);
+  // Tells proxies, those on standby too, how far this relay is.
+  void SendHeartbeats(const base::Now& now);
   void SendZoneAck(const base::Now& now);
   ResultCode SyncAndCompact();
 
@@ -106,8 +110,13 @@
   bool journal_dirty_ = false;
   bool storage_failed_ = false;
   size_t size_after_compaction_ = 0;
+  // Goes with each acknowledgement to the sources.
+  uint64_t nonce_ = 1;
+  // Proxies without memory, with the nonce that must be confirmed for each.
+  std::map<std::string, uint64_t> unconfirmed_;
   base::MonoTime next_zone_ack_;
   base::MonoTime next_keepalive_;
+  base::MonoTime next_heartbeat_;
   base::MonoTime next_digest_;
   base::MonoTime next_evidence_;
   rpc::ZoneAck last_zone_ack_;
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -54,8 +54,7 @@
       OnResume(envelope, now);
       break;
     case rpc::Envelope::kAck:
-      feeder_.OnAck(envelope.from(), envelope.ack(), state_.Config(),
-                    state_.Deltas(), now, outbox_);
+      OnAck(envelope, now);
       break;
     case rpc::Envelope::kZoneAck:
       OnZoneAck(envelope, now);
@@ -111,6 +110,29 @@
                    now, outbox_);
 }
 
+void SourceNode::OnAck(const rpc::Envelope& envelope, const base::Now& now) {
+  feeder_.OnAck(envelope.from(), envelope.ack(), state_.Config(),
+                state_.Deltas(), now, outbox_);
+  Nonce& nonce = nonces_[envelope.from()];
+  // The one that waits is confirmed before a later one takes its place.
+  if (nonce.waiting_ <= nonce.confirmed_ &&
+      envelope.ack().nonce() > nonce.confirmed_) {
+    nonce.waiting_ = envelope.ack().nonce();
+    nonce.came_ = now.mono_;
+  }
+}
+
+uint64_t SourceNode::ConfirmNonce(const std::string& relay,
+                                  const base::Now& now) {
+  Nonce& nonce = nonces_[relay];
+  const bool heard =
+      raft_->CanServe() && raft_->MajorityContact(now) >= nonce.came_;
+  if (heard) {
+    nonce.confirmed_ = nonce.waiting_;
+  }
+  return raft_->CanServe() ? nonce.confirmed_ : 0;
+}
+
 void SourceNode::OnZoneAck(const rpc::Envelope& envelope,
                            const base::Now& now) {
   Zone& zone = zones_[envelope.from()];
@@ -234,6 +256,7 @@
         *outbox_.Add(options_.id_, id).mutable_heartbeat();
     heartbeat.set_revision(state_.Config().Revision());
     heartbeat.set_contact_age_ms(age_ms);
+    heartbeat.set_confirmed_nonce(ConfirmNonce(id, now));
   }
 }
 
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -36,7 +36,7 @@
 // Publications that wait for their commit; more are shed with kOverloaded.
 inline constexpr size_t kMaxPendingPublications = 256;
 // The journal is compacted when it has grown by this much.
-inline constexpr size_t kCompactBytes = 16 * 1024 * 1024;
+inline constexpr size_t kCompactBytes = size_t{16} * 1024 * 1024;
 
 struct PublishResult {
   uint64_t ticket_ = 0;
@@ -80,6 +80,12 @@
     base::MonoTime heard_;
   };
 
+  struct Nonce {
+    uint64_t waiting_ = 0;
+    base::MonoTime came_;
+    uint64_t confirmed_ = 0;
+  };
+
   SourceNode(SourceOptions options, storage::Journal& journal);
 
   bool HasEndpoints(const std::string& service,
@@ -97,6 +103,9 @@
   void FailPending(ResultCode code);
   void WatchLeadership();
   void RunController(const base::Now& now);
+  void OnAck(const rpc::Envelope& envelope, const base::Now& now);
+  // Confirms a relay's nonce once a majority was heard after it came.
+  uint64_t ConfirmNonce(const std::string& relay, const base::Now& now);
   void SendHeartbeats(const base::Now& now);
   void NoteInForce();
   void MaybeCompact();
@@ -115,7 +124,8 @@
   rollout::MoveController controller_;
   ClaimPlanner claims_;
   registry::EndpointRegistry endpoints_;
-  std::map<std::string, Zone> zones_;  // By relay.
+  std::map<std::string, Zone> zones_;    // By relay.
+  std::map<std::string, Nonce> nonces_;  // By relay.
   base::Outbox outbox_;
 
   bool leading_ = false;
--- a/src/request/claim_coordinator.cc
+++ b/src/request/claim_coordinator.cc
@@ -7,6 +7,21 @@
 
 ClaimCoordinator::ClaimCoordinator(std::string self) : self_(std::move(self)) {}
 
+void ClaimCoordinator::SetGroup(const rpc::ClaimGroup& group) {
+  if (group.epoch() > group_.epoch()) {
+    group_ = group;
+  }
+}
+
+void ClaimCoordinator::Restart(Pending& pending, base::Outbox& outbox) {
+  // The owner is the same, so that a grant of the earlier round stands.
+  pending.request_.set_epoch(group_.epoch());
+  pending.members_ = static_cast<size_t>(group_.members_size());
+  pending.granted_.clear();
+  pending.answered_.clear();
+  Send(pending.request_, outbox);
+}
+
 void ClaimCoordinator::Send(const rpc::ClaimRequest& request,
                             base::Outbox& outbox) {
   for (const rpc::ClaimMember& member : group_.members()) {
@@ -24,6 +39,7 @@
   pending.request_.set_epoch(group_.epoch());
   *pending.request_.mutable_record() = std::move(record);
   pending.deadline_ = now.mono_ + kClaimTimeout;
+  pending.next_send_ = now.mono_ + kClaimResendInterval;
   pending.members_ = static_cast<size_t>(group_.members_size());
   if (pending.members_ == 0) {
     Finish(key, ResultCode::kClaimNoQuorum, outbox);
@@ -37,12 +53,24 @@
                                base::Outbox& outbox) {
   const Key key{reply.owner(), reply.action()};
   const auto found = pending_.find(key);
-  if (found == pending_.end() || !found->second.answered_.insert(from).second) {
+  if (found == pending_.end()) {
+    return;
+  }
+  const uint64_t epoch = found->second.request_.epoch();
+  if (reply.group().epoch() > epoch) {
+    SetGroup(reply.group());
+    Restart(found->second, outbox);
+    return;
+  }
+  // Answers to the request as it was before a restart say nothing of it now.
+  const bool earlier_round =
+      reply.has_group() || (reply.result_code() == 0 && reply.epoch() != epoch);
+  if (earlier_round || !found->second.answered_.insert(from).second) {
     return;
   }
   Pending& pending = found->second;
   const ResultCode code = ResultCodeFromNumber(reply.result_code());
-  if (code == ResultCode::kOk && reply.epoch() == pending.request_.epoch()) {
+  if (code == ResultCode::kOk) {
     pending.granted_.insert(from);
   } else if (code == ResultCode::kKeyReused ||
              code == ResultCode::kClaimOutcomeUnknown) {
@@ -67,9 +95,13 @@
 
 void ClaimCoordinator::OnTimer(const base::Now& now, base::Outbox& outbox) {
   std::vector<Key> late;
-  for (const auto& [key, pending] : pending_) {
+  for (auto& [key, pending] : pending_) {
     if (now.mono_ >= pending.deadline_) {
       late.push_back(key);
+    } else if (now.mono_ >= pending.next_send_) {
+      // Members take the same request twice without harm.
+      pending.next_send_ = now.mono_ + kClaimResendInterval;
+      Send(pending.request_, outbox);
     }
   }
   for (const Key& key : late) {
--- a/src/request/claim_coordinator.h
+++ b/src/request/claim_coordinator.h
@@ -21,6 +21,9 @@
 namespace buckthorngate::request {
 
 inline constexpr base::Duration kClaimTimeout = std::chrono::milliseconds(800);
+// Members that have not answered are asked again at this interval.
+inline constexpr base::Duration kClaimResendInterval =
+    std::chrono::milliseconds(200);
 
 // What became of one claim, answer or release.
 struct ClaimOutcome {
@@ -37,7 +40,8 @@
  public:
   explicit ClaimCoordinator(std::string self);
 
-  void SetGroup(const rpc::ClaimGroup& group) { group_ = group; }
+  // Ignores an older group than the one that is known.
+  void SetGroup(const rpc::ClaimGroup& group);
 
   // `record.owner` must be unique to the request and action.
   void Start(rpc::ClaimRequest::Action action,
@@ -54,6 +58,7 @@
   struct Pending {
     rpc::ClaimRequest request_;
     base::MonoTime deadline_;
+    base::MonoTime next_send_;
     size_t members_ = 0;
     std::set<std::string> granted_;
     std::set<std::string> answered_;
@@ -63,6 +68,9 @@
   };
   using Key = std::pair<std::string, rpc::ClaimRequest::Action>;
 
+  // Starts over with the group that a member has told of: this daemon may be
+  // cut off from its relay.
+  void Restart(Pending& pending, base::Outbox& outbox);
   void Send(const rpc::ClaimRequest& request, base::Outbox& outbox);
   void Finish(const Key& key, ResultCode code, base::Outbox& outbox);
 
--- a/src/request/claim_ledger.cc
+++ b/src/request/claim_ledger.cc
@@ -134,6 +134,9 @@
   const bool owns = exists && held.owner() == wanted.owner();
   if (request.epoch() != group_.epoch() || !IsMember()) {
     code = ResultCode::kClaimEpochOld;
+    if (request.epoch() < group_.epoch()) {
+      *reply.mutable_group() = group_;
+    }
   } else if (!ready_) {
     code = ResultCode::kClaimTransferring;
   } else if (request.action() == rpc::ClaimRequest::CLAIM) {
--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -21,7 +21,7 @@
 
 void RetryBudget::NoteFirstTry(uint32_t percent) {
   const int64_t earned = kMilli * percent / 100;
-  const int64_t most = static_cast<int64_t>(kBudgetTokens) * kMilli;
+  const int64_t most = kMaxBudgetTokens * kMilli;
   int64_t held = tokens_.load(std::memory_order_relaxed);
   while (held < most &&
          !tokens_.compare_exchange_weak(held, std::min(most, held + earned),
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -18,8 +18,9 @@
 namespace buckthorngate::request {
 
 inline constexpr int kMaxAttempts = 4;
-// Tokens that a service's budget starts with and may hold.
-inline constexpr double kBudgetTokens = 20.0;
+// Tokens that a service's budget starts with, and the most that it holds.
+inline constexpr int64_t kFirstBudgetTokens = 4;
+inline constexpr int64_t kMaxBudgetTokens = 20;
 
 // Safe for concurrent use.
 class RetryBudget {
@@ -33,7 +34,7 @@
   static constexpr int64_t kMilli = 1000;
 
   // Thousandths of tokens.
-  std::atomic<int64_t> tokens_{static_cast<int64_t>(kBudgetTokens) * kMilli};
+  std::atomic<int64_t> tokens_{kFirstBudgetTokens * kMilli};
 };
 
 // How an attempt ended.
--- a/src/rollout/evidence.cc
+++ b/src/rollout/evidence.cc
@@ -112,6 +112,7 @@
 
 std::vector<rpc::RouteEvidence> EvidenceMerger::Take() {
   std::vector<rpc::RouteEvidence> taken;
+  taken.reserve(sums_.size());
   for (auto& [key, sum] : sums_) {
     taken.push_back(std::move(sum));
   }
--- a/src/rollout/evidence_collector.cc
+++ b/src/rollout/evidence_collector.cc
@@ -49,6 +49,7 @@
     shard.sums_.clear();
   }
   std::vector<rpc::RouteEvidence> taken;
+  taken.reserve(all.size());
   for (auto& [key, sum] : all) {
     taken.push_back(std::move(sum));
   }
--- a/src/storage/file_journal.h
+++ b/src/storage/file_journal.h
@@ -11,7 +11,7 @@
 namespace buckthorngate::storage {
 
 // Largest payload of a record, in bytes.
-inline constexpr size_t kMaxRecordBytes = 64 * 1024 * 1024;
+inline constexpr size_t kMaxRecordBytes = size_t{64} * 1024 * 1024;
 
 struct DecodedJournal {
   std::vector<rpc::JournalRecord> records_;
--- a/src/storage/memory_journal.h
+++ b/src/storage/memory_journal.h
@@ -17,7 +17,9 @@
     if (failing_) {
       return ResultCode::kStorageFailed;
     }
-    pending_.push_back(record);
+    if (!(forget_hard_state_ && record.has_hard_state())) {
+      pending_.push_back(record);
+    }
     return ResultCode::kOk;
   }
   ResultCode Sync() override {
@@ -45,11 +47,14 @@
     synced_.clear();
   }
   void SetFailing(bool failing) { failing_ = failing; }
+  // A broken journal, to show that checks of votes find it.
+  void SetForgetHardState(bool forget) { forget_hard_state_ = forget; }
 
  private:
   std::vector<rpc::JournalRecord> synced_;
   std::vector<rpc::JournalRecord> pending_;
   bool failing_ = false;
+  bool forget_hard_state_ = false;
 };
 
 }  // namespace buckthorngate::storage
--- /dev/null
+++ b/tests/claims_test.cc
@@ -0,0 +1,281 @@
+// Claims: a request that may run at most once runs at most once, whatever
+// happens to the claim group and the daemons.
+#define BOOST_TEST_MODULE claims
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+// Three zones with one relay and one proxy each; a fourth relay is spare.
+void BuildMesh(TestMesh& mesh) {
+  mesh.AddSources(3);
+  for (const char* zone : {"1", "2", "3"}) {
+    mesh.AddRelay("relay-" + std::string(zone), "zone-" + std::string(zone));
+  }
+  for (const char* zone : {"1", "2", "3"}) {
+    mesh.AddProxy("proxy-" + std::string(zone), "zone-" + std::string(zone));
+  }
+}
+
+bool AwaitGroup(TestMesh& mesh, int members) {
+  for (int i = 0; i < 2000; ++i) {
+    mesh.Net().Run(std::chrono::milliseconds(10));
+    const std::string leader = mesh.Leader();
+    if (leader.empty()) {
+      continue;
+    }
+    const rpc::ClaimGroup& group =
+        mesh.Source(leader).State().Config().Claims();
+    if (group.members_size() == members) {
+      mesh.Net().Run(std::chrono::seconds(2));
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string DescribeGroup(TestMesh& mesh) {
+  const rpc::ClaimGroup& group =
+      mesh.Source(mesh.Leader()).State().Config().Claims();
+  std::string text = "epoch " + std::to_string(group.epoch());
+  for (const rpc::ClaimMember& member : group.members()) {
+    const bool alive = mesh.Alive(member.relay());
+    const bool ready = alive && mesh.Relay(member.relay()).Claims().Ready();
+    text += " " + member.relay() + (alive ? "" : " dead") +
+            (ready ? " ready" : " not ready");
+  }
+  return text;
+}
+
+// Sends claims as daemons do and counts what would run.
+class Runner {
+ public:
+  explicit Runner(TestMesh& mesh) : mesh_(mesh) {}
+
+  std::string Start(const std::string& proxy,
+                    const std::string& key,
+                    uint64_t content = 1) {
+    rpc::ClaimRecord record;
+    record.set_key(key);
+    record.set_content_digest(content);
+    record.set_owner(proxy + "#" + std::to_string(++next_));
+    record.set_expires_ms(
+        base::ToUnixMs(mesh_.Net().Now().wall_ + std::chrono::hours(24)));
+    mesh_.Proxy(proxy).StartClaim(rpc::ClaimRequest::CLAIM, record,
+                                  mesh_.Net().Now());
+    records_[record.owner()] = record;
+    return record.owner();
+  }
+
+  void Collect() {
+    for (const std::string& id : mesh_.ProxyIds()) {
+      if (!mesh_.Alive(id)) {
+        continue;
+      }
+      for (request::ClaimOutcome& outcome :
+           mesh_.Proxy(id).TakeClaimOutcomes()) {
+        if (outcome.action_ == rpc::ClaimRequest::CLAIM) {
+          if (outcome.code_ == ResultCode::kOk) {
+            ++runs_[records_[outcome.owner_].key()];
+          }
+          outcomes_[outcome.owner_] = outcome;
+        }
+      }
+    }
+  }
+
+  void Run(base::Duration length) {
+    mesh_.Net().Run(length, [this] { Collect(); });
+  }
+
+  request::ClaimOutcome Claim(const std::string& proxy,
+                              const std::string& key,
+                              uint64_t content = 1) {
+    const std::string owner = Start(proxy, key, content);
+    Run(std::chrono::seconds(1));
+    return outcomes_[owner];
+  }
+
+  void Answer(const std::string& proxy, const std::string& owner) {
+    rpc::ClaimRecord record = records_[owner];
+    record.set_state(rpc::CLAIM_STATE_ANSWERED);
+    record.mutable_answer()->set_status(200);
+    record.mutable_answer()->set_body("done by " + owner);
+    mesh_.Proxy(proxy).StartClaim(rpc::ClaimRequest::ANSWER, record,
+                                  mesh_.Net().Now());
+    Run(std::chrono::milliseconds(300));
+  }
+
+  void Release(const std::string& proxy, const std::string& owner) {
+    rpc::ClaimRecord record = records_[owner];
+    record.set_released(true);
+    --runs_[record.key()];
+    mesh_.Proxy(proxy).StartClaim(rpc::ClaimRequest::RELEASE, record,
+                                  mesh_.Net().Now());
+    Run(std::chrono::milliseconds(300));
+  }
+
+  int Runs(const std::string& key) { return runs_[key]; }
+  const std::map<std::string, int>& AllRuns() const { return runs_; }
+  const std::map<std::string, request::ClaimOutcome>& Outcomes() const {
+    return outcomes_;
+  }
+
+ private:
+  TestMesh& mesh_;
+  int next_ = 0;
+  std::map<std::string, rpc::ClaimRecord> records_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, request::ClaimOutcome> outcomes_;
+};
+
+BOOST_AUTO_TEST_CASE(AResendGetsTheStoredAnswerThroughAnyDaemon) {
+  TestMesh mesh(1);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  const request::ClaimOutcome first = runner.Claim("proxy-1", "k");
+  BOOST_REQUIRE((first.code_ == ResultCode::kOk));
+  // Not answered yet: unknown, will not run again.
+  const request::ClaimOutcome early = runner.Claim("proxy-2", "k");
+  BOOST_TEST((early.code_ == ResultCode::kClaimOutcomeUnknown));
+  BOOST_TEST(!early.answer_.has_value());
+  runner.Answer("proxy-1", first.owner_);
+  const request::ClaimOutcome late = runner.Claim("proxy-3", "k");
+  BOOST_REQUIRE(late.answer_.has_value());
+  BOOST_TEST(late.answer_->body() == "done by " + first.owner_);
+  BOOST_TEST(runner.Runs("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TheSameKeyWithOtherContentIsRefused) {
+  TestMesh mesh(2);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  runner.Claim("proxy-1", "k", 1);
+  BOOST_TEST((runner.Claim("proxy-2", "k", 2).code_ == ResultCode::kKeyReused));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAMajorityNothingRuns) {
+  TestMesh mesh(3);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  mesh.Crash("relay-2");
+  mesh.Crash("relay-3");
+  BOOST_TEST(
+      (runner.Claim("proxy-1", "k").code_ == ResultCode::kClaimNoQuorum));
+  BOOST_TEST(runner.Runs("k") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AReleasedClaimMayRunElsewhere) {
+  TestMesh mesh(4);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  const request::ClaimOutcome first = runner.Claim("proxy-1", "k");
+  runner.Release("proxy-1", first.owner_);
+  BOOST_TEST((runner.Claim("proxy-2", "k").code_ == ResultCode::kOk));
+  BOOST_TEST(runner.Runs("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ClaimsSurviveTheDeathOfEverybody) {
+  TestMesh mesh(5);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  BOOST_REQUIRE((runner.Claim("proxy-1", "k").code_ == ResultCode::kOk));
+  std::vector<std::string> all = mesh.ProxyIds();
+  all.insert(all.end(), mesh.SourceIds().begin(), mesh.SourceIds().end());
+  for (const char* relay : {"relay-1", "relay-2", "relay-3"}) {
+    all.emplace_back(relay);
+  }
+  for (const std::string& id : all) {
+    mesh.Crash(id);
+  }
+  for (const std::string& id : all) {
+    mesh.Restart(id);
+  }
+  mesh.Net().Run(std::chrono::seconds(5));
+  BOOST_TEST(
+      (runner.Claim("proxy-2", "k").code_ == ResultCode::kClaimOutcomeUnknown));
+  BOOST_TEST(runner.Runs("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenOwnerThatWakesRunsNothingTwice) {
+  TestMesh mesh(6);
+  BuildMesh(mesh);
+  BOOST_REQUIRE(AwaitGroup(mesh, 3));
+  Runner runner(mesh);
+  const std::string owner = runner.Start("proxy-1", "k");
+  mesh.Net().Flush("proxy-1");
+  mesh.Net().Freeze("proxy-1");
+  runner.Run(std::chrono::seconds(5));
+  const request::ClaimOutcome other = runner.Claim("proxy-2", "k");
+  BOOST_TEST((other.code_ == ResultCode::kClaimOutcomeUnknown));
+  mesh.Net().Thaw("proxy-1");
+  runner.Run(std::chrono::seconds(2));
+  BOOST_TEST(runner.Runs("k") <= 1);
+}
+
+// Many keys race through three daemons while members of the group die, lose
+// their disks and are replaced, again right after a repair.
+BOOST_AUTO_TEST_CASE(NoKeyRunsTwiceWhileTheGroupIsRepaired) {
+  int ran = 0;
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    TestMesh mesh(seed);
+    BuildMesh(mesh);
+    mesh.AddRelay("relay-4", "zone-4");
+    mesh.AddRelay("relay-5", "zone-5");
+    BOOST_REQUIRE(AwaitGroup(mesh, 3));
+    NetworkFaults faults;
+    faults.loss_ = 0.02;
+    faults.duplicate_ = 0.1;
+    faults.most_delay_ = std::chrono::milliseconds(100);
+    mesh.Net().SetFaults(faults);
+    base::Random random(seed);
+    Runner runner(mesh);
+    for (int round = 0; round < 60; ++round) {
+      const std::string key = "k" + std::to_string(random.Below(20));
+      for (const std::string& proxy : mesh.ProxyIds()) {
+        runner.Start(proxy, key);
+      }
+      runner.Run(std::chrono::milliseconds(300 + random.Below(900)));
+      // One member is lost with its disk; half a minute later it has been
+      // replaced, and then another one is lost.
+      if (round == 15 || round == 38) {
+        const std::string leader = mesh.Leader();
+        BOOST_REQUIRE(!leader.empty());
+        const rpc::ClaimGroup group =
+            mesh.Source(leader).State().Config().Claims();
+        const std::string lost = group.members(0).relay();
+        mesh.Crash(lost);
+        mesh.LoseDisk(lost);
+        if (round == 15) {
+          runner.Run(std::chrono::seconds(40));
+        }
+      }
+    }
+    runner.Run(std::chrono::seconds(40));
+    for (const auto& [key, runs] : runner.AllRuns()) {
+      BOOST_REQUIRE_MESSAGE(runs <= 1, "seed " << seed << ": " << key << " ran "
+                                               << runs << " times");
+      ran += runs;
+    }
+    // A repaired group takes claims again.
+    const request::ClaimOutcome after = runner.Claim("proxy-2", "new");
+    BOOST_TEST((after.code_ == ResultCode::kOk),
+               "seed " << seed << ": " << Describe(after.code_).name_ << " "
+                       << DescribeGroup(mesh));
+  }
+  BOOST_TEST(ran > 40 * 10);
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/fake_mesh.cc
@@ -0,0 +1,98 @@
+// Nodes in one thread on virtual time.
+#include "fake_mesh.h"
+
+#include <utility>
+
+namespace buckthorngate::tests {
+namespace {
+
+constexpr base::Duration kStep = std::chrono::milliseconds(10);
+// 2026-12-01T00:00:00Z.
+constexpr std::chrono::milliseconds kWallStart{1'796'083'200'000};
+
+}  // namespace
+
+base::Now FakeMesh::NowFor(const std::string& id) const {
+  std::chrono::milliseconds error{0};
+  const auto found = clock_errors_.find(id);
+  if (found != clock_errors_.end()) {
+    error = found->second;
+  }
+  return {base::MonoTime(elapsed_),
+          base::WallTime(
+              kWallStart +
+              std::chrono::duration_cast<std::chrono::milliseconds>(elapsed_) +
+              error)};
+}
+
+bool FakeMesh::Blocked(const std::string& from, const std::string& to) const {
+  return isolated_.count(from) != 0 || isolated_.count(to) != 0 ||
+         cuts_.count({from, to}) != 0;
+}
+
+void FakeMesh::Send(rpc::Envelope envelope) {
+  ++sent_;
+  sent_bytes_ += envelope.ByteSizeLong();
+  if (tap_) {
+    tap_(envelope);
+  }
+  if (Blocked(envelope.from(), envelope.to()) ||
+      random_.Unit() < faults_.loss_) {
+    return;
+  }
+  const int copies = random_.Unit() < faults_.duplicate_ ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    const base::Duration delay =
+        faults_.least_delay_ +
+        random_.Jitter(faults_.most_delay_ - faults_.least_delay_);
+    flying_.emplace(elapsed_ + delay, envelope);
+  }
+}
+
+void FakeMesh::Flush(const std::string& id) {
+  const auto found = nodes_.find(id);
+  if (found == nodes_.end() || frozen_.count(id) != 0) {
+    return;
+  }
+  for (rpc::Envelope& envelope : found->second->Flush(NowFor(id))) {
+    Send(std::move(envelope));
+  }
+}
+
+void FakeMesh::Run(base::Duration length,
+                   const std::function<void()>& after_step) {
+  const base::Duration end = elapsed_ + length;
+  while (elapsed_ < end) {
+    elapsed_ += kStep;
+    while (!flying_.empty() && flying_.begin()->first <= elapsed_) {
+      rpc::Envelope envelope = std::move(flying_.begin()->second);
+      flying_.erase(flying_.begin());
+      const std::string to = envelope.to();
+      const auto found = nodes_.find(to);
+      if (found == nodes_.end()) {
+        continue;
+      }
+      if (frozen_.count(to) != 0) {
+        held_[to].push_back(std::move(envelope));
+        continue;
+      }
+      found->second->OnMessage(envelope, NowFor(to));
+      Flush(to);
+    }
+    for (const auto& [id, node] : nodes_) {
+      if (frozen_.count(id) != 0) {
+        continue;
+      }
+      for (const rpc::Envelope& envelope : std::exchange(held_[id], {})) {
+        node->OnMessage(envelope, NowFor(id));
+      }
+      node->OnTimer(NowFor(id));
+      Flush(id);
+    }
+    if (after_step) {
+      after_step();
+    }
+  }
+}
+
+}  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,185 @@
+// Endpoint entries: merging, leases, herds and old messages.
+#define BOOST_TEST_MODULE registry
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+using registry::EndpointRegistry;
+
+rpc::Endpoint Entry(const std::string& host,
+                    uint64_t incarnation,
+                    uint64_t sequence,
+                    rpc::EndpointState state = rpc::ENDPOINT_STATE_READY) {
+  rpc::Endpoint endpoint;
+  endpoint.set_id(host + "/u");
+  endpoint.set_host(host);
+  endpoint.set_zone("zone-1");
+  endpoint.set_service("a");
+  endpoint.set_version("v1");
+  endpoint.set_incarnation(incarnation);
+  endpoint.set_sequence(sequence);
+  endpoint.set_state(state);
+  return endpoint;
+}
+
+base::MonoTime At(int seconds) {
+  return base::MonoTime(std::chrono::seconds(100 + seconds));
+}
+
+BOOST_AUTO_TEST_CASE(AnOldMessageNeverRevives) {
+  EndpointRegistry registry;
+  BOOST_TEST(registry.Merge(Entry("h", 1, 1), At(0)));
+  BOOST_TEST(registry.Merge(Entry("h", 1, 2, rpc::ENDPOINT_STATE_GONE), At(0)));
+  BOOST_TEST(!registry.Merge(Entry("h", 1, 1), At(0)));
+  BOOST_TEST(!registry.HasReady("a", "v1"));
+  BOOST_TEST(registry.Merge(Entry("h", 2, 1), At(0)));
+  BOOST_TEST(registry.HasReady("a", "v1"));
+  BOOST_TEST(!registry.Merge(Entry("h", 1, 9), At(0)));
+}
+
+BOOST_AUTO_TEST_CASE(AnExpiredEntryNeedsANewSequence) {
+  EndpointRegistry registry;
+  registry.Merge(Entry("h", 1, 1), At(0));
+  BOOST_TEST(registry.ExpireLeases("zone-1", At(2)).empty());
+  BOOST_TEST(registry.ExpireLeases("zone-1", At(4)).size() == 1u);
+  BOOST_TEST(!registry.Merge(Entry("h", 1, 1), At(5)));
+  BOOST_TEST(
+      !registry.Heartbeat("h", registry::EntryDigest(Entry("h", 1, 1)), At(5)));
+  BOOST_TEST(registry.Merge(Entry("h", 1, 2), At(5)));
+}
+
+// Each order of the same messages leads to the same entries.
+BOOST_AUTO_TEST_CASE(MergingDoesNotDependOnOrder) {
+  base::Random random(5);
+  std::vector<rpc::Endpoint> messages;
+  for (uint64_t i = 0; i < 40; ++i) {
+    messages.push_back(Entry("h" + std::to_string(random.Below(4)),
+                             random.Below(3) + 1, random.Below(4) + 1,
+                             random.Below(4) == 0 ? rpc::ENDPOINT_STATE_GONE
+                                                  : rpc::ENDPOINT_STATE_READY));
+  }
+  uint64_t expected = 0;
+  for (int round = 0; round < 200; ++round) {
+    std::shuffle(messages.begin(), messages.end(), random.Engine());
+    EndpointRegistry registry;
+    for (const rpc::Endpoint& message : messages) {
+      registry.Merge(message, At(0));
+    }
+    expected = round == 0 ? registry.Digest() : expected;
+    BOOST_REQUIRE(registry.Digest() == expected);
+  }
+}
+
+class MeshWithTwoZones {
+ public:
+  explicit MeshWithTwoZones(uint64_t seed) : mesh_(seed) {
+    mesh_.AddSources(3);
+    mesh_.AddRelay("relay-1", "zone-1");
+    mesh_.AddRelay("relay-2", "zone-2");
+    for (const char* id : {"proxy-1-1", "proxy-1-2"}) {
+      mesh_.AddProxy(id, "zone-1");
+    }
+    mesh_.AddProxy("proxy-2-1", "zone-2");
+    mesh_.Net().Run(std::chrono::seconds(3));
+  }
+  TestMesh& Mesh() { return mesh_; }
+
+  void Announce() {
+    mesh_.Proxy("proxy-1-1")
+        .Local()
+        .Announce({"a", "v1", "127.0.0.1:1", 20, "x"}, mesh_.Net().Now().mono_);
+  }
+  // Runs while the upstream keeps announcing.
+  void RunAnnouncing(base::Duration length) {
+    mesh_.Net().Run(length, [this] {
+      if (mesh_.Alive("proxy-1-1")) {
+        Announce();
+      }
+    });
+  }
+  bool Seen(const std::string& proxy) {
+    return mesh_.Proxy(proxy).Endpoints().HasReady("a", "v1");
+  }
+
+ private:
+  TestMesh mesh_;
+};
+
+BOOST_AUTO_TEST_CASE(AnUpstreamIsKnownInItsZoneIn1sAndBeyondIn3s) {
+  MeshWithTwoZones zones(1);
+  zones.RunAnnouncing(std::chrono::seconds(1));
+  BOOST_TEST(zones.Seen("proxy-1-2"));
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  BOOST_TEST(zones.Seen("proxy-2-1"));
+}
+
+BOOST_AUTO_TEST_CASE(ADeadHostsEndpointsGoWithinAFewSeconds) {
+  MeshWithTwoZones zones(2);
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  zones.Mesh().Crash("proxy-1-1");
+  zones.RunAnnouncing(std::chrono::milliseconds(4500));
+  BOOST_TEST(!zones.Seen("proxy-1-2"));
+  BOOST_TEST(!zones.Seen("proxy-2-1"));
+  zones.Mesh().Restart("proxy-1-1");
+  zones.RunAnnouncing(std::chrono::seconds(3));
+  BOOST_TEST(zones.Seen("proxy-1-2"));
+  BOOST_TEST(zones.Seen("proxy-2-1"));
+}
+
+BOOST_AUTO_TEST_CASE(ADrainIsKnownWellWithinTwoSeconds) {
+  MeshWithTwoZones zones(3);
+  zones.RunAnnouncing(std::chrono::seconds(3));
+  BOOST_REQUIRE(zones.Seen("proxy-2-1"));
+  zones.Mesh().Proxy("proxy-1-1").Local().Drain("127.0.0.1:1");
+  zones.RunAnnouncing(std::chrono::milliseconds(500));
+  BOOST_TEST(!zones.Seen("proxy-1-2"));
+  BOOST_TEST(!zones.Seen("proxy-2-1"));
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenHostThatWakesIsKnownAgain) {
+  MeshWithTwoZones zones(4);
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  zones.Mesh().Net().Freeze("proxy-1-1");
+  zones.Mesh().Net().Run(std::chrono::seconds(6));
+  BOOST_TEST(!zones.Seen("proxy-1-2"));
+  zones.Mesh().Net().Thaw("proxy-1-1");
+  zones.RunAnnouncing(std::chrono::seconds(3));
+  BOOST_TEST(zones.Seen("proxy-1-2"));
+  BOOST_TEST(zones.Seen("proxy-2-1"));
+}
+
+BOOST_AUTO_TEST_CASE(LostMessagesAreMadeUpFor) {
+  MeshWithTwoZones zones(5);
+  NetworkFaults faults;
+  faults.loss_ = 0.4;
+  zones.Mesh().Net().SetFaults(faults);
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  zones.Mesh().Net().SetFaults(NetworkFaults());
+  zones.RunAnnouncing(std::chrono::seconds(5));
+  BOOST_TEST(zones.Seen("proxy-1-2"));
+  BOOST_TEST(zones.Seen("proxy-2-1"));
+}
+
+BOOST_AUTO_TEST_CASE(AZoneCutOffKeepsItsOwnEndpointsMoving) {
+  MeshWithTwoZones zones(6);
+  zones.Mesh().Net().Cut("relay-1", "relay-2");
+  for (const std::string& source : zones.Mesh().SourceIds()) {
+    zones.Mesh().Net().Cut("relay-1", source);
+  }
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  BOOST_TEST(zones.Seen("proxy-1-2"));
+  BOOST_TEST(!zones.Seen("proxy-2-1"));
+  zones.Mesh().Net().Heal();
+  zones.RunAnnouncing(std::chrono::seconds(4));
+  BOOST_TEST(zones.Seen("proxy-2-1"));
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/request_test.cc
@@ -0,0 +1,402 @@
+// Decisions on the path of a request: routes, picking, admission, retries,
+// quarantine and the local brake.
+#define BOOST_TEST_MODULE request
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/config_state.h"
+#include "config/service_file.h"
+#include "request/admission.h"
+#include "request/endpoint_picker.h"
+#include "request/quarantine.h"
+#include "request/retry.h"
+#include "request/route_table.h"
+#include "rollout/brake.h"
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+using request::AdmissionQueue;
+using request::AdmissionVerdict;
+
+base::MonoTime AtMs(int64_t ms) {
+  return base::MonoTime(std::chrono::milliseconds(1'000'000 + ms));
+}
+
+config::ServicePtr Routed(const std::string& name,
+                          const std::vector<std::vector<std::string>>& routes) {
+  rpc::ServiceState state;
+  state.mutable_service()->set_name(name);
+  for (const std::vector<std::string>& parts : routes) {
+    rpc::Route& route = *state.mutable_service()->add_routes();
+    route.set_name(parts[0]);
+    route.set_host(parts[1]);
+    route.set_path_prefix(parts[2]);
+    if (parts.size() > 3) {
+      route.add_methods(parts[3]);
+    }
+  }
+  return std::make_shared<const rpc::ServiceState>(std::move(state));
+}
+
+BOOST_AUTO_TEST_CASE(RoutesMatchByHostLongestPrefixAndMethod) {
+  const auto table = request::RouteTable::Build(
+      {{"a", Routed("a", {{"root", "*", "/"},
+                          {"orders", "*", "/orders"},
+                          {"pay", "*", "/orders/pay", "POST"},
+                          {"shop", "shop.ge", "/orders/"}})}});
+  const auto name = [&table](const char* host, const char* path,
+                             const char* method) -> std::string {
+    const request::RouteMatch match = table->Match(host, path, method);
+    return match.route_ == nullptr ? "" : match.route_->name();
+  };
+  BOOST_TEST(name("x", "/", "GET") == "root");
+  BOOST_TEST(name("x", "/orders", "GET") == "orders");
+  BOOST_TEST(name("x", "/orders/", "GET") == "orders");
+  BOOST_TEST(name("x", "/orders2", "GET") == "root");
+  BOOST_TEST(name("x", "/orders/pay", "POST") == "pay");
+  BOOST_TEST(name("x", "/orders/pay/now", "POST") == "pay");
+  BOOST_TEST(name("x", "/orders/pay", "GET") == "orders");
+  BOOST_TEST(name("shop.ge:80", "/orders/pay", "POST") == "shop");
+  BOOST_TEST(name("shop.ge", "/else", "GET") == "root");
+  BOOST_TEST(name("x", "relative", "GET").empty());
+}
+
+rpc::ServiceState MovingService(uint32_t share) {
+  rpc::ServiceState state;
+  *state.mutable_service() = MakeService("a");
+  state.mutable_move()->set_from("v1");
+  state.mutable_move()->set_to("v2");
+  state.mutable_move()->set_phase(rpc::MOVE_PHASE_RAMPING);
+  state.mutable_move()->set_share_permille(share);
+  return state;
+}
+
+BOOST_AUTO_TEST_CASE(VersionsFollowTheShareAndStayWithTheRequest) {
+  const rpc::ServiceState state = MovingService(50);
+  int new_calls = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    const std::string version = request::PickVersion(state, id, false);
+    BOOST_REQUIRE(version == request::PickVersion(state, id, false));
+    new_calls += version == "v2" ? 1 : 0;
+  }
+  BOOST_TEST(new_calls > 850);
+  BOOST_TEST(new_calls < 1150);
+  BOOST_TEST(request::PickVersion(MovingService(1000), "x", true) == "v1");
+}
+
+request::VersionView MakeEndpoints(int own, int other) {
+  request::VersionView view;
+  for (int i = 0; i < own + other; ++i) {
+    request::EndpointView endpoint;
+    endpoint.endpoint_.set_id(std::to_string(i));
+    endpoint.endpoint_.set_slots(10);
+    endpoint.stats_ = std::make_shared<request::EndpointStats>(AtMs(0));
+    view.endpoints_.push_back(endpoint);
+  }
+  view.own_zone_ = static_cast<size_t>(own);
+  return view;
+}
+
+BOOST_AUTO_TEST_CASE(TheOwnZoneGoesFirstAndSpillsByLoad) {
+  base::Random random(1);
+  request::VersionView view = MakeEndpoints(2, 2);
+  for (int i = 0; i < 100; ++i) {
+    const auto* picked = request::PickEndpoint(view, {}, AtMs(60'000), random);
+    BOOST_REQUIRE(std::stoi(picked->endpoint_.id()) < 2);
+  }
+  for (int i = 0; i < 9; ++i) {
+    view.endpoints_[0].stats_->Begin();
+    view.endpoints_[1].stats_->Begin();
+  }
+  int spilled = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto* picked = request::PickEndpoint(view, {}, AtMs(60'000), random);
+    spilled += std::stoi(picked->endpoint_.id()) >= 2 ? 1 : 0;
+  }
+  BOOST_TEST(spilled > 50);
+}
+
+BOOST_AUTO_TEST_CASE(EjectedAndTriedEndpointsAreLeftOut) {
+  base::Random random(2);
+  request::VersionView view = MakeEndpoints(3, 0);
+  view.endpoints_[0].stats_->Eject(AtMs(60'000));
+  for (int i = 0; i < 50; ++i) {
+    const auto* picked =
+        request::PickEndpoint(view, {"1"}, AtMs(60'010), random);
+    BOOST_REQUIRE(picked->endpoint_.id() == "2");
+  }
+  // The last resort, and nothing at all.
+  BOOST_TEST(request::PickEndpoint(view, {"1", "2"}, AtMs(60'010), random)
+                 ->endpoint_.id() == "0");
+  BOOST_TEST(request::PickEndpoint(view, {"0", "1", "2"}, AtMs(60'010),
+                                   random) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AColdEndpointGetsLessWorkAtFirst) {
+  base::Random random(3);
+  request::VersionView view = MakeEndpoints(2, 0);
+  view.endpoints_[1].stats_ =
+      std::make_shared<request::EndpointStats>(AtMs(60'000));
+  int cold = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto* picked = request::PickEndpoint(view, {}, AtMs(60'100), random);
+    picked->stats_->Begin();
+    cold += picked->endpoint_.id() == "1" ? 1 : 0;
+  }
+  BOOST_TEST(cold < 60);
+  BOOST_TEST(cold > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AdmissionCountsSlotsAndQueuesByDeadline) {
+  AdmissionQueue queue({2, 1.0});
+  BOOST_TEST((queue.Enter(1, "c", AtMs(1000), AtMs(0)) ==
+              AdmissionVerdict::kAdmitted));
+  BOOST_TEST((queue.Enter(2, "c", AtMs(1000), AtMs(0)) ==
+              AdmissionVerdict::kAdmitted));
+  BOOST_TEST(
+      (queue.Enter(3, "c", AtMs(900), AtMs(0)) == AdmissionVerdict::kQueued));
+  BOOST_TEST(
+      (queue.Enter(4, "c", AtMs(500), AtMs(0)) == AdmissionVerdict::kQueued));
+  BOOST_TEST(
+      (queue.Enter(5, "c", AtMs(900), AtMs(0)) == AdmissionVerdict::kRefused));
+  queue.Leave(1, std::chrono::milliseconds(10), false, AtMs(10));
+  const auto released = queue.TakeReleased(AtMs(10));
+  BOOST_REQUIRE(released.size() == 1);
+  BOOST_TEST(released[0].ticket_ == 4u);
+  BOOST_TEST(released[0].admitted_);
+}
+
+BOOST_AUTO_TEST_CASE(WaitingRequestsThatCannotFinishAreRefused) {
+  AdmissionQueue queue({1, 4.0});
+  queue.Enter(1, "c", AtMs(1000), AtMs(0));
+  queue.Enter(2, "c", AtMs(50), AtMs(0));
+  const auto released = queue.TakeReleased(AtMs(60));
+  BOOST_REQUIRE(released.size() == 1);
+  BOOST_TEST(!released[0].admitted_);
+  BOOST_TEST(
+      (queue.Enter(3, "c", AtMs(60), AtMs(61)) == AdmissionVerdict::kRefused));
+}
+
+BOOST_AUTO_TEST_CASE(OneGreedyCallerDoesNotStarveAnother) {
+  AdmissionQueue queue({2, 10.0});
+  queue.Enter(1, "greedy", AtMs(10'000), AtMs(0));
+  queue.Enter(2, "greedy", AtMs(10'000), AtMs(0));
+  for (uint64_t ticket = 3; ticket < 13; ++ticket) {
+    queue.Enter(ticket, "greedy", AtMs(9'000), AtMs(0));
+  }
+  queue.Enter(50, "modest", AtMs(10'000), AtMs(0));
+  queue.Leave(1, std::chrono::milliseconds(1), false, AtMs(1));
+  BOOST_TEST(queue.TakeReleased(AtMs(1)).front().ticket_ == 50u);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingUpstreamGetsNothingNewAndLosesNothing) {
+  AdmissionQueue queue({2, 1.0});
+  queue.Enter(1, "c", AtMs(1000), AtMs(0));
+  queue.Drain();
+  BOOST_TEST(
+      (queue.Enter(2, "c", AtMs(1000), AtMs(0)) == AdmissionVerdict::kRefused));
+  BOOST_TEST(queue.Running() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(TheLimitFollowsASlowingUpstream) {
+  AdmissionQueue queue({20, 1.0});
+  uint64_t ticket = 0;
+  const auto serve = [&](int ms) {
+    queue.Enter(++ticket, "c", AtMs(1'000'000), AtMs(0));
+    queue.Leave(ticket, std::chrono::milliseconds(ms), false, AtMs(0));
+  };
+  for (int i = 0; i < 100; ++i) {
+    serve(10);
+  }
+  BOOST_TEST(queue.Limit() == 20.0);
+  for (int i = 0; i < 100; ++i) {
+    serve(60);
+  }
+  BOOST_TEST(queue.Limit() <= 12.0);
+  for (int i = 0; i < 300; ++i) {
+    serve(10);
+  }
+  BOOST_TEST(queue.Limit() > 19.0);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyNotRunOrRepeatableRequestsAreSentAgain) {
+  request::RetryContext context;
+  context.attempts_ = 1;
+  context.left_ = std::chrono::seconds(1);
+  request::AttemptOutcome failed;
+  failed.code_ = ResultCode::kUpstreamFailed;
+  BOOST_TEST(!request::WorthRetry(failed, context));
+  context.repeatable_ = true;
+  BOOST_TEST(request::WorthRetry(failed, context));
+  context.below_retry_ = true;
+  BOOST_TEST(!request::WorthRetry(failed, context));
+  context.below_retry_ = false;
+  context.suspect_ = true;
+  BOOST_TEST(!request::WorthRetry(failed, context));
+  context.repeatable_ = false;
+  failed.not_run_ = true;
+  BOOST_TEST(request::WorthRetry(failed, context));
+  context.left_ = base::Duration(0);
+  BOOST_TEST(!request::WorthRetry(failed, context));
+}
+
+// A tree of calls: each level's daemon retries as the request path does.
+class CallTreeModel {
+ public:
+  CallTreeModel(int depth, double failure_rate, uint64_t seed)
+      : budgets_(static_cast<size_t>(depth)),
+        tree_(static_cast<size_t>(depth), 1.0),
+        failure_rate_(failure_rate),
+        random_(seed) {}
+
+  // One call at `level`; returns whether it succeeded and the calls it made.
+  std::pair<bool, uint32_t> Call(size_t level, bool below_retry) {
+    if (!below_retry) {
+      ++first_tries_;
+      budgets_[level].NoteFirstTry(config::kMaxRetryPercent);
+    }
+    uint32_t calls = 0;
+    bool retrying = below_retry;
+    for (int attempt = 1;; ++attempt) {
+      ++sent_;
+      uint32_t below = 1;
+      bool ok = random_.Unit() >= failure_rate_;
+      if (ok && level + 1 < budgets_.size()) {
+        const auto [nested_ok, nested] = Call(level + 1, retrying);
+        ok = nested_ok;
+        below += nested;
+      }
+      calls += below;
+      tree_[level] += 0.1 * (below - tree_[level]);
+      request::AttemptOutcome outcome;
+      outcome.status_ = ok ? 200 : 503;
+      request::RetryContext context;
+      context.attempts_ = attempt;
+      context.repeatable_ = true;
+      context.below_retry_ = below_retry;
+      context.left_ = std::chrono::seconds(1);
+      if (ok || !request::WorthRetry(outcome, context) ||
+          !budgets_[level].Spend(tree_[level])) {
+        return {ok, calls};
+      }
+      retrying = true;
+    }
+  }
+  double Amplification() const {
+    return static_cast<double>(sent_) / static_cast<double>(first_tries_);
+  }
+
+ private:
+  std::vector<request::RetryBudget> budgets_;
+  std::vector<double> tree_;
+  const double failure_rate_;
+  base::Random random_;
+  uint64_t first_tries_ = 0;
+  uint64_t sent_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(RetriesOfADeepTreeStayWithinTheBudget) {
+  for (const double rate : {0.05, 0.2, 0.5}) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+      CallTreeModel model(30, rate, seed);
+      for (int i = 0; i < 20'000; ++i) {
+        model.Call(0, false);
+      }
+      BOOST_TEST(model.Amplification() <= 1.2,
+                 "rate " << rate << " seed " << seed);
+    }
+  }
+}
+
+rpc::CrashReport Crash(const std::string& id,
+                       const std::vector<std::string>& fingerprints) {
+  rpc::CrashReport report;
+  report.set_crash_id(id);
+  report.set_service("a");
+  for (const std::string& fingerprint : fingerprints) {
+    report.add_fingerprints(fingerprint);
+  }
+  return report;
+}
+
+BOOST_AUTO_TEST_CASE(TwoCrashesQuarantineAndALiftEndsIt) {
+  request::QuarantineBook book;
+  const base::WallTime now(std::chrono::hours(1));
+  book.OnCrash(Crash("1", {"killer", "bystander"}), now);
+  BOOST_TEST(!book.Entries().at("killer").quarantined());
+  // The same crash, reported again.
+  book.OnCrash(Crash("1", {"killer"}), now);
+  BOOST_TEST(!book.Entries().at("killer").quarantined());
+  book.OnCrash(Crash("2", {"killer", "other"}), now);
+  BOOST_TEST(book.Entries().at("killer").quarantined());
+  BOOST_TEST(!book.Entries().at("bystander").quarantined());
+  rpc::QuarantineNotice late;
+  *late.add_entries() = book.Entries().at("killer");
+  book.Lift({"killer"});
+  BOOST_TEST(book.Entries().count("killer") == 0u);
+  BOOST_TEST(book.Merge(late).empty());
+  book.OnCrash(Crash("3", {"killer"}), now);
+  BOOST_TEST(!book.Entries().at("killer").quarantined());
+  book.OnCrash(Crash("4", {"killer"}), now);
+  BOOST_TEST(book.Entries().at("killer").quarantined());
+  book.Expire(now + std::chrono::hours(25));
+  BOOST_TEST(book.Entries().empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheBrakeClosesOnTheNewVersionOnlyAndForOneStep) {
+  rollout::Brake brake;
+  int calls = 0;
+  while (!brake.Closed(3) && calls < 100) {
+    brake.Note(3, true, true);
+    ++calls;
+  }
+  BOOST_TEST(calls <= 5);
+  BOOST_TEST(!brake.Closed(4));
+  // Trouble that is common to both versions does not close it.
+  rollout::Brake common;
+  for (int i = 0; i < 200; ++i) {
+    common.Note(1, false, i % 2 == 0);
+    common.Note(1, true, i % 2 == 0);
+  }
+  BOOST_TEST(!common.Closed(1));
+  // Rare failures do not close it either.
+  rollout::Brake rare;
+  for (int i = 0; i < 10'000; ++i) {
+    rare.Note(1, true, i % 20 == 0);
+  }
+  BOOST_TEST(!rare.Closed(1));
+}
+
+BOOST_AUTO_TEST_CASE(QuarantineReachesAllZonesAndSurvivesRestarts) {
+  TestMesh mesh(8);
+  mesh.AddSources(1);
+  mesh.AddRelay("relay-1", "zone-1");
+  mesh.AddRelay("relay-2", "zone-2");
+  mesh.AddProxy("proxy-1", "zone-1");
+  mesh.AddProxy("proxy-2", "zone-2");
+  mesh.Net().Run(std::chrono::seconds(2));
+  mesh.Proxy("proxy-1").SendCrash(Crash("1", {"killer"}));
+  mesh.Net().Run(std::chrono::milliseconds(200));
+  mesh.Proxy("proxy-1").SendCrash(Crash("2", {"killer"}));
+  mesh.Net().Run(std::chrono::milliseconds(200));
+  BOOST_TEST(mesh.Proxy("proxy-2").Quarantine().at("killer").quarantined());
+  for (const char* id : {"relay-1", "relay-2", "proxy-1", "proxy-2"}) {
+    mesh.Crash(id);
+  }
+  for (const char* id : {"relay-1", "relay-2", "proxy-1", "proxy-2"}) {
+    mesh.Restart(id);
+  }
+  mesh.Net().Run(std::chrono::seconds(3));
+  BOOST_TEST(mesh.Proxy("proxy-1").Quarantine().at("killer").quarantined());
+  BOOST_TEST(mesh.Proxy("proxy-2").Quarantine().at("killer").quarantined());
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/storage_test.cc
@@ -0,0 +1,158 @@
+// Journals on disk: torn tails, corrupt middles, replacement.
+#define BOOST_TEST_MODULE storage
+#include <boost/test/unit_test.hpp>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "base/random.h"
+#include "storage/file_journal.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+using storage::FileJournal;
+
+class Folder {
+ public:
+  Folder() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "journal-XXXXXX").string();
+    path_ = mkdtemp(pattern.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  std::string File() const { return path_ + "/test.journal"; }
+
+ private:
+  std::string path_;
+};
+
+rpc::JournalRecord Record(uint64_t index) {
+  rpc::JournalRecord record;
+  record.mutable_entry()->set_index(index);
+  record.mutable_entry()->set_payload("payload " + std::to_string(index));
+  return record;
+}
+
+void WriteRecords(const std::string& file, uint64_t count) {
+  FileJournal journal(file);
+  BOOST_REQUIRE(journal.Load().has_value());
+  for (uint64_t i = 1; i <= count; ++i) {
+    BOOST_REQUIRE((journal.Append(Record(i)) == ResultCode::kOk));
+  }
+  BOOST_REQUIRE((journal.Sync() == ResultCode::kOk));
+}
+
+BOOST_AUTO_TEST_CASE(SyncedRecordsComeBack) {
+  const Folder folder;
+  WriteRecords(folder.File(), 10);
+  FileJournal journal(folder.File());
+  const auto records = journal.Load();
+  BOOST_REQUIRE(records.has_value());
+  BOOST_REQUIRE(records->size() == 10);
+  BOOST_TEST(records->at(9).entry().payload() == "payload 10");
+}
+
+BOOST_AUTO_TEST_CASE(UnsyncedRecordsAreNotWritten) {
+  const Folder folder;
+  WriteRecords(folder.File(), 2);
+  {
+    FileJournal journal(folder.File());
+    BOOST_REQUIRE(journal.Load().has_value());
+    (void)journal.Append(Record(3));
+  }
+  FileJournal journal(folder.File());
+  BOOST_TEST(journal.Load()->size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(ATornTailOfAnyLengthIsCutOff) {
+  const Folder folder;
+  WriteRecords(folder.File(), 3);
+  const uintmax_t size = std::filesystem::file_size(folder.File());
+  std::string last;
+  storage::EncodeRecord(Record(3), last);
+  for (uintmax_t cut = 1; cut < last.size(); ++cut) {
+    WriteRecords(folder.File(), 0);
+    std::filesystem::resize_file(folder.File(), size - cut);
+    FileJournal journal(folder.File());
+    const auto records = journal.Load();
+    BOOST_REQUIRE(records.has_value());
+    BOOST_TEST(records->size() == 2u);
+    (void)journal.Append(Record(3));
+    BOOST_REQUIRE((journal.Sync() == ResultCode::kOk));
+    BOOST_TEST(std::filesystem::file_size(folder.File()) == size);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACorruptMiddleIsRefused) {
+  const Folder folder;
+  WriteRecords(folder.File(), 5);
+  {
+    std::fstream file(folder.File(),
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(30);
+    file.put('\xff');
+  }
+  FileJournal journal(folder.File());
+  const auto records = journal.Load();
+  BOOST_REQUIRE(!records.has_value());
+  BOOST_TEST((records.error() == ResultCode::kStorageCorrupt));
+}
+
+BOOST_AUTO_TEST_CASE(ReplaceIsWholeAndAppendsGoOn) {
+  const Folder folder;
+  {
+    FileJournal journal(folder.File());
+    BOOST_REQUIRE(journal.Load().has_value());
+    (void)journal.Append(Record(1));
+    (void)journal.Sync();
+    BOOST_REQUIRE((journal.Replace({Record(7), Record(8)}) == ResultCode::kOk));
+    (void)journal.Append(Record(9));
+    BOOST_REQUIRE((journal.Sync() == ResultCode::kOk));
+  }
+  FileJournal journal(folder.File());
+  const auto records = journal.Load();
+  BOOST_REQUIRE(records.has_value());
+  BOOST_REQUIRE(records->size() == 3);
+  BOOST_TEST(records->front().entry().index() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(AFullDiskIsReportedAndTheJournalStaysFailed) {
+  FileJournal journal("/dev/full");
+  const auto loaded = journal.Load();
+  // The device cannot be synced or read as a file; either way it says so.
+  if (loaded) {
+    (void)journal.Append(Record(1));
+    BOOST_TEST((journal.Sync() != ResultCode::kOk));
+  }
+  BOOST_TEST((journal.Append(Record(2)) == ResultCode::kStorageFailed));
+}
+
+BOOST_AUTO_TEST_CASE(RandomDamageIsNeverTakenForOtherRecords) {
+  base::Random random(17);
+  std::string bytes;
+  for (uint64_t i = 1; i <= 20; ++i) {
+    storage::EncodeRecord(Record(i), bytes);
+  }
+  for (int round = 0; round < 2000; ++round) {
+    std::string damaged = bytes;
+    damaged[random.Below(damaged.size())] ^=
+        static_cast<char>(1 + random.Below(255));
+    const auto decoded = storage::DecodeJournal(damaged);
+    if (!decoded) {
+      continue;
+    }
+    // What decodes is an unchanged beginning.
+    for (size_t i = 0; i < decoded->records_.size(); ++i) {
+      BOOST_REQUIRE(decoded->records_[i].entry().index() == i + 1);
+      BOOST_REQUIRE(decoded->records_[i].entry().payload() ==
+                    "payload " + std::to_string(i + 1));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
--- a/tools/stand_in_upstream.cc
+++ b/tools/stand_in_upstream.cc
@@ -22,7 +22,7 @@
 
 constexpr std::chrono::milliseconds kAnnounceInterval{500};
 constexpr size_t kThreads = 512;
-constexpr size_t kPieceBytes = 64 * 1024;
+constexpr size_t kPieceBytes = size_t{64} * 1024;
 
 struct Options {
   std::string address_ = "127.0.0.1";
@@ -114,8 +114,9 @@
     if (options_.work_us_ > 0) {
       std::this_thread::sleep_for(std::chrono::microseconds(options_.work_us_));
     }
-    if (options_.fail_rate_ > 0 &&
-        static_cast<double>(count % 1000) < options_.fail_rate_ * 1000) {
+    const bool fails = what == "fail" || static_cast<double>(count % 1000) <
+                                             options_.fail_rate_ * 1000;
+    if (fails) {
       response.status = 500;
       response.set_content("failed\n", "text/plain");
     } else if (what == "echo") {
@@ -124,9 +125,6 @@
       std::this_thread::sleep_for(
           std::chrono::milliseconds(ParamOr(request, "ms", 100)));
       response.set_content("slow\n", "text/plain");
-    } else if (what == "fail") {
-      response.status = 500;
-      response.set_content("failed\n", "text/plain");
     } else if (what == "crash") {
       std::_Exit(70);
     } else if (what == "hang") {
