--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -16,8 +16,8 @@
 
 namespace buckthorngate::rollout {
 
-inline constexpr size_t kLatencyBuckets = 48;
-inline constexpr double kBucketRatio = 1.25;
+inline constexpr size_t kLatencyBuckets = 72;
+inline constexpr double kBucketRatio = 1.15;
 // Upper bound of the first bucket.
 inline constexpr base::Duration kFirstBucket = std::chrono::microseconds(250);
 
--- a/src/rollout/move_controller.cc
+++ b/src/rollout/move_controller.cc
@@ -49,7 +49,7 @@
       route.old_.Clear();
       route.test_.StartStep();
       if (tracked.restart_tests_) {
-        route.test_.Restart();
+        route.test_.RestartSuspicious();
       }
     }
     tracked.restart_tests_ = false;
@@ -107,6 +107,7 @@
       if (notice.service() == name && notice.version() == move.to() &&
           notice.step() == move.step()) {
         tracked.brakes_.insert(proxy);
+        tracked.last_brake_ = now;
       }
     }
     if (tracked.proposed_ && now - *tracked.proposed_ < kProposalTimeout) {
@@ -120,6 +121,7 @@
     view.new_endpoints_ = presence.HasEndpoints(name, move.to());
     view.old_endpoints_ = presence.HasEndpoints(name, move.from());
     view.brakes_ = static_cast<uint32_t>(tracked.brakes_.size());
+    view.since_brake_ = now - tracked.last_brake_;
     tracked.hold_reason_.clear();
     const std::optional<MoveDecision> decision =
         policy_->Decide(view, tracked.hold_reason_);
--- a/src/rollout/move_controller.h
+++ b/src/rollout/move_controller.h
@@ -24,7 +24,7 @@
 
 // Evidence is judged at this interval.
 inline constexpr base::Duration kDecisionInterval =
-    std::chrono::milliseconds(500);
+    std::chrono::milliseconds(250);
 
 // Which versions of a service have endpoints that can serve.
 class EndpointPresence {
@@ -68,6 +68,7 @@
     std::optional<base::MonoTime> proposed_;
     std::map<std::string, RouteView> routes_;
     std::set<std::string> brakes_;
+    base::MonoTime last_brake_;
     std::string hold_reason_;
     bool restart_tests_ = false;
   };
--- a/src/rollout/move_policy.h
+++ b/src/rollout/move_policy.h
@@ -36,6 +36,7 @@
   bool old_endpoints_ = false;
   // Proxies that braked the new version at the current step.
   uint32_t brakes_ = 0;
+  base::Duration since_brake_{0};
 };
 
 struct MoveDecision {
--- a/src/rollout/sequential_policy.cc
+++ b/src/rollout/sequential_policy.cc
@@ -17,6 +17,9 @@
 // Part of the time before the deadline that the ramp plans to leave free.
 constexpr double kDeadlineReserve = 0.15;
 
+// How long a single proxy's brake holds the move.
+constexpr base::Duration kHoldAfterBrake = std::chrono::seconds(5);
+
 struct Pace {
   base::Duration min_step_;
   // Multiplies the evidence that a step needs.
@@ -178,7 +181,7 @@
   }
   if (view.brakes_ > 0) {
     hold_reason = "a proxy braked; waiting for evidence";
-    if (view.in_step_ < std::chrono::seconds(5)) {
+    if (view.since_brake_ < kHoldAfterBrake) {
       return std::nullopt;
     }
   }
@@ -192,7 +195,7 @@
   const base::Duration slot = std::chrono::duration_cast<base::Duration>(
                                   left * (1.0 - kDeadlineReserve)) /
                               steps;
-  const bool time_decides = view.in_step_ >= slot;
+  const bool time_decides = view.in_step_ >= slot && view.brakes_ == 0;
   const Proof proof = ProofOf(view, kSafeThreshold * pace.proof_);
   const bool first = move.share_permille() == 0;
   if (first) {
