Prove the path of a request with real processes

Found by the tests and mended: an answer larger than the pipe's bound to a request with a body deadlocked (the handler waited for the exchange instead of for the request's end); the head of an answer without a body was never told (httplib calls its handler only with a body); idle connections held a stopping daemon for 30 s; a daemon that woke from SIGSTOP ran requests whose callers had gone (now checked after a stall); the socket's time-out ran before the deadline and turned a 504 into a 502.

--- /dev/null
+++ b/benchmark/call_tree_model.h
@@ -0,0 +1,92 @@
+// Model of a tree of calls whose daemons retry as the request path does.
+#ifndef BENCHMARK_CALL_TREE_MODEL_H_
+#define BENCHMARK_CALL_TREE_MODEL_H_
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "config/service_file.h"
+#include "request/retry.h"
+
+namespace buckthorngate::benchmark {
+
+enum class RetryMode : uint8_t { kBudgeted, kNaive };
+
+// Each level calls the next; each call fails by itself at `failure_rate`.
+class CallTreeModel {
+ public:
+  CallTreeModel(int depth, double failure_rate, uint64_t seed, RetryMode mode)
+      : budgets_(static_cast<size_t>(depth)),
+        tree_(static_cast<size_t>(depth), 1.0),
+        failure_rate_(failure_rate),
+        random_(seed),
+        mode_(mode) {}
+
+  // One call at `level`; returns whether it succeeded and the calls it made.
+  std::pair<bool, uint32_t> Call(size_t level, bool below_retry) {
+    if (!below_retry) {
+      ++first_tries_;
+      budgets_[level].NoteFirstTry(config::kMaxRetryPercent);
+    }
+    uint32_t calls = 0;
+    bool retrying = below_retry;
+    for (int attempt = 1;; ++attempt) {
+      const auto [ok, below] = TryOnce(level, retrying);
+      calls += below;
+      tree_[level] += 0.1 * (below - tree_[level]);
+      if (ok || !MayRetry(level, attempt, below_retry)) {
+        return {ok, calls};
+      }
+      retrying = true;
+    }
+  }
+
+  double Amplification() const {
+    return static_cast<double>(sent_) / static_cast<double>(first_tries_);
+  }
+  uint64_t Sent() const { return sent_; }
+
+ private:
+  std::pair<bool, uint32_t> TryOnce(size_t level, bool below_retry) {
+    ++sent_;
+    uint32_t below = 1;
+    bool ok = random_.Unit() >= failure_rate_;
+    if (ok && level + 1 < budgets_.size()) {
+      const auto [nested_ok, nested] = Call(level + 1, below_retry);
+      ok = nested_ok;
+      below += nested;
+    }
+    return {ok, below};
+  }
+
+  bool MayRetry(size_t level, int attempt, bool below_retry) {
+    if (mode_ == RetryMode::kNaive) {
+      return attempt < kNaiveAttempts;
+    }
+    request::AttemptOutcome outcome;
+    outcome.status_ = 503;
+    request::RetryContext context;
+    context.attempts_ = attempt;
+    context.repeatable_ = true;
+    context.below_retry_ = below_retry;
+    context.left_ = std::chrono::seconds(1);
+    return request::WorthRetry(outcome, context) &&
+           budgets_[level].Spend(tree_[level]);
+  }
+
+  static constexpr int kNaiveAttempts = 2;
+
+  std::vector<request::RetryBudget> budgets_;
+  std::vector<double> tree_;
+  const double failure_rate_;
+  base::Random random_;
+  const RetryMode mode_;
+  uint64_t first_tries_ = 0;
+  uint64_t sent_ = 0;
+};
+
+}  // namespace buckthorngate::benchmark
+
+#endif  // BENCHMARK_CALL_TREE_MODEL_H_
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -16,6 +16,7 @@
 
 #include "blackboard/metrics.h"
 #include "blackboard/rcu_cell.h"
+#include "blackboard/stall_detector.h"
 #include "request/call_tree.h"
 #include "request/mesh_view.h"
 #include "request/retry.h"
@@ -48,6 +49,8 @@
   request::CallTree& Calls() { return calls_; }
   Metrics& Numbers() { return metrics_; }
 
+  StallDetector& Stalls() { return stalls_; }
+
   // Set once at shutdown.
   std::atomic<bool>& Draining() { return draining_; }
   std::atomic<int64_t>& InFlight() { return in_flight_; }
@@ -63,6 +66,7 @@
   rollout::EvidenceCollector evidence_;
   request::CallTree calls_;
   Metrics metrics_;
+  StallDetector stalls_;
   std::atomic<bool> draining_{false};
   std::atomic<int64_t> in_flight_{0};
 };
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -228,8 +228,12 @@
   }
   std::shared_ptr<Slot> slot = std::make_shared<Slot>(*this, upstream, ticket);
   slot->Begin(HeaderOf(request, request::kFingerprintHeader));
-  // The process may have been stopped for long while the request waited.
-  if (clock_.Read().mono_ >= deadline) {
+  // The process may have been stopped for long while the request waited, here
+  // or in the socket.
+  const base::MonoTime present = clock_.Read().mono_;
+  const bool abandoned =
+      board_.Stalls().Stalled(present) && ConnectionWatch(request).Closed();
+  if (present >= deadline || abandoned) {
     slot->Release(/*failed=*/true);
     refuse(ResultCode::kDeadlineExceeded);
     return;
@@ -287,7 +291,8 @@
   if (code != ResultCode::kOk) {
     exchange->Abort();
   }
-  if (body.Present()) {
+  // With the head there, the request has been sent whole.
+  if (body.Present() && exchange->CurrentStage() != Exchange::Stage::kHead) {
     exchange->WaitFinished();
     body.Drain();
   }
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -149,7 +149,9 @@
   if (code != ResultCode::kOk) {
     attempt.exchange_->Abort();
   }
-  if (streamed_) {
+  // With the head there, the request has been sent whole.
+  if (streamed_ &&
+      attempt.exchange_->CurrentStage() != Exchange::Stage::kHead) {
     attempt.exchange_->WaitFinished();
   }
   return code;
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -14,7 +14,8 @@
 namespace buckthorngate::daemon {
 namespace {
 
-constexpr base::Duration kPeerIdle = std::chrono::seconds(10);
+// Shorter than the keep-alive of a daemon's server.
+constexpr base::Duration kPeerIdle = std::chrono::seconds(3);
 // Claims outlive their request by far, so that a daemon which was stopped in
 // between cannot run what another one was told to be unclaimed.
 constexpr std::chrono::milliseconds kClaimLifetimeMs = request::kClaimLifetime;
--- a/src/daemon/exchange.cc
+++ b/src/daemon/exchange.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{300};
+constexpr std::chrono::milliseconds kSocketMargin{500};
 constexpr size_t kMaxIdlePerAddress = 64;
 
 bool EqualsIgnoringCase(const std::string& a, const std::string& b) {
@@ -66,6 +67,15 @@
   return message;
 }
 
+ExchangeHead HeadOf(const httplib::Response& response) {
+  ExchangeHead head;
+  head.status_ = response.status;
+  for (const auto& [name, value] : response.headers) {
+    head.headers_.emplace_back(name, value);
+  }
+  return head;
+}
+
 }  // namespace
 
 struct ConnectionPool::Idle {
@@ -172,8 +182,9 @@
 
 void Exchange::Run() {
   std::unique_ptr<httplib::ClientImpl> client = connections_.Take(address_);
-  client->set_read_timeout(timeout_);
-  client->set_write_timeout(timeout_);
+  // The handler judges the deadline; the socket only has to outlast it.
+  client->set_read_timeout(timeout_ + kSocketMargin);
+  client->set_write_timeout(timeout_ + kSocketMargin);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (aborted_) {
@@ -183,12 +194,7 @@
   }
   httplib::Request message = MakeRequest(request_);
   message.response_handler = [this](const httplib::Response& response) {
-    ExchangeHead head;
-    head.status_ = response.status;
-    for (const auto& [name, value] : response.headers) {
-      head.headers_.emplace_back(name, value);
-    }
-    SetHead(std::move(head));
+    SetHead(HeadOf(response));
     return true;
   };
   message.content_receiver = [this](const char* data, size_t size, uint64_t,
@@ -212,6 +218,10 @@
     body_.Close(/*whole=*/false);
     return;
   }
+  if (CurrentStage() == Stage::kWaiting) {
+    // httplib tells the head of an answer without a body only by its return.
+    SetHead(HeadOf(response));
+  }
   connections_.Return(address_, std::move(client));
   body_.Close(/*whole=*/true);
   signal_->Notify();
--- a/src/daemon/http_answer.cc
+++ b/src/daemon/http_answer.cc
@@ -17,7 +17,8 @@
 
 constexpr uint64_t kSmallBodyBytes = uint64_t{64} * 1024;
 constexpr std::chrono::milliseconds kBodyWaitSlice{200};
-constexpr time_t kKeepAliveSeconds = 30;
+// Longer than other daemons keep a connection idle.
+constexpr time_t kKeepAliveSeconds = 5;
 constexpr std::chrono::seconds kServerReadTimeout{60};
 
 std::optional<uint64_t> ContentLength(const ExchangeHead& head) {
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -178,6 +178,7 @@
 }
 
 void ProxyRole::Impl::AfterFlush(const base::Now& now) {
+  board_.Stalls().Tick(now.mono_);
   claims_.Complete(node_->TakeClaimOutcomes());
   if (now.mono_ >= next_evidence_) {
     next_evidence_ = now.mono_ + kEvidenceInterval;
--- /dev/null
+++ b/tests/process_harness.h
@@ -0,0 +1,99 @@
+// Real daemons and stand-in upstreams as child processes, on loopback.
+#ifndef TESTS_PROCESS_HARNESS_H_
+#define TESTS_PROCESS_HARNESS_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace buckthorngate::tests {
+
+struct HostPorts {
+  int control_ = 0;
+  int callers_ = 0;
+  int peers_ = 0;
+  int admin_ = 0;
+};
+
+struct HttpAnswer {
+  int status_ = 0;  // 0: no whole answer.
+  std::string body_;
+  std::multimap<std::string, std::string> headers_;
+
+  std::string Header(const std::string& name) const;
+};
+
+// Ends all its processes when it goes.
+class ProcessMesh {
+ public:
+  // `zones` zones; each has one host with a source and a relay, and
+  // `proxies` hosts with a proxy. The number of sources is `zones`.
+  ProcessMesh(int zones, int proxies);
+  ~ProcessMesh();
+  ProcessMesh(const ProcessMesh&) = delete;
+  ProcessMesh& operator=(const ProcessMesh&) = delete;
+
+  // Hosts: "control-Z" and "proxy-Z-P", from 1.
+  void StartAll();
+  void Start(const std::string& host);
+  void Signal(const std::string& host, int signal);
+  // Waits for the process to end.
+  void Wait(const std::string& host);
+  void Kill(const std::string& host);
+
+  // A stand-in upstream beside the host's daemon; returns its name.
+  std::string StartUpstream(const std::string& host,
+                            const std::string& service,
+                            const std::string& version = "v1",
+                            const std::vector<std::string>& options = {});
+
+  // Runs the operators' tool; returns its exit code and fills `output`.
+  int Tool(const std::vector<std::string>& arguments,
+           std::string* output = nullptr);
+  // Publishes one service file's text.
+  int Publish(uint64_t number, const std::string& text);
+
+  HttpAnswer Call(const std::string& host,
+                  const std::string& method,
+                  const std::string& path,
+                  const std::string& body = "",
+                  const std::multimap<std::string, std::string>& headers = {},
+                  std::chrono::milliseconds timeout = std::chrono::seconds(10));
+  HttpAnswer Admin(const std::string& host, const std::string& path);
+
+  // Polls until the condition holds; false after `most`.
+  static bool Await(const std::function<bool()>& condition,
+                    std::chrono::milliseconds most = std::chrono::seconds(15));
+  // Until each proxy answers 200 on this path.
+  bool AwaitServed(const std::string& path);
+
+  const HostPorts& Ports(const std::string& host) const {
+    return ports_.at(host);
+  }
+  const std::vector<std::string>& Proxies() const { return proxies_; }
+  const std::vector<std::string>& Hosts() const { return hosts_; }
+  // Resident memory of a process.
+  size_t RssBytes(const std::string& host) const;
+
+ private:
+  pid_t Spawn(const std::string& name, const std::vector<std::string>& words);
+  void WriteSettings(const std::string& host);
+  int FreePort();
+
+  const int zones_;
+  std::string folder_;
+  std::vector<std::string> hosts_;
+  std::vector<std::string> proxies_;
+  std::map<std::string, HostPorts> ports_;
+  std::map<std::string, pid_t> processes_;
+  std::vector<int> reserved_;
+  int next_upstream_ = 1;
+};
+
+}  // namespace buckthorngate::tests
+
+#endif  // TESTS_PROCESS_HARNESS_H_
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "call_tree_model.h"
 #include "config/config_state.h"
-#include "config/service_file.h"
 #include "request/admission.h"
 #include "request/endpoint_picker.h"
 #include "request/quarantine.h"
@@ -247,65 +247,11 @@
   BOOST_TEST(!request::WorthRetry(failed, context));
 }
 
-// A tree of calls: each level's daemon retries as the request path does.
-class CallTreeModel {
- public:
-  CallTreeModel(int depth, double failure_rate, uint64_t seed)
-      : budgets_(static_cast<size_t>(depth)),
-        tree_(static_cast<size_t>(depth), 1.0),
-        failure_rate_(failure_rate),
-        random_(seed) {}
-
-  // One call at `level`; returns whether it succeeded and the calls it made.
-  std::pair<bool, uint32_t> Call(size_t level, bool below_retry) {
-    if (!below_retry) {
-      ++first_tries_;
-      budgets_[level].NoteFirstTry(config::kMaxRetryPercent);
-    }
-    uint32_t calls = 0;
-    bool retrying = below_retry;
-    for (int attempt = 1;; ++attempt) {
-      ++sent_;
-      uint32_t below = 1;
-      bool ok = random_.Unit() >= failure_rate_;
-      if (ok && level + 1 < budgets_.size()) {
-        const auto [nested_ok, nested] = Call(level + 1, retrying);
-        ok = nested_ok;
-        below += nested;
-      }
-      calls += below;
-      tree_[level] += 0.1 * (below - tree_[level]);
-      request::AttemptOutcome outcome;
-      outcome.status_ = ok ? 200 : 503;
-      request::RetryContext context;
-      context.attempts_ = attempt;
-      context.repeatable_ = true;
-      context.below_retry_ = below_retry;
-      context.left_ = std::chrono::seconds(1);
-      if (ok || !request::WorthRetry(outcome, context) ||
-          !budgets_[level].Spend(tree_[level])) {
-        return {ok, calls};
-      }
-      retrying = true;
-    }
-  }
-  double Amplification() const {
-    return static_cast<double>(sent_) / static_cast<double>(first_tries_);
-  }
-
- private:
-  std::vector<request::RetryBudget> budgets_;
-  std::vector<double> tree_;
-  const double failure_rate_;
-  base::Random random_;
-  uint64_t first_tries_ = 0;
-  uint64_t sent_ = 0;
-};
-
 BOOST_AUTO_TEST_CASE(RetriesOfADeepTreeStayWithinTheBudget) {
   for (const double rate : {0.05, 0.2, 0.5}) {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
-      CallTreeModel model(30, rate, seed);
+      benchmark::CallTreeModel model(30, rate, seed,
+                                     benchmark::RetryMode::kBudgeted);
       for (int i = 0; i < 20'000; ++i) {
         model.Call(0, false);
       }
--- a/tools/stand_in_upstream.cc
+++ b/tools/stand_in_upstream.cc
@@ -150,7 +150,8 @@
             return false;
           }
           static const std::string piece(kPieceBytes, 'x');
-          return sink.write(piece.data(), std::min(length, piece.size()));
+          const size_t most = std::min<size_t>(kPieceBytes, bytes / 4 + 1);
+          return sink.write(piece.data(), std::min(length, most));
         });
   }
 
