--- a/src/daemon/http_answer.cc
+++ b/src/daemon/http_answer.cc
@@ -17,9 +17,6 @@
 
 constexpr uint64_t kSmallBodyBytes = uint64_t{64} * 1024;
 constexpr std::chrono::milliseconds kBodyWaitSlice{200};
-// Longer than other daemons keep a connection idle.
-constexpr time_t kKeepAliveSeconds = 5;
-constexpr std::chrono::seconds kServerReadTimeout{60};
 
 std::optional<uint64_t> ContentLength(const ExchangeHead& head) {
   const std::string text = head.Header("Content-Length");
@@ -221,19 +218,6 @@
   return passed;
 }
 
-void ConfigureServer(httplib::Server& server, size_t threads) {
-  // One thread serves one connection for as long as that is open.
-  server.new_task_queue = [threads] {
-    return new httplib::ThreadPool(threads);
-  };
-  server.set_tcp_nodelay(true);
-  server.set_keep_alive_max_count(1'000'000);
-  server.set_keep_alive_timeout(kKeepAliveSeconds);
-  server.set_read_timeout(kServerReadTimeout);
-  server.set_write_timeout(kServerReadTimeout);
-  server.set_payload_max_length(std::numeric_limits<size_t>::max());
-}
-
 ConnectionWatch::ConnectionWatch(const httplib::Request& request)
     : request_(request) {}
 
--- a/src/daemon/http_answer.h
+++ b/src/daemon/http_answer.h
@@ -13,7 +13,6 @@
 namespace httplib {
 struct Request;
 struct Response;
-class Server;
 }  // namespace httplib
 
 namespace buckthorngate::daemon {
@@ -46,9 +45,6 @@
 // All headers but hop-by-hop ones and those that only daemons may set.
 HeaderList PassedHeaders(const httplib::Request& request);
 
-// Settings that both servers share; `threads` bounds the open connections.
-void ConfigureServer(httplib::Server& server, size_t threads);
-
 // Whether the connection that a request came over has been closed by its
 // other side. The socket is looked up at the first call.
 class ConnectionWatch {
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -13,6 +13,7 @@
 #include "daemon/destination.h"
 #include "daemon/entry.h"
 #include "daemon/http_answer.h"
+#include "daemon/http_server.h"
 #include "daemon/node_loop.h"
 #include "daemon/worker_pool.h"
 #include "distribution/proxy_node.h"
@@ -31,35 +32,6 @@
 constexpr uint32_t kDefaultSlots = 20;
 constexpr uint32_t kMaxSlots = 100'000;
 
-using HandlerFunction = std::function<void(const httplib::Request&,
-                                           const httplib::ContentReader*,
-                                           httplib::Response&)>;
-
-// Routes all methods and paths to one handler.
-void HandleAll(httplib::Server& server, const HandlerFunction& handler) {
-  constexpr char kAnyPath[] = ".*";
-  // Requests without a body need no pattern.
-  server.set_pre_routing_handler(
-      [handler](const httplib::Request& request, httplib::Response& response) {
-        const bool body = request.has_header("Content-Length") ||
-                          request.has_header("Transfer-Encoding");
-        if (body && request.method != "GET" && request.method != "HEAD") {
-          return httplib::Server::HandlerResponse::Unhandled;
-        }
-        handler(request, nullptr, response);
-        return httplib::Server::HandlerResponse::Handled;
-      });
-  const httplib::Server::HandlerWithContentReader with_body =
-      [handler](const httplib::Request& request, httplib::Response& response,
-                const httplib::ContentReader& reader) {
-        handler(request, &reader, response);
-      };
-  server.Post(kAnyPath, with_body);
-  server.Put(kAnyPath, with_body);
-  server.Patch(kAnyPath, with_body);
-  server.Delete(kAnyPath, with_body);
-}
-
 uint32_t SlotsOf(const std::string& text) {
   uint32_t slots = 0;
   std::from_chars(text.data(), text.data() + text.size(), slots);
@@ -107,6 +79,7 @@
   request::MeshViewBuilder views_;
   uint64_t published_version_ = 0;
   bool published_may_serve_ = false;
+  uint64_t addresses_version_ = 0;
   base::MonoTime next_evidence_;
   httplib::Server callers_;
   httplib::Server peers_;
@@ -196,9 +169,13 @@
   published_version_ = node_->ViewVersion();
   published_may_serve_ = node_->MayServe();
   board_.View().Publish(views_.Build(published_may_serve_, node_->Config(),
-                                     node_->Endpoints(), node_->Quarantine(),
-                                     now.mono_));
+                                     node_->MutableEndpoints(),
+                                     node_->Quarantine(), now.mono_));
   board_.Numbers().SetRevision(node_->Config().Revision());
+  if (node_->Endpoints().Version() == addresses_version_) {
+    return;
+  }
+  addresses_version_ = node_->Endpoints().Version();
   for (const rpc::Endpoint& endpoint :
        node_->Endpoints().Live(settings_.zone_)) {
     if (endpoint.host() != settings_.host_) {
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -61,6 +61,8 @@
   bool MayServe() const { return floor_known_ && follower_.MayServe(); }
   const config::ConfigState& Config() const { return follower_.State(); }
   const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
+  // For the builder of views, which takes the changes.
+  registry::EndpointRegistry& MutableEndpoints() { return endpoints_; }
   const std::map<std::string, rpc::QuarantineEntry>& Quarantine() const {
     return quarantine_;
   }
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -118,6 +118,7 @@
   base::MonoTime next_keepalive_;
   base::MonoTime next_heartbeat_;
   base::MonoTime next_digest_;
+  base::MonoTime next_expiry_;
   base::MonoTime next_evidence_;
   rpc::ZoneAck last_zone_ack_;
 };
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -12,6 +12,7 @@
 using base::LogEvent;
 
 constexpr base::Duration kDigestInterval = std::chrono::seconds(2);
+constexpr base::Duration kExpiryInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 
 }  // namespace
@@ -161,6 +162,10 @@
 }
 
 void RelayNode::ExpireEndpoints(const base::Now& now) {
+  if (now.mono_ < next_expiry_) {
+    return;
+  }
+  next_expiry_ = now.mono_ + kExpiryInterval;
   const std::vector<rpc::Endpoint> expired =
       endpoints_.ExpireLeases(options_.zone_, now.mono_);
   for (const rpc::Endpoint& endpoint : expired) {
--- a/src/registry/endpoint_registry.cc
+++ b/src/registry/endpoint_registry.cc
@@ -9,6 +9,8 @@
 namespace buckthorngate::registry {
 namespace {
 
+constexpr base::Duration kDropInterval = std::chrono::seconds(10);
+
 bool IsGone(const rpc::Endpoint& endpoint) {
   return endpoint.state() == rpc::ENDPOINT_STATE_GONE;
 }
@@ -43,12 +45,60 @@
   if (!added && !Supersedes(endpoint, entry.endpoint_)) {
     return false;
   }
+  if (!added) {
+    Discount(entry.endpoint_);
+  }
   entry.endpoint_ = endpoint;
   entry.renewed_ = now;
+  Count(endpoint);
   ++version_;
   return true;
 }
 
+void EndpointRegistry::Count(const rpc::Endpoint& endpoint) {
+  changed_services_.insert(endpoint.service());
+  if (IsGone(endpoint)) {
+    return;
+  }
+  const uint64_t digest = EntryDigest(endpoint);
+  zone_digests_[endpoint.zone()] += digest;
+  digest_ += digest;
+  by_service_[endpoint.service()].insert(endpoint.id());
+}
+
+void EndpointRegistry::Discount(const rpc::Endpoint& endpoint) {
+  changed_services_.insert(endpoint.service());
+  if (IsGone(endpoint)) {
+    return;
+  }
+  const uint64_t digest = EntryDigest(endpoint);
+  zone_digests_[endpoint.zone()] -= digest;
+  digest_ -= digest;
+  const auto ids = by_service_.find(endpoint.service());
+  ids->second.erase(endpoint.id());
+  if (ids->second.empty()) {
+    by_service_.erase(ids);
+  }
+}
+
+std::set<std::string> EndpointRegistry::TakeChangedServices() {
+  return std::exchange(changed_services_, {});
+}
+
+std::vector<rpc::Endpoint> EndpointRegistry::LiveOf(
+    const std::string& service) const {
+  std::vector<rpc::Endpoint> live;
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end()) {
+    return live;
+  }
+  live.reserve(ids->second.size());
+  for (const std::string& id : ids->second) {
+    live.push_back(entries_.at(id).endpoint_);
+  }
+  return live;
+}
+
 bool EndpointRegistry::Heartbeat(const std::string& host,
                                  uint64_t digest,
                                  base::MonoTime now) {
@@ -66,6 +116,7 @@
 }
 
 void EndpointRegistry::MarkGone(Entry& entry, base::MonoTime now) {
+  Discount(entry.endpoint_);
   entry.endpoint_.set_state(rpc::ENDPOINT_STATE_GONE);
   entry.renewed_ = now;
   ++version_;
@@ -86,6 +137,10 @@
 }
 
 void EndpointRegistry::DropTombstones(base::MonoTime now) {
+  if (now < next_drop_) {
+    return;
+  }
+  next_drop_ = now + kDropInterval;
   std::erase_if(entries_, [now](const auto& item) {
     return IsGone(item.second.endpoint_) &&
            now - item.second.renewed_ > kTombstoneAge;
@@ -143,13 +198,11 @@
 }
 
 uint64_t EndpointRegistry::Digest(const std::string& zone) const {
-  uint64_t digest = 0;
-  for (const auto& [id, entry] : entries_) {
-    if (InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_)) {
-      digest += EntryDigest(entry.endpoint_);
-    }
+  if (zone.empty()) {
+    return digest_;
   }
-  return digest;
+  const auto found = zone_digests_.find(zone);
+  return found == zone_digests_.end() ? 0 : found->second;
 }
 
 }  // namespace buckthorngate::registry
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -53,7 +53,14 @@
   // until the next change.
   bool HasReady(const std::string& service, const std::string& version) const;
 
-  // Digest of the entries that are not gone; order does not matter.
+  // Entries of one service that are not gone.
+  std::vector<rpc::Endpoint> LiveOf(const std::string& service) const;
+
+  // Services whose entries changed since the last call.
+  std::set<std::string> TakeChangedServices();
+
+  // Digest of the entries that are not gone; order does not matter. Kept up
+  // with each change.
   uint64_t Digest(const std::string& zone = "") const;
 
   // Grows with each change.
@@ -66,9 +73,19 @@
   };
 
   void MarkGone(Entry& entry, base::MonoTime now);
+  // Adds an entry's part to the digests and the index, or takes it out.
+  void Count(const rpc::Endpoint& endpoint);
+  void Discount(const rpc::Endpoint& endpoint);
 
   std::map<std::string, Entry> entries_;
   uint64_t version_ = 0;
+  // Invariant: sums of EntryDigest over the live entries, by zone and of all.
+  std::map<std::string, uint64_t> zone_digests_;
+  uint64_t digest_ = 0;
+  // Invariant: the identities of the live entries of each service.
+  std::map<std::string, std::set<std::string>> by_service_;
+  std::set<std::string> changed_services_;
+  base::MonoTime next_drop_;
   // Services with their ready versions, as of version ready_version_.
   mutable std::set<std::pair<std::string, std::string>> ready_;
   mutable uint64_t ready_version_ = 0;
--- a/src/request/mesh_view.cc
+++ b/src/request/mesh_view.cc
@@ -12,28 +12,51 @@
   if (versions == services_.end()) {
     return nullptr;
   }
-  const auto found = versions->second.find(version);
-  return found == versions->second.end() ? nullptr : &found->second;
+  const auto found = versions->second->find(version);
+  return found == versions->second->end() ? nullptr : &found->second;
 }
 
 MeshViewBuilder::MeshViewBuilder(std::string own_zone)
     : own_zone_(std::move(own_zone)) {}
 
-EndpointStatsPtr MeshViewBuilder::StatsOf(const rpc::Endpoint& endpoint,
-                                          base::MonoTime now) {
-  // A new incarnation of the host starts cold.
-  EndpointStatsPtr& stats =
-      stats_[endpoint.id() + "#" + std::to_string(endpoint.incarnation())];
-  if (stats == nullptr) {
-    stats = std::make_shared<EndpointStats>(now);
+std::shared_ptr<const ServiceView> MeshViewBuilder::BuildService(
+    std::vector<rpc::Endpoint> endpoints,
+    const ServiceView* previous,
+    base::MonoTime now) const {
+  // Statistics go on with the endpoint; a new incarnation starts cold.
+  std::map<std::pair<std::string, uint64_t>, EndpointStatsPtr> known;
+  if (previous != nullptr) {
+    for (const auto& [name, version] : *previous) {
+      for (const EndpointView& endpoint : version.endpoints_) {
+        known[{endpoint.endpoint_.id(), endpoint.endpoint_.incarnation()}] =
+            endpoint.stats_;
+      }
+    }
+  }
+  std::shared_ptr<ServiceView> view = std::make_shared<ServiceView>();
+  for (rpc::Endpoint& endpoint : endpoints) {
+    if (endpoint.state() != rpc::ENDPOINT_STATE_READY) {
+      continue;
+    }
+    EndpointStatsPtr& stats = known[{endpoint.id(), endpoint.incarnation()}];
+    if (stats == nullptr) {
+      stats = std::make_shared<EndpointStats>(now);
+    }
+    VersionView& version = (*view)[endpoint.version()];
+    const bool own = endpoint.zone() == own_zone_;
+    const auto at = own ? version.endpoints_.begin() +
+                              static_cast<std::ptrdiff_t>(version.own_zone_)
+                        : version.endpoints_.end();
+    version.endpoints_.insert(at, {std::move(endpoint), stats});
+    version.own_zone_ += own ? 1 : 0;
   }
-  return stats;
+  return view;
 }
 
 std::shared_ptr<const MeshView> MeshViewBuilder::Build(
     bool may_serve,
     const config::ConfigState& config,
-    const registry::EndpointRegistry& endpoints,
+    registry::EndpointRegistry& endpoints,
     const std::map<std::string, rpc::QuarantineEntry>& quarantine,
     base::MonoTime now) {
   std::shared_ptr<MeshView> view = std::make_shared<MeshView>();
@@ -44,27 +67,14 @@
     routes_revision_ = config.Revision();
   }
   view->routes_ = routes_;
-  std::unordered_map<std::string, EndpointStatsPtr> kept;
-  for (rpc::Endpoint& endpoint : endpoints.Live()) {
-    if (endpoint.state() != rpc::ENDPOINT_STATE_READY) {
-      continue;
-    }
-    VersionView& version =
-        view->services_[endpoint.service()][endpoint.version()];
-    const EndpointStatsPtr stats = StatsOf(endpoint, now);
-    kept[endpoint.id() + "#" + std::to_string(endpoint.incarnation())] = stats;
-    const bool own = endpoint.zone() == own_zone_;
-    EndpointView entry = {std::move(endpoint), stats};
-    if (own) {
-      const auto at = version.endpoints_.begin() +
-                      static_cast<std::ptrdiff_t>(version.own_zone_);
-      version.endpoints_.insert(at, std::move(entry));
-      ++version.own_zone_;
-    } else {
-      version.endpoints_.push_back(std::move(entry));
+  for (const std::string& service : endpoints.TakeChangedServices()) {
+    std::shared_ptr<const ServiceView>& held = services_[service];
+    held = BuildService(endpoints.LiveOf(service), held.get(), now);
+    if (held->empty()) {
+      services_.erase(service);
     }
   }
-  stats_ = std::move(kept);
+  view->services_ = services_;
   for (const auto& [fingerprint, entry] : quarantine) {
     if (entry.quarantined()) {
       view->quarantined_.insert(fingerprint);
--- a/src/request/mesh_view.h
+++ b/src/request/mesh_view.h
@@ -29,13 +29,15 @@
   size_t own_zone_ = 0;  // The first so many are in the own zone.
 };
 
+// Endpoints of one service by version.
+using ServiceView = std::unordered_map<std::string, VersionView>;
+
 struct MeshView {
   bool may_serve_ = false;
   uint64_t revision_ = 0;
   std::shared_ptr<const RouteTable> routes_;
-  // By service, then version.
-  std::unordered_map<std::string, std::unordered_map<std::string, VersionView>>
-      services_;
+  // Unchanged services are shared between views.
+  std::unordered_map<std::string, std::shared_ptr<const ServiceView>> services_;
   std::unordered_set<std::string> quarantined_;
   // Suspects are served but never retried.
   std::unordered_set<std::string> suspects_;
@@ -45,8 +47,9 @@
                           const std::string& version) const;
 };
 
-// Builds views; keeps the statistics of endpoints from view to view and
-// reuses the route table while the configuration is unchanged.
+// Builds views; keeps the statistics of endpoints from view to view, and
+// reuses the route table while the configuration is unchanged and each service
+// whose endpoints are unchanged.
 class MeshViewBuilder {
  public:
   explicit MeshViewBuilder(std::string own_zone);
@@ -54,15 +57,18 @@
   std::shared_ptr<const MeshView> Build(
       bool may_serve,
       const config::ConfigState& config,
-      const registry::EndpointRegistry& endpoints,
+      registry::EndpointRegistry& endpoints,
       const std::map<std::string, rpc::QuarantineEntry>& quarantine,
       base::MonoTime now);
 
  private:
-  EndpointStatsPtr StatsOf(const rpc::Endpoint& endpoint, base::MonoTime now);
+  std::shared_ptr<const ServiceView> BuildService(
+      std::vector<rpc::Endpoint> endpoints,
+      const ServiceView* previous,
+      base::MonoTime now) const;
 
   const std::string own_zone_;
-  std::unordered_map<std::string, EndpointStatsPtr> stats_;
+  std::unordered_map<std::string, std::shared_ptr<const ServiceView>> services_;
   std::shared_ptr<const RouteTable> routes_;
   uint64_t routes_revision_ = 0;
 };
--- a/src/rollout/move_controller.cc
+++ b/src/rollout/move_controller.cc
@@ -94,7 +94,8 @@
   }
   next_decision_ = now + kDecisionInterval;
   const std::vector<rpc::RouteEvidence> window = merger_.Take();
-  const auto brakes = std::exchange(brakes_, {});
+  const std::vector<std::pair<std::string, rpc::BrakeNotice>> brakes =
+      std::exchange(brakes_, {});
   for (const auto& [name, service] : config.Services()) {
     if (!service->has_move()) {
       tracked_.erase(name);
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -69,6 +69,13 @@
   std::filesystem::remove_all(folder_);
 }
 
+void ProcessMesh::SetHttpThreads(int threads) {
+  http_threads_ = threads;
+  for (const std::string& host : hosts_) {
+    WriteSettings(host);
+  }
+}
+
 int ProcessMesh::FreePort() {
   const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = {};
@@ -115,6 +122,7 @@
          << Address(ports_["control-" + std::to_string(i)].control_)
          << "\", zone = \"zone-" << i << "\" }\n";
   }
+  file << "[limits]\nhttp_threads = " << http_threads_ << "\n";
 }
 
 pid_t ProcessMesh::Spawn(const std::string& name,
@@ -276,6 +284,28 @@
   });
 }
 
+int ProcessMesh::UpstreamPort(const std::string& upstream) const {
+  int port = 0;
+  Await([&] {
+    std::ifstream stream(folder_ + "/" + upstream + ".log");
+    std::string word;
+    stream >> word >> port;
+    return port != 0;
+  });
+  return port;
+}
+
+std::chrono::milliseconds ProcessMesh::CpuTime(const std::string& host) const {
+  std::ifstream file("/proc/" + std::to_string(processes_.at(host)) + "/stat");
+  std::string word;
+  long ticks = 0;
+  // Fields 14 and 15 are the user and system time.
+  for (int field = 1; field <= 15 && file >> word; ++field) {
+    ticks += field >= 14 ? std::stol(word) : 0;
+  }
+  return std::chrono::milliseconds(ticks * 1000 / sysconf(_SC_CLK_TCK));
+}
+
 size_t ProcessMesh::RssBytes(const std::string& host) const {
   std::ifstream file("/proc/" + std::to_string(processes_.at(host)) + "/statm");
   size_t whole = 0;
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -37,6 +37,9 @@
   ProcessMesh(const ProcessMesh&) = delete;
   ProcessMesh& operator=(const ProcessMesh&) = delete;
 
+  // Threads of each daemon's servers; before StartAll.
+  void SetHttpThreads(int threads);
+
   // Hosts: "control-Z" and "proxy-Z-P", from 1.
   void StartAll();
   void Start(const std::string& host);
@@ -51,6 +54,12 @@
                             const std::string& version = "v1",
                             const std::vector<std::string>& options = {});
 
+  // The port that a stand-in upstream listens on.
+  int UpstreamPort(const std::string& upstream) const;
+  // User and system time of a process so far.
+  std::chrono::milliseconds CpuTime(const std::string& host) const;
+  const std::string& Folder() const { return folder_; }
+
   // Runs the operators' tool; returns its exit code and fills `output`.
   int Tool(const std::vector<std::string>& arguments,
            std::string* output = nullptr);
@@ -92,6 +101,7 @@
   std::map<std::string, pid_t> processes_;
   std::vector<int> reserved_;
   int next_upstream_ = 1;
+  int http_threads_ = 64;
 };
 
 }  // namespace buckthorngate::tests
--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -5,7 +5,7 @@
   clang-format clang-tidy
   libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
   libboost-dev libboost-test-dev libcpp-httplib-dev libcli11-dev
-  liblog4cplus-dev libexpected-dev libtomlplusplus-dev liburcu-dev
+  liblog4cplus-dev libexpected-dev nlohmann-json3-dev libtomlplusplus-dev liburcu-dev
   libxxhash-dev libssl-dev libbenchmark-dev"
 missing=""
 for package in $PACKAGES; do
--- a/tools/stand_in_upstream.cc
+++ b/tools/stand_in_upstream.cc
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <set>
@@ -33,6 +34,7 @@
   int slots_ = 20;
   int work_us_ = 0;
   double fail_rate_ = 0.0;
+  std::string record_file_;
 };
 
 uint64_t ParamOr(const httplib::Request& request,
@@ -110,6 +112,7 @@
 
   void Handle(const httplib::Request& request, httplib::Response& response) {
     const uint64_t count = calls_.fetch_add(1) + 1;
+    Record(request.get_header_value("Idempotency-Key"));
     const std::string what = request.path.substr(request.path.rfind('/') + 1);
     if (options_.work_us_ > 0) {
       std::this_thread::sleep_for(std::chrono::microseconds(options_.work_us_));
@@ -142,6 +145,15 @@
     }
   }
 
+  void Record(const std::string& key) {
+    if (options_.record_file_.empty() || key.empty()) {
+      return;
+    }
+    const std::lock_guard<std::mutex> lock(record_mutex_);
+    std::ofstream stream(options_.record_file_, std::ios::app);
+    stream << key << "\n";
+  }
+
   static void Stream(uint64_t bytes, bool cut, httplib::Response& response) {
     response.set_content_provider(
         bytes, "application/octet-stream",
@@ -158,6 +170,7 @@
   Options options_;
   httplib::Server server_;
   std::atomic<uint64_t> calls_{0};
+  std::mutex record_mutex_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> draining_{false};
 };
@@ -174,6 +187,8 @@
   app.add_option("--slots", options.slots_);
   app.add_option("--work-us", options.work_us_, "Time of each call");
   app.add_option("--fail-rate", options.fail_rate_, "Fraction of calls");
+  app.add_option("--record", options.record_file_,
+                 "File that gets the idempotency key of each run");
   CLI11_PARSE(app, argc, argv);
   sigset_t signals;
   sigemptyset(&signals);
