--- a/benchmark/process_suite.cc
+++ b/benchmark/process_suite.cc
@@ -174,6 +174,50 @@
                     Better::kLower});
 }
 
+// Freezes proxies and kills control hosts in turn, until it is stopped.
+class FaultInjector {
+ public:
+  explicit FaultInjector(ProcessMesh& mesh)
+      : mesh_(mesh), thread_([this] { Run(); }) {}
+
+  void Stop() {
+    stop_ = true;
+    thread_.join();
+  }
+
+ private:
+  void Run() {
+    for (int round = 0; !stop_; ++round) {
+      const std::string& proxy =
+          mesh_.Proxies()[static_cast<size_t>(round) % 3];
+      const std::string control = "control-" + std::to_string(round % 3 + 1);
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+      mesh_.Signal(proxy, SIGSTOP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+      mesh_.Signal(proxy, SIGCONT);
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+      mesh_.Kill(control);
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      mesh_.Start(control);
+    }
+  }
+
+  ProcessMesh& mesh_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+// Lines of the file that stand in it more than once.
+int CountRepeated(const std::string& file) {
+  std::ifstream stream(file);
+  std::set<std::string> seen;
+  int repeated = 0;
+  for (std::string line; std::getline(stream, line);) {
+    repeated += seen.insert(line).second ? 0 : 1;
+  }
+  return repeated;
+}
+
 // Payments and echoes through three daemons while processes are frozen and
 // killed; each run of a payment is recorded by the stand-in.
 void Faults(bool quick, Report& report) {
@@ -229,35 +273,15 @@
   echo.body_of_ = [](uint64_t i) {
     return "body " + std::to_string(i) + std::string(i % 3000, '.');
   };
-  std::atomic<bool> stop{false};
-  std::thread faults([&] {
-    for (int round = 0; !stop; ++round) {
-      const std::string& proxy = mesh.Proxies()[static_cast<size_t>(round) % 3];
-      const std::string control = "control-" + std::to_string(round % 3 + 1);
-      std::this_thread::sleep_for(std::chrono::milliseconds(700));
-      mesh.Signal(proxy, SIGSTOP);
-      std::this_thread::sleep_for(std::chrono::milliseconds(600));
-      mesh.Signal(proxy, SIGCONT);
-      std::this_thread::sleep_for(std::chrono::milliseconds(700));
-      mesh.Kill(control);
-      std::this_thread::sleep_for(std::chrono::milliseconds(500));
-      mesh.Start(control);
-    }
-  });
+  FaultInjector faults(mesh);
   LoadResult echoed;
   std::thread echoes([&] { echoed = RunLoad(echo); });
   const LoadResult paid = RunLoad(pay);
   echoes.join();
-  stop = true;
-  faults.join();
-  std::ifstream runs(record);
-  std::set<std::string> seen;
-  int twice = 0;
-  for (std::string key; std::getline(runs, key);) {
-    twice += seen.insert(key).second ? 0 : 1;
-  }
-  report.Add(Metric{"requests_run_twice", static_cast<double>(twice),
-                    "requests", 0.0, Better::kLower});
+  faults.Stop();
+  report.Add(Metric{"requests_run_twice",
+                    static_cast<double>(CountRepeated(record)), "requests", 0.0,
+                    Better::kLower});
   report.Add(Metric{"answers_cut_or_crossed",
                     static_cast<double>(echoed.crossed_), "answers", 0.0,
                     Better::kLower});
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -33,7 +33,7 @@
 struct ServiceState {
   request::RetryBudget retry_budget_;
   rollout::Brake brake_;
-  // Calls in flight from this daemon, by route limit.
+  // Calls in flight from this daemon, of a route with a limit.
   std::atomic<int32_t> in_flight_{0};
   // Small answers in a row; negative after a large one.
   std::atomic<int32_t> small_answers_{0};
--- a/src/cli/init.cc
+++ b/src/cli/init.cc
@@ -25,6 +25,7 @@
 timeout_ms = 2000
 repeatable = true     # may be sent again
 hedge = true          # a late read is sent to a second endpoint
+max_concurrency = 100 # at once through one daemon; 0: only slots bound it
 
 [[route]]
 name = "order"
--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "base/hash.h"
+#include "config/versions.h"
 
 namespace buckthorngate::config {
 namespace {
@@ -19,11 +20,6 @@
   problems.push_back({code, service.name(), 0, std::move(detail)});
 }
 
-bool HasVersion(const rpc::Service& service, const std::string& version) {
-  return std::find(service.versions().begin(), service.versions().end(),
-                   version) != service.versions().end();
-}
-
 void CheckVersions(const rpc::Service& service, Problems& problems) {
   if (service.name().empty()) {
     Add(problems, ResultCode::kMissingKey, service, "service");
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -4,15 +4,11 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "config/versions.h"
 
 namespace buckthorngate::config {
 namespace {
 
-bool HasVersion(const rpc::Service& service, const std::string& version) {
-  return std::find(service.versions().begin(), service.versions().end(),
-                   version) != service.versions().end();
-}
-
 bool ShareActive(const rpc::Move& move) {
   return move.share_permille() > 0;
 }
--- a/src/config/publication.cc
+++ b/src/config/publication.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/check.h"
+#include "config/versions.h"
 
 namespace buckthorngate::config {
 namespace {
@@ -54,11 +55,6 @@
   move.set_changed_ms(base::ToUnixMs(now));
 }
 
-bool HasVersion(const rpc::Service& service, const std::string& version) {
-  return std::find(service.versions().begin(), service.versions().end(),
-                   version) != service.versions().end();
-}
-
 class ServiceChange {
  public:
   ServiceChange(const rpc::ServiceState* old,
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -168,6 +168,39 @@
   return found == upstreams_.end() ? nullptr : found->second;
 }
 
+ResultCode Destination::Admit(Upstream& upstream,
+                              uint64_t ticket,
+                              const httplib::Request& request,
+                              base::MonoTime deadline) {
+  std::unique_lock<std::mutex> lock(upstream.mutex_);
+  if (upstream.admission_.Draining()) {
+    return ResultCode::kEndpointDraining;
+  }
+  const AdmissionVerdict verdict = upstream.admission_.Enter(
+      ticket, HeaderOf(request, request::kCallerHeader), deadline,
+      clock_.Read().mono_);
+  if (verdict != AdmissionVerdict::kQueued) {
+    return verdict == AdmissionVerdict::kAdmitted
+               ? ResultCode::kOk
+               : ResultCode::kEndpointOverloaded;
+  }
+  ConnectionWatch watch(request);
+  while (true) {
+    upstream.released_.wait_for(lock, kWatchSlice);
+    upstream.ReleaseWaiting(clock_.Read().mono_);
+    const auto found = upstream.verdicts_.find(ticket);
+    if (found != upstream.verdicts_.end()) {
+      const bool admitted = found->second;
+      upstream.verdicts_.erase(found);
+      return admitted ? ResultCode::kOk : ResultCode::kEndpointOverloaded;
+    }
+    if (watch.Closed()) {
+      upstream.admission_.Cancel(ticket);
+      return ResultCode::kCallerGone;
+    }
+  }
+}
+
 void Destination::Handle(const httplib::Request& request,
                          const httplib::ContentReader* reader,
                          httplib::Response& response) {
@@ -175,7 +208,6 @@
   const base::MonoTime now = clock_.Read().mono_;
   const base::MonoTime deadline = now + DeadlineOf(request);
   const std::string attempt = HeaderOf(request, request::kAttemptHeader);
-  const std::string caller = HeaderOf(request, request::kCallerHeader);
   RequestBody body(request, reader);
   const auto refuse = [&](ResultCode code) {
     body.Drain();
@@ -189,39 +221,9 @@
     return;
   }
   const uint64_t ticket = next_ticket_.fetch_add(1);
-  bool admitted = false;
-  {
-    std::unique_lock<std::mutex> lock(upstream->mutex_);
-    const bool draining = upstream->admission_.Draining();
-    const AdmissionVerdict verdict =
-        upstream->admission_.Enter(ticket, caller, deadline, now);
-    if (verdict == AdmissionVerdict::kRefused) {
-      lock.unlock();
-      refuse(draining ? ResultCode::kEndpointDraining
-                      : ResultCode::kEndpointOverloaded);
-      return;
-    }
-    admitted = verdict == AdmissionVerdict::kAdmitted;
-    ConnectionWatch watch(request);
-    while (!admitted) {
-      upstream->released_.wait_for(lock, kWatchSlice);
-      const base::MonoTime present = clock_.Read().mono_;
-      upstream->ReleaseWaiting(present);
-      const auto verdict_found = upstream->verdicts_.find(ticket);
-      if (verdict_found != upstream->verdicts_.end()) {
-        admitted = verdict_found->second;
-        upstream->verdicts_.erase(verdict_found);
-        if (!admitted) {
-          break;
-        }
-      } else if (watch.Closed()) {
-        upstream->admission_.Cancel(ticket);
-        break;
-      }
-    }
-  }
-  if (!admitted) {
-    refuse(ResultCode::kEndpointOverloaded);
+  const ResultCode admitted = Admit(*upstream, ticket, request, deadline);
+  if (admitted != ResultCode::kOk) {
+    refuse(admitted);
     return;
   }
   std::shared_ptr<Slot> slot = std::make_shared<Slot>(*this, upstream, ticket);
--- a/src/daemon/destination.h
+++ b/src/daemon/destination.h
@@ -64,6 +64,12 @@
   class Slot;
 
   std::shared_ptr<Upstream> Find(const std::string& endpoint_id);
+  // Waits for a slot. kOk, kEndpointDraining, kEndpointOverloaded or
+  // kCallerGone; all but kOk mean that the request did not run.
+  ResultCode Admit(Upstream& upstream,
+                   uint64_t ticket,
+                   const httplib::Request& request,
+                   base::MonoTime deadline);
   // Runs the exchange with the upstream until its head or an end; `code` says
   // why it ended early.
   std::shared_ptr<Exchange> RunExchange(
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -75,6 +75,30 @@
       view_(entry.board_.View().Read()),
       began_(entry.clock_.Read().mono_) {}
 
+Entry::Call::~Call() {
+  if (route_in_flight_ != nullptr) {
+    route_in_flight_->fetch_sub(1);
+  }
+}
+
+bool Entry::Call::EnterRoute() {
+  const int32_t most = static_cast<int32_t>(match_.route_->max_concurrency());
+  if (most == 0) {
+    return true;
+  }
+  std::atomic<int32_t>& in_flight =
+      entry_.board_
+          .Service(match_.service_->service().name() + "/" +
+                   match_.route_->name())
+          .in_flight_;
+  if (in_flight.fetch_add(1) >= most) {
+    in_flight.fetch_sub(1);
+    return false;
+  }
+  route_in_flight_ = &in_flight;
+  return true;
+}
+
 base::Duration Entry::Call::Left() const {
   return deadline_ - entry_.clock_.Read().mono_;
 }
@@ -211,6 +235,10 @@
     Refuse(prepared, /*not_run=*/true);
     return;
   }
+  if (!EnterRoute()) {
+    Refuse(ResultCode::kEndpointOverloaded, /*not_run=*/true);
+    return;
+  }
   if (match_.route_->at_most_once()) {
     const ResultCode claimed = Claim();
     if (claimed != ResultCode::kOk) {
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -30,6 +30,8 @@
        const httplib::ContentReader* reader,
        httplib::Response& response);
 
+  ~Call();
+
   void Run();
 
  private:
@@ -47,6 +49,9 @@
 
   // entry_call.cc: preparation and claims.
   ResultCode Prepare();
+  // Counts the call against its route's limit for this daemon; false if that
+  // is reached.
+  bool EnterRoute();
   bool ReadBody();
   ResultCode Claim();
   std::string ClaimKey() const;
@@ -97,6 +102,8 @@
   uint32_t calls_ = 0;
   // An attempt may have run: "not run" can no longer be said.
   bool may_have_run_ = false;
+  // The route's counter, while this call is counted.
+  std::atomic<int32_t>* route_in_flight_ = nullptr;
   // Set while this call holds a claim.
   rpc::ClaimRecord claim_;
 };
--- a/src/rollout/move_controller.cc
+++ b/src/rollout/move_controller.cc
@@ -111,39 +111,53 @@
         tracked.last_brake_ = now;
       }
     }
-    if (tracked.proposed_ && now - *tracked.proposed_ < kProposalTimeout) {
-      continue;
-    }
-    MoveView view;
-    view.move_ = &move;
-    view.routes_ = &tracked.routes_;
-    view.now_ = wall;
-    view.in_step_ = now - tracked.step_began_;
-    view.new_endpoints_ = presence.HasEndpoints(name, move.to());
-    view.old_endpoints_ = presence.HasEndpoints(name, move.from());
-    view.brakes_ = static_cast<uint32_t>(tracked.brakes_.size());
-    view.since_brake_ = now - tracked.last_brake_;
-    tracked.hold_reason_.clear();
-    const std::optional<MoveDecision> decision =
-        policy_->Decide(view, tracked.hold_reason_);
-    if (!decision) {
-      continue;
+    const std::optional<rpc::MoveStep> step =
+        Decide(move, tracked, presence, now, wall);
+    if (step) {
+      steps.push_back(*step);
     }
-    tracked.proposed_ = now;
-    tracked.restart_tests_ = decision->restart_tests_;
-    rpc::MoveStep& step = steps.emplace_back();
-    step.set_service(name);
-    step.set_to(move.to());
-    step.set_expected_step(move.step());
-    step.set_phase(decision->phase_);
-    step.set_share_permille(decision->share_permille_);
-    step.set_reason(decision->reason_);
-    step.set_watch_open(decision->watch_open_);
-    step.set_at_ms(base::ToUnixMs(wall));
   }
   return steps;
 }
 
+std::optional<rpc::MoveStep> MoveController::Decide(
+    const rpc::Move& move,
+    Tracked& tracked,
+    const EndpointPresence& presence,
+    base::MonoTime now,
+    base::WallTime wall) const {
+  if (tracked.proposed_ && now - *tracked.proposed_ < kProposalTimeout) {
+    return std::nullopt;
+  }
+  MoveView view;
+  view.move_ = &move;
+  view.routes_ = &tracked.routes_;
+  view.now_ = wall;
+  view.in_step_ = now - tracked.step_began_;
+  view.new_endpoints_ = presence.HasEndpoints(move.service(), move.to());
+  view.old_endpoints_ = presence.HasEndpoints(move.service(), move.from());
+  view.brakes_ = static_cast<uint32_t>(tracked.brakes_.size());
+  view.since_brake_ = now - tracked.last_brake_;
+  tracked.hold_reason_.clear();
+  const std::optional<MoveDecision> decision =
+      policy_->Decide(view, tracked.hold_reason_);
+  if (!decision) {
+    return std::nullopt;
+  }
+  tracked.proposed_ = now;
+  tracked.restart_tests_ = decision->restart_tests_;
+  rpc::MoveStep step;
+  step.set_service(move.service());
+  step.set_to(move.to());
+  step.set_expected_step(move.step());
+  step.set_phase(decision->phase_);
+  step.set_share_permille(decision->share_permille_);
+  step.set_reason(decision->reason_);
+  step.set_watch_open(decision->watch_open_);
+  step.set_at_ms(base::ToUnixMs(wall));
+  return step;
+}
+
 std::vector<MoveStatus> MoveController::Status(
     const config::ConfigState& config) const {
   std::vector<MoveStatus> all;
--- a/src/rollout/move_controller.h
+++ b/src/rollout/move_controller.h
@@ -78,6 +78,13 @@
                  const rpc::Move& move,
                  const std::vector<rpc::RouteEvidence>& window);
 
+  // The next step of one move, if it is time for one.
+  std::optional<rpc::MoveStep> Decide(const rpc::Move& move,
+                                      Tracked& tracked,
+                                      const EndpointPresence& presence,
+                                      base::MonoTime now,
+                                      base::WallTime wall) const;
+
   const std::unique_ptr<MovePolicy> policy_;
   EvidenceMerger merger_;
   std::map<std::string, Tracked> tracked_;
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -41,6 +41,10 @@
 name = "short"
 path = "/shop/short"
 timeout_ms = 400
+[[route]]
+name = "narrow"
+path = "/shop/narrow"
+max_concurrency = 2
 )";
 
 // Two zones, two proxies each, one upstream in each zone, published.
@@ -178,6 +182,27 @@
       std::chrono::milliseconds(1000)));
 }
 
+BOOST_AUTO_TEST_CASE(ARoutesLimitHoldsInEachDaemon) {
+  ServedMesh served(1, 2);
+  ProcessMesh& mesh = served.Mesh();
+  std::atomic<int> ok{0};
+  std::atomic<int> refused{0};
+  std::vector<std::thread> callers;
+  callers.reserve(6);
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&] {
+      const HttpAnswer answer =
+          mesh.Call("proxy-1-2", "GET", "/shop/narrow/slow?ms=500");
+      (answer.status_ == 200 ? ok : refused)++;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(ok == 2);
+  BOOST_TEST(refused == 4);
+}
+
 BOOST_AUTO_TEST_CASE(CrossedAnswersNeverReachAnotherCaller) {
   ServedMesh served(1, 2);
   ProcessMesh& mesh = served.Mesh();
