Wait for connections in the tool instead of failing calls at once

Cause: the tool's calls failed at once while the channel was connecting, and a blocking gRPC client makes progress with a handshake only while it waits, so a TLS handshake that began in one call timed out before the next (found by tests/tls_test.sh, which starts the tool before the daemon listens). Ruled out: the certificates (the same ones work with a daemon that is up already) and the server's threads (its log shows the handshake cut by the client). The tool now waits for the connection; the test failed before and passes after. The probe of an upstream's port is a file of its own.

--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -1,15 +1,12 @@
 // The destination side of a daemon.
 #include "daemon/destination.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <charconv>
 #include <utility>
 
-#include "daemon/settings.h"
+#include "daemon/socket_probe.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
 #include "request/retry.h"
@@ -24,7 +21,6 @@
 // How often a waiting handler looks after its caller.
 constexpr base::Duration kWatchSlice = std::chrono::milliseconds(50);
 constexpr std::chrono::milliseconds kDefaultDeadline{10'000};
-constexpr std::chrono::milliseconds kProbeTimeout{200};
 
 std::chrono::milliseconds DeadlineOf(const httplib::Request& request) {
   const std::string text = HeaderOf(request, request::kDeadlineHeader);
@@ -36,26 +32,6 @@
   return valid ? std::chrono::milliseconds(left) : kDefaultDeadline;
 }
 
-// Connects and closes; sends nothing that an upstream could run.
-bool AcceptsConnections(const std::string& address) {
-  sockaddr_in remote = {};
-  remote.sin_family = AF_INET;
-  remote.sin_port = htons(static_cast<uint16_t>(PortOf(address)));
-  inet_pton(AF_INET, HostOf(address).c_str(), &remote.sin_addr);
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (file < 0) {
-    return true;
-  }
-  timeval timeout = {};
-  timeout.tv_usec = std::chrono::microseconds(kProbeTimeout).count();
-  setsockopt(file, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
-  const int connected =
-      connect(file, reinterpret_cast<sockaddr*>(&remote), sizeof(remote));
-  const bool refused = connected != 0 && errno == ECONNREFUSED;
-  close(file);
-  return !refused;
-}
-
 }  // namespace
 
 struct Destination::Upstream {
--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPause{100};
+constexpr std::chrono::milliseconds kConnectWait{1500};
 constexpr std::chrono::milliseconds kCallTimeout{6000};
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -42,12 +43,18 @@
     tls_.server_name_ = std::move(tls.server_name_);
   }
 
-  rpc::Control::Stub& StubFor(const std::string& address) {
-    std::unique_ptr<rpc::Control::Stub>& stub = stubs_[address];
-    if (stub == nullptr) {
-      stub = rpc::Control::NewStub(rpc::MakeChannel(address, tls_));
+  // Null if the server cannot be connected to soon. A blocking client makes
+  // progress with a handshake only while it waits, so it waits here rather
+  // than in calls that fail at once.
+  rpc::Control::Stub* StubFor(const std::string& address) {
+    Server& server = connections_[address];
+    if (server.channel_ == nullptr) {
+      server.channel_ = rpc::MakeChannel(address, tls_);
+      server.stub_ = rpc::Control::NewStub(server.channel_);
     }
-    return *stub;
+    const bool connected = server.channel_->WaitForConnected(
+        std::chrono::system_clock::now() + kConnectWait);
+    return connected ? server.stub_.get() : nullptr;
   }
 
   // Calls servers in turn until one takes the write.
@@ -65,8 +72,10 @@
       grpc::ClientContext context;
       context.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
       rpc::PublishReply reply;
+      rpc::Control::Stub* const stub = StubFor(address);
       const grpc::Status status =
-          (StubFor(address).*method)(&context, request, &reply);
+          stub == nullptr ? grpc::Status(grpc::StatusCode::UNAVAILABLE, "")
+                          : (stub->*method)(&context, request, &reply);
       const ResultCode code = ResultCodeFromNumber(reply.result_code());
       if (status.ok() && !WorthAnotherServer(code)) {
         return reply;
@@ -87,9 +96,8 @@
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
     rpc::QueryReply reply;
-    const grpc::Status status =
-        StubFor(address).Query(&context, request, &reply);
-    if (!status.ok()) {
+    rpc::Control::Stub* const stub = StubFor(address);
+    if (stub == nullptr || !stub->Query(&context, request, &reply).ok()) {
       return tl::unexpected(ResultCode::kConnectionLost);
     }
     const ResultCode code = ResultCodeFromNumber(reply.result_code());
@@ -116,7 +124,12 @@
   std::vector<std::string> servers_;
   rpc::TlsOptions tls_;
   const std::chrono::milliseconds timeout_;
-  std::map<std::string, std::unique_ptr<rpc::Control::Stub>> stubs_;
+  struct Server {
+    std::shared_ptr<grpc::Channel> channel_;
+    std::unique_ptr<rpc::Control::Stub> stub_;
+  };
+
+  std::map<std::string, Server> connections_;
 };
 
 ControlClient::ControlClient(std::vector<std::string> servers,
--- a/src/rpc/credentials.cc
+++ b/src/rpc/credentials.cc
@@ -16,6 +16,8 @@
 constexpr int kKeepaliveTimeoutMs = 3000;
 constexpr int kFirstReconnectMs = 50;
 constexpr int kMaxReconnectMs = 1000;
+// Time for a connection with its handshake; gRPC names it a backoff.
+constexpr int kConnectTimeoutMs = 3000;
 constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
 
 std::string ReadAll(const std::string& path) {
@@ -50,7 +52,7 @@
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
   arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kFirstReconnectMs);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kConnectTimeoutMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
