--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -273,7 +273,7 @@
     outbox_.Take();
     return {};
   }
-  ApplyCommitted(now);
+  ApplyCommitted();
   for (consensus::AddressedMessage& message : raft_->TakeMessages(now)) {
     *outbox_.Add(options_.id_, message.to_).mutable_raft() =
         std::move(message.message_);
@@ -283,7 +283,7 @@
   return outbox_.Take();
 }
 
-void SourceNode::ApplyCommitted(const base::Now& now) {
+void SourceNode::ApplyCommitted() {
   const std::optional<rpc::LogSnapshot> installed =
       raft_->TakeInstalledSnapshot();
   if (installed && !state_.Restore(installed->state())) {
@@ -291,11 +291,11 @@
     return;
   }
   for (const rpc::LogEntry& entry : raft_->TakeCommitted()) {
-    ApplyEntry(entry, now);
+    ApplyEntry(entry);
   }
 }
 
-void SourceNode::ApplyEntry(const rpc::LogEntry& entry, const base::Now& now) {
+void SourceNode::ApplyEntry(const rpc::LogEntry& entry) {
   if (entry.kind() == rpc::ENTRY_KIND_MEMBERSHIP) {
     LogEvent(EventId::kMembershipChanged,
              {{"members",
@@ -308,7 +308,6 @@
   if (applied.move_ && leading_) {
     LogMove(*applied.move_);
   }
-  (void)now;
 }
 
 void SourceNode::LogMove(const rpc::Move& move) {
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -96,8 +96,8 @@
   void OnRegistryDigest(const rpc::Envelope& envelope);
   void ForwardToLeader(const rpc::Envelope& envelope);
   void Propose(const rpc::Command& command);
-  void ApplyCommitted(const base::Now& now);
-  void ApplyEntry(const rpc::LogEntry& entry, const base::Now& now);
+  void ApplyCommitted();
+  void ApplyEntry(const rpc::LogEntry& entry);
   void AnswerPublication(const rpc::LogEntry& entry, const Applied& applied);
   void LogMove(const rpc::Move& move);
   void FailPending(ResultCode code);
--- a/src/request/claim_ledger.h
+++ b/src/request/claim_ledger.h
@@ -32,7 +32,6 @@
 inline constexpr size_t kMaxStoredAnswerBytes = 64 * 1024;
 inline constexpr base::Duration kTransferRetryInterval =
     std::chrono::milliseconds(300);
-inline constexpr size_t kMaxTransferRecords = 2000;
 
 class ClaimLedger {
  public:
@@ -88,7 +87,6 @@
   bool ready_ = false;
   // Previous members whose whole ledger is merged.
   std::set<std::string> transferred_;
-  // Chunks received of a previous member's ledger.
   base::MonoTime next_transfer_;
   base::MonoTime next_sweep_;
   bool dirty_ = false;
--- a/src/rollout/old_version.cc
+++ b/src/rollout/old_version.cc
@@ -14,10 +14,8 @@
 constexpr double kErrorMargin = 2.0;
 // Few calls say little: the rate is estimated as of at least so many.
 constexpr double kLeastCalls = 30.0;
-// Trouble shows in the short memory by this many failures, at this multiple of
-// the long rate.
+// Trouble shows in the short memory by this many failures.
 constexpr double kTroubleFailures = 3.0;
-constexpr double kTroubleRatio = 2.0;
 // Or by a median that is slower by this many buckets.
 constexpr size_t kTroubleBuckets = 2;
 constexpr double kLeastLatencies = 20.0;
@@ -81,13 +79,7 @@
 
 double OldVersion::FailureRate() const {
   const double usual = UpperRate(long_.failures_, long_.calls_);
-  const double short_calls = std::max(short_.calls_, 1.0);
-  const double long_calls = std::max(long_.calls_, 1.0);
-  const bool trouble = short_.failures_ >= kTroubleFailures &&
-                       short_.failures_ / short_calls >
-                           kTroubleRatio * long_.failures_ / long_calls;
-  const bool long_trouble = short_.failures_ >= kTroubleFailures;
-  if (trouble || long_trouble) {
+  if (short_.failures_ >= kTroubleFailures) {
     return std::max(usual, UpperRate(short_.failures_, short_.calls_));
   }
   return usual;
