--- a/include/buckthorngate/result_code.h
+++ b/include/buckthorngate/result_code.h
@@ -71,11 +71,20 @@
   kBadSettings,
   kConnectionLost,
   kTimedOut,
+  // Routes of the mesh and ordered moves.
+  kBaseNotCurrent,
+  kInvalidValue,
+  kMoveInProgress,
+  kMalformed,
+  // The path of a request.
+  kUpstreamReplaced,
+  kUpstreamShed,
+  kAnswerMalformed,
 };
 
 // Number of codes; codes are the integers below it.
 inline constexpr int kResultCodeCount =
-    static_cast<int>(ResultCode::kTimedOut) + 1;
+    static_cast<int>(ResultCode::kAnswerMalformed) + 1;
 
 struct ResultCodeInfo {
   ResultCode code_;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -1,6 +1,9 @@
 // Event catalogue and the log4cplus adapter.
 #include "base/events.h"
 
+#include "base/log_writer.h"
+#include "base/time.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -37,12 +40,25 @@
      "This source no longer leads."},
     {kMembershipChanged, Level::kInfo, "membership-changed",
      "The membership of the sources changed."},
+    {kMemberJoins, Level::kInfo, "member-joins",
+     "A source that is not a member asks to be added."},
+    {kMemberRepaired, Level::kInfo, "member-repaired",
+     "The leader changed the membership to restore its fault tolerance."},
+    {kIdentityChosen, Level::kInfo, "identity-chosen",
+     "The control host has no state on disk and takes an identity."},
     {kPublicationAccepted, Level::kInfo, "publication-accepted",
      "A publication was accepted."},
     {kPublicationRefused, Level::kWarning, "publication-refused",
      "A publication was refused."},
     {kInForceEverywhere, Level::kInfo, "in-force-everywhere",
      "A revision is in force at every connected proxy."},
+    {kRoutingAccepted, Level::kInfo, "routing-accepted",
+     "Routes of the mesh were accepted."},
+    {kRoutingRefused, Level::kWarning, "routing-refused",
+     "Routes of the mesh were refused; nothing changed."},
+    {kMoveOrdered, Level::kInfo, "move-ordered", "A move was ordered."},
+    {kOperatorCall, Level::kInfo, "operator-call",
+     "An operator's call was answered."},
     {kRevisionApplied, Level::kInfo, "revision-applied",
      "A revision took effect on this proxy."},
     {kRevisionRefused, Level::kError, "revision-refused",
@@ -59,12 +75,30 @@
      "An endpoint's lease expired."},
     {kEndpointCrashed, Level::kWarning, "endpoint-crashed",
      "An upstream died under its requests."},
+    {kAnnouncementIgnored, Level::kWarning, "announcement-ignored",
+     "An upstream's announcement was malformed, late or foreign."},
     {kRequestQuarantined, Level::kError, "request-quarantined",
      "A request that crashes upstreams is refused from now on."},
     {kRequestRefused, Level::kInfo, "request-refused",
      "A request was refused."},
     {kAnswerCrossed, Level::kError, "answer-crossed",
      "An answer carried another request's id and was dropped."},
+    {kRequestDone, Level::kInfo, "request-done",
+     "A request was answered, with the decisions that led there."},
+    {kRequestRetried, Level::kInfo, "request-retried",
+     "A request goes to another endpoint."},
+    {kCallerMalformed, Level::kWarning, "caller-malformed",
+     "A caller sent what is not a request."},
+    {kEndpointEjected, Level::kWarning, "endpoint-ejected",
+     "An endpoint is left out for a time."},
+    {kUpstreamFailed, Level::kWarning, "upstream-failed",
+     "An exchange with an upstream ended without its answer."},
+    {kSettingsReloaded, Level::kInfo, "settings-reloaded",
+     "The settings file was read again."},
+    {kLogLinesDropped, Level::kWarning, "log-lines-dropped",
+     "Log lines were dropped to bound their rate."},
+    {kTaskFailed, Level::kError, "task-failed",
+     "A coroutine of the path of requests ended with an exception."},
     {kMoveStep, Level::kInfo, "move-step", "A move changed its share."},
     {kMoveDone, Level::kInfo, "move-done", "A move is done."},
     {kMoveTakenBack, Level::kWarning, "move-taken-back",
@@ -78,7 +112,12 @@
 
 std::atomic<LogFormat> g_format{LogFormat::kText};
 // Programs and tests that do not start logging write nothing.
-std::atomic<bool> g_started{false};
+std::atomic<LogWriter*> g_writer{nullptr};
+
+MonoTime Present() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
 
 const char* LevelName(Level level) {
   switch (level) {
@@ -110,7 +149,11 @@
 
 std::string FormatText(const EventInfo& info,
                        std::initializer_list<Field> fields) {
-  std::string line = "E" + std::to_string(static_cast<int>(info.id_)) + " " +
+  const WallTime now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  std::string line = std::to_string(ToUnixMs(now)) + " " +
+                     LevelName(info.level_) + " E" +
+                     std::to_string(static_cast<int>(info.id_)) + " " +
                      std::string(info.name_) + ": " + std::string(info.text_);
   for (const Field& field : fields) {
     line +=
@@ -121,8 +164,11 @@
 
 std::string FormatJson(const EventInfo& info,
                        std::initializer_list<Field> fields) {
+  const WallTime now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
   std::string line =
-      "{\"event\":" + std::to_string(static_cast<int>(info.id_)) +
+      "{\"time_ms\":" + std::to_string(ToUnixMs(now)) +
+      ",\"event\":" + std::to_string(static_cast<int>(info.id_)) +
       ",\"name\":\"" + std::string(info.name_) + "\",\"level\":\"" +
       LevelName(info.level_) + "\"";
   for (const Field& field : fields) {
@@ -132,6 +178,12 @@
   return line + "}";
 }
 
+std::string FormatLine(const EventInfo& info,
+                       std::initializer_list<Field> fields) {
+  return g_format.load() == LogFormat::kJson ? FormatJson(info, fields)
+                                             : FormatText(info, fields);
+}
+
 }  // namespace
 
 std::span<const EventInfo> EventTable() {
@@ -148,34 +200,26 @@
   g_format = format;
   static log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
                                      /*immediateFlush=*/true));
-  const char* pattern =
-      format == LogFormat::kJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m"));
   log4cplus::Logger::getRoot().addAppender(appender);
-  g_started = true;
+  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+  static LogWriter writer(
+      [](const std::string& lines) { LOG4CPLUS_INFO(logger, lines); },
+      [](uint16_t event, uint64_t count) {
+        const EventInfo& info = DescribeEvent(EventId::kLogLinesDropped);
+        return FormatLine(info, {{"of_event", std::to_string(event)},
+                                 {"count", std::to_string(count)}});
+      });
+  g_writer = &writer;
 }
 
 void LogEvent(EventId id, std::initializer_list<Field> fields) {
-  if (!g_started) {
-    return;
-  }
-  const EventInfo& info = DescribeEvent(id);
-  const std::string line = g_format.load() == LogFormat::kJson
-                               ? FormatJson(info, fields)
-                               : FormatText(info, fields);
-  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
-  switch (info.level_) {
-    case Level::kInfo:
-      LOG4CPLUS_INFO(logger, line);
-      break;
-    case Level::kWarning:
-      LOG4CPLUS_WARN(logger, line);
-      break;
-    case Level::kError:
-      LOG4CPLUS_ERROR(logger, line);
-      break;
+  LogWriter* const writer = g_writer.load(std::memory_order_acquire);
+  if (writer != nullptr &&
+      writer->Admit(static_cast<uint16_t>(id), Present())) {
+    writer->Put(FormatLine(DescribeEvent(id), fields));
   }
 }
 
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -26,9 +26,16 @@
   kLeaderElected = 200,
   kLeaderSteppedDown = 201,
   kMembershipChanged = 202,
+  kMemberJoins = 203,
+  kMemberRepaired = 204,
+  kIdentityChosen = 205,
   kPublicationAccepted = 210,
   kPublicationRefused = 211,
   kInForceEverywhere = 212,
+  kRoutingAccepted = 213,
+  kRoutingRefused = 214,
+  kMoveOrdered = 215,
+  kOperatorCall = 216,
   kRevisionApplied = 300,
   kRevisionRefused = 301,
   kRelayLost = 302,
@@ -38,9 +45,18 @@
   kEndpointDraining = 401,
   kEndpointExpired = 402,
   kEndpointCrashed = 403,
+  kAnnouncementIgnored = 404,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
   kAnswerCrossed = 502,
+  kRequestDone = 503,
+  kRequestRetried = 504,
+  kCallerMalformed = 505,
+  kEndpointEjected = 506,
+  kUpstreamFailed = 507,
+  kSettingsReloaded = 520,
+  kLogLinesDropped = 521,
+  kTaskFailed = 522,
   kMoveStep = 600,
   kMoveDone = 601,
   kMoveTakenBack = 602,
@@ -70,10 +86,11 @@
 
 enum class LogFormat : uint8_t { kText, kJson };
 
-// Starts logging to standard error. Call once, before other threads start.
+// Starts logging to standard output, from a thread of its own. Call once.
 void InitLogging(LogFormat format);
 
-// Writes one line: event number, name, text and the fields.
+// Writes one line: event number, name, text and the fields. Never waits; lines
+// beyond a bounded rate are dropped and counted.
 void LogEvent(EventId id, std::initializer_list<Field> fields);
 
 }  // namespace buckthorngate::base
--- /dev/null
+++ b/src/base/log_writer.cc
@@ -0,0 +1,111 @@
+// The ring of log lines and its thread.
+#include "base/log_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthorngate::base {
+namespace {
+
+// Lines gather for this long, so that one wake-up writes many.
+constexpr std::chrono::milliseconds kGatherTime{20};
+constexpr std::chrono::seconds kDropReportInterval{1};
+// Stands for lines that found the ring full.
+constexpr uint16_t kAnyEvent = 0;
+
+}  // namespace
+
+bool LineBudget::Admit(uint16_t event, MonoTime now) {
+  Bucket& bucket = buckets_[event];
+  const double seconds =
+      std::chrono::duration<double>(now - bucket.refilled_).count();
+  bucket.refilled_ = now;
+  bucket.tokens_ =
+      std::min(kLineBurst, bucket.tokens_ + seconds * kLinesPerSecond);
+  if (bucket.tokens_ < 1.0) {
+    ++bucket.dropped_;
+    return false;
+  }
+  bucket.tokens_ -= 1.0;
+  return true;
+}
+
+std::map<uint16_t, uint64_t> LineBudget::TakeDropped() {
+  std::map<uint16_t, uint64_t> dropped;
+  for (auto& [event, bucket] : buckets_) {
+    if (bucket.dropped_ != 0) {
+      dropped[event] = std::exchange(bucket.dropped_, 0);
+    }
+  }
+  return dropped;
+}
+
+LogWriter::LogWriter(Write write, MakeDropLine make_drop_line)
+    : write_(std::move(write)),
+      make_drop_line_(std::move(make_drop_line)),
+      thread_([this] { Run(); }) {}
+
+LogWriter::~LogWriter() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+bool LogWriter::Admit(uint16_t event, MonoTime now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return budget_.Admit(event, now);
+}
+
+void LogWriter::Put(std::string line) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (lines_.size() >= kMaxWaitingLines) {
+      ++overflowed_;
+      return;
+    }
+    lines_.push_back(std::move(line));
+    if (lines_.size() != 1) {
+      return;
+    }
+  }
+  changed_.notify_one();
+}
+
+void LogWriter::Run() {
+  std::chrono::steady_clock::time_point next_report =
+      std::chrono::steady_clock::now() + kDropReportInterval;
+  bool stopping = false;
+  while (!stopping) {
+    std::deque<std::string> lines;
+    std::map<uint16_t, uint64_t> dropped;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+      if (!stopping_) {
+        changed_.wait_for(lock, kGatherTime, [this] { return stopping_; });
+      }
+      stopping = stopping_;
+      lines = std::exchange(lines_, {});
+      if (std::chrono::steady_clock::now() >= next_report) {
+        next_report = std::chrono::steady_clock::now() + kDropReportInterval;
+        dropped = budget_.TakeDropped();
+        if (overflowed_ != 0) {
+          dropped[kAnyEvent] = std::exchange(overflowed_, 0);
+        }
+      }
+    }
+    std::string text;
+    for (const std::string& line : lines) {
+      text += line + "\n";
+    }
+    for (const auto& [event, count] : dropped) {
+      text += make_drop_line_(event, count) + "\n";
+    }
+    write_(text);
+  }
+}
+
+}  // namespace buckthorngate::base
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -86,6 +86,18 @@
     {kBadSettings, "bad-settings", "The settings are not valid."},
     {kConnectionLost, "connection-lost", "No server could be reached."},
     {kTimedOut, "timed-out", "The operation did not end in time."},
+    {kBaseNotCurrent, "base-not-current",
+     "The routes were changed on top of a publication that is not current."},
+    {kInvalidValue, "invalid-value", "A value is not valid."},
+    {kMoveInProgress, "move-in-progress",
+     "Another move of the service is in progress."},
+    {kMalformed, "malformed", "The message cannot be read."},
+    {kUpstreamReplaced, "upstream-replaced",
+     "Another upstream answers at the endpoint's address."},
+    {kUpstreamShed, "upstream-shed",
+     "The upstream refused the request without running it."},
+    {kAnswerMalformed, "answer-malformed",
+     "The upstream sent bytes that are no answer."},
 }};
 
 constexpr bool IsDense() {
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -13,39 +13,109 @@
   return move.share_permille() > 0;
 }
 
+template <typename Message>
+using Repeated = google::protobuf::RepeatedPtrField<Message>;
+
+// Adds up the changes of successive deltas: the last one of each name stays.
+template <typename Message>
+class MergedChanges {
+ public:
+  template <typename NameOf>
+  void Add(const Repeated<Message>& changed,
+           const Repeated<std::string>& removed,
+           const NameOf& name_of) {
+    for (const Message& message : changed) {
+      changed_[name_of(message)] = &message;
+      removed_.erase(name_of(message));
+    }
+    for (const std::string& name : removed) {
+      changed_.erase(name);
+      removed_.insert(name);
+    }
+  }
+
+  void Fill(Repeated<Message>& changed, Repeated<std::string>& removed) const {
+    for (const auto& [name, message] : changed_) {
+      *changed.Add() = *message;
+    }
+    for (const std::string& name : removed_) {
+      *removed.Add() = name;
+    }
+  }
+
+ private:
+  std::map<std::string, const Message*> changed_;
+  std::set<std::string> removed_;
+};
+
+// Resources that did not change are the same object in both maps.
+template <typename Message>
+void AddDifferences(
+    const std::map<std::string, std::shared_ptr<const Message>>& older,
+    const std::map<std::string, std::shared_ptr<const Message>>& newer,
+    Repeated<Message>& changed,
+    Repeated<std::string>& removed) {
+  for (const auto& [name, message] : newer) {
+    const auto held = older.find(name);
+    if (held == older.end() || held->second != message) {
+      *changed.Add() = *message;
+    }
+  }
+  for (const auto& [name, message] : older) {
+    if (newer.count(name) == 0) {
+      *removed.Add() = name;
+    }
+  }
+}
+
 }  // namespace
 
+std::string RouteKey(const rpc::Route& route) {
+  return route.host() + " " + route.path_prefix();
+}
+
 uint64_t ConfigState::Digest() const {
-  uint64_t digest = services_digest_ + base::DigestOf(claim_group_);
+  uint64_t digest = services_.Digest() + base::DigestOf(claim_group_);
   for (const std::string& fingerprint : lifted_) {
     digest += base::Hash(fingerprint);
   }
+  if (routing_.number() != 0) {
+    digest += routes_.Digest() + base::DigestOf(routing_);
+  }
   return digest + base::Hash(std::to_string(revision_));
 }
 
 ServicePtr ConfigState::Find(const std::string& service) const {
-  const auto found = services_.find(service);
-  return found == services_.end() ? nullptr : found->second;
+  return services_.Find(service);
 }
 
 void ConfigState::Put(rpc::ServiceState service) {
   const std::string name = service.service().name();
-  const uint64_t hash = base::DigestOf(service);
-  uint64_t& stored_hash = hashes_[name];
-  services_digest_ += hash - stored_hash;
-  stored_hash = hash;
-  services_[name] =
-      std::make_shared<const rpc::ServiceState>(std::move(service));
+  services_.Put(name, std::move(service));
 }
 
 void ConfigState::Remove(const std::string& service) {
-  const auto hash = hashes_.find(service);
-  if (hash == hashes_.end()) {
-    return;
+  services_.Remove(service);
+}
+
+void ConfigState::SetRouting(
+    rpc::RoutingHeader header,
+    const google::protobuf::RepeatedPtrField<rpc::Route>& routes) {
+  routing_ = std::move(header);
+  std::set<std::string> kept;
+  for (const rpc::Route& route : routes) {
+    kept.insert(RouteKey(route));
+    routes_.Put(RouteKey(route), route);
+  }
+  std::vector<std::string> dropped;
+  for (const auto& [key, route] : routes_.Items()) {
+    if (kept.count(key) == 0) {
+      dropped.push_back(key);
+    }
+  }
+  for (const std::string& key : dropped) {
+    routes_.Remove(key);
   }
-  services_digest_ -= hash->second;
-  hashes_.erase(hash);
-  services_.erase(service);
 }
 
 void ConfigState::SetClaimGroup(rpc::ClaimGroup group) {
@@ -60,9 +130,15 @@
   rpc::ConfigSnapshot snapshot;
   snapshot.set_revision(revision_);
   snapshot.set_digest(Digest());
-  for (const auto& [name, service] : services_) {
+  for (const auto& [name, service] : services_.Items()) {
     *snapshot.add_services() = *service;
   }
+  if (routing_.number() != 0) {
+    *snapshot.mutable_routing() = routing_;
+  }
+  for (const auto& [key, route] : routes_.Items()) {
+    *snapshot.add_routes() = *route;
+  }
   *snapshot.mutable_claim_group() = claim_group_;
   for (const std::string& fingerprint : lifted_) {
     snapshot.add_lifted_fingerprints(fingerprint);
@@ -84,6 +160,19 @@
   return closed ? ResultCode::kOk : ResultCode::kDanglingRoute;
 }
 
+ResultCode ConfigState::CheckRoutesClosed() const {
+  const std::set<std::string_view> known(routing_.services().begin(),
+                                         routing_.services().end());
+  for (const auto& [key, route] : routes_.Items()) {
+    for (const rpc::RouteTarget& target : route->targets()) {
+      if (known.count(target.service()) == 0) {
+        return ResultCode::kDanglingRoute;
+      }
+    }
+  }
+  return ResultCode::kOk;
+}
+
 ResultCode ConfigState::ApplySnapshot(const rpc::ConfigSnapshot& snapshot) {
   if (snapshot.revision() < revision_) {
     return ResultCode::kRevisionOld;
@@ -97,6 +186,10 @@
     }
     next.Put(service);
   }
+  next.SetRouting(snapshot.routing(), snapshot.routes());
+  if (next.CheckRoutesClosed() != ResultCode::kOk) {
+    return ResultCode::kDanglingRoute;
+  }
   next.claim_group_ = snapshot.claim_group();
   next.lifted_.insert(snapshot.lifted_fingerprints().begin(),
                       snapshot.lifted_fingerprints().end());
@@ -107,6 +200,18 @@
   return ResultCode::kOk;
 }
 
+void ConfigState::ApplyRouteChanges(const rpc::ConfigDelta& delta) {
+  if (delta.has_routing()) {
+    routing_ = delta.routing();
+  }
+  for (const rpc::Route& route : delta.changed_routes()) {
+    routes_.Put(RouteKey(route), route);
+  }
+  for (const std::string& key : delta.removed_routes()) {
+    routes_.Remove(key);
+  }
+}
+
 ResultCode ConfigState::ApplyDelta(const rpc::ConfigDelta& delta) {
   if (delta.to_revision() <= revision_) {
     return ResultCode::kRevisionOld;
@@ -129,6 +234,10 @@
   for (const std::string& service : delta.removed()) {
     next.Remove(service);
   }
+  next.ApplyRouteChanges(delta);
+  if (next.CheckRoutesClosed() != ResultCode::kOk) {
+    return ResultCode::kDanglingRoute;
+  }
   if (delta.has_claim_group()) {
     next.claim_group_ = delta.claim_group();
   }
@@ -160,32 +269,28 @@
   if (first == deltas_.end()) {
     return false;
   }
-  std::map<std::string, const rpc::ServiceState*> changed;
-  std::set<std::string> removed;
+  MergedChanges<rpc::ServiceState> services;
+  MergedChanges<rpc::Route> routes;
   merged.set_from_revision(from);
   for (auto delta = first; delta != deltas_.end(); ++delta) {
-    for (const rpc::ServiceState& service : delta->changed()) {
-      changed[service.service().name()] = &service;
-      removed.erase(service.service().name());
-    }
-    for (const std::string& service : delta->removed()) {
-      changed.erase(service);
-      removed.insert(service);
-    }
+    services.Add(
+        delta->changed(), delta->removed(),
+        [](const rpc::ServiceState& state) { return state.service().name(); });
+    routes.Add(delta->changed_routes(), delta->removed_routes(), RouteKey);
     if (delta->has_claim_group()) {
       *merged.mutable_claim_group() = delta->claim_group();
     }
+    if (delta->has_routing()) {
+      *merged.mutable_routing() = delta->routing();
+    }
     merged.mutable_lifted_fingerprints()->MergeFrom(
         delta->lifted_fingerprints());
     merged.set_to_revision(delta->to_revision());
     merged.set_digest(delta->digest());
   }
-  for (const auto& [name, service] : changed) {
-    *merged.add_changed() = *service;
-  }
-  for (const std::string& service : removed) {
-    merged.add_removed(service);
-  }
+  services.Fill(*merged.mutable_changed(), *merged.mutable_removed());
+  routes.Fill(*merged.mutable_changed_routes(),
+              *merged.mutable_removed_routes());
   return true;
 }
 
@@ -194,16 +299,13 @@
   delta.set_from_revision(older.Revision());
   delta.set_to_revision(newer.Revision());
   delta.set_digest(newer.Digest());
-  for (const auto& [name, service] : newer.Services()) {
-    // Services that did not change are the same object.
-    if (older.Find(name) != service) {
-      *delta.add_changed() = *service;
-    }
-  }
-  for (const auto& [name, service] : older.Services()) {
-    if (newer.Find(name) == nullptr) {
-      delta.add_removed(name);
-    }
+  AddDifferences(older.Services(), newer.Services(), *delta.mutable_changed(),
+                 *delta.mutable_removed());
+  AddDifferences(older.Routes(), newer.Routes(),
+                 *delta.mutable_changed_routes(),
+                 *delta.mutable_removed_routes());
+  if (older.Routing().number() != newer.Routing().number()) {
+    *delta.mutable_routing() = newer.Routing();
   }
   if (older.Claims().epoch() != newer.Claims().epoch()) {
     *delta.mutable_claim_group() = newer.Claims();
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -15,20 +15,30 @@
 #include <vector>
 
 #include "buckthorngate/result_code.h"
+#include "config/resource_map.h"
 #include "mesh.pb.h"
 
 namespace buckthorngate::config {
 
-// Unchanged services are shared between revisions.
+// Unchanged services and routes are shared between revisions.
 using ServicePtr = std::shared_ptr<const rpc::ServiceState>;
+using RoutePtr = std::shared_ptr<const rpc::Route>;
+
+// Names a route of the mesh: its host and path prefix.
+std::string RouteKey(const rpc::Route& route);
 
 class ConfigState {
  public:
   uint64_t Revision() const { return revision_; }
   uint64_t Digest() const;
   const std::map<std::string, ServicePtr>& Services() const {
-    return services_;
+    return services_.Items();
+  }
+  // Routes of the mesh, by RouteKey.
+  const std::map<std::string, RoutePtr>& Routes() const {
+    return routes_.Items();
   }
+  const rpc::RoutingHeader& Routing() const { return routing_; }
   const rpc::ClaimGroup& Claims() const { return claim_group_; }
   const std::set<std::string>& LiftedFingerprints() const { return lifted_; }
 
@@ -38,6 +48,9 @@
   void SetRevision(uint64_t revision) { revision_ = revision; }
   void Put(rpc::ServiceState service);
   void Remove(const std::string& service);
+  // Replaces the routes of the mesh.
+  void SetRouting(rpc::RoutingHeader header,
+                  const google::protobuf::RepeatedPtrField<rpc::Route>& routes);
   void SetClaimGroup(rpc::ClaimGroup group);
   void SetLifted(std::set<std::string> lifted);
 
@@ -52,20 +65,18 @@
   ResultCode ApplyDelta(const rpc::ConfigDelta& delta);
 
  private:
-  struct Hashed {
-    ServicePtr service_;
-    uint64_t hash_ = 0;
-  };
-
   // Returns kDanglingRoute unless each service's version and its move's
   // target are among its versions.
   static ResultCode CheckClosed(const rpc::ServiceState& service);
+  // Returns kDanglingRoute unless each target of each route is a service that
+  // the header names.
+  ResultCode CheckRoutesClosed() const;
+  void ApplyRouteChanges(const rpc::ConfigDelta& delta);
 
   uint64_t revision_ = 0;
-  std::map<std::string, ServicePtr> services_;
-  std::map<std::string, uint64_t> hashes_;
-  // Invariant: the sum of hashes_.
-  uint64_t services_digest_ = 0;
+  ResourceMap<rpc::ServiceState> services_;
+  ResourceMap<rpc::Route> routes_;
+  rpc::RoutingHeader routing_;
   rpc::ClaimGroup claim_group_;
   std::set<std::string> lifted_;
 };
--- a/src/config/publication.cc
+++ b/src/config/publication.cc
@@ -14,12 +14,6 @@
 namespace buckthorngate::config {
 namespace {
 
-bool InProgress(const rpc::Move& move) {
-  return move.phase() == rpc::MOVE_PHASE_WAITING ||
-         move.phase() == rpc::MOVE_PHASE_CANARY ||
-         move.phase() == rpc::MOVE_PHASE_RAMPING;
-}
-
 bool SameDeclaration(const rpc::Service& a, const rpc::Service& b) {
   if (a.has_move() != b.has_move() || a.version() != b.version()) {
     return false;
@@ -167,6 +161,12 @@
 
 }  // namespace
 
+bool InProgress(const rpc::Move& move) {
+  return move.phase() == rpc::MOVE_PHASE_WAITING ||
+         move.phase() == rpc::MOVE_PHASE_CANARY ||
+         move.phase() == rpc::MOVE_PHASE_RAMPING;
+}
+
 std::string VersionInForce(const rpc::ServiceState& state) {
   if (state.has_move() && state.move().phase() == rpc::MOVE_PHASE_DONE) {
     return state.move().to();
@@ -201,7 +201,7 @@
     }
   }
   for (const auto& [name, service] : state.Services()) {
-    if (kept.count(name) == 0) {
+    if (kept.count(name) == 0 && !service->service().ordered()) {
       next.Remove(name);
     }
   }
--- a/src/config/publication.h
+++ b/src/config/publication.h
@@ -17,6 +17,9 @@
   std::string detail_;
 };
 
+// Whether the move has not ended.
+bool InProgress(const rpc::Move& move);
+
 // The version that serves a service while no move sends traffic elsewhere.
 std::string VersionInForce(const rpc::ServiceState& state);
 
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -92,7 +92,7 @@
       return;
     case Role::kLeader:
       CheckQuorum(now);
-      if (role_ == Role::kLeader) {
+      if (role_ == Role::kLeader && !hold_learners_) {
         PromoteCaughtUpLearner();
       }
       return;
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -92,6 +92,10 @@
   // Errors: kNotLeader, kMembershipBusy, kUnknownMember.
   ResultCode AddLearner(const rpc::Member& member);
   ResultCode RemoveMember(const std::string& id);
+  ResultCode PromoteLearner(const std::string& id);
+  // Learners stay learners until PromoteLearner; else they are promoted as
+  // soon as they have caught up.
+  void HoldLearners() { hold_learners_ = true; }
 
   // The caller syncs these, then calls Persisted; or calls Halt.
   PendingRecords TakeRecords();
@@ -120,6 +124,12 @@
   uint64_t CommitIndex() const { return commit_; }
   uint64_t LastIndex() const;
   const rpc::Membership& CurrentMembership() const { return membership_; }
+  // Log index of the current membership.
+  uint64_t MembershipIndex() const { return membership_index_; }
+  // Leader only: how long the member has been silent, and whether it holds
+  // all that is committed.
+  base::Duration SilenceOf(const std::string& id, const base::Now& now) const;
+  bool CaughtUp(const std::string& id) const;
   const rpc::LogSnapshot& Snapshot() const { return snapshot_; }
   const std::deque<rpc::LogEntry>& Entries() const { return entries_; }
   const rpc::HardState& CurrentHardState() const { return hard_state_; }
@@ -219,6 +229,7 @@
   base::Random random_;
   Role role_ = Role::kFollower;
   bool retired_ = false;
+  bool hold_learners_ = false;
 
   // Persistent; changes are marked in records_ before any message leaves.
   rpc::HardState hard_state_;
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -91,20 +91,39 @@
   return ResultCode::kOk;
 }
 
-void RaftCore::PromoteCaughtUpLearner() {
-  if (CheckMembershipChange() != ResultCode::kOk) {
-    return;
-  }
-  for (int i = 0; i < membership_.members_size(); ++i) {
-    const rpc::Member& member = membership_.members(i);
-    const auto peer = peers_.find(member.id());
-    const bool caught_up = member.learner() && peer != peers_.end() &&
-                           peer->second.match_ >= commit_ &&
-                           peer->second.match_ > 0;
-    if (caught_up) {
-      rpc::Membership next = membership_;
-      next.mutable_members(i)->set_learner(false);
+bool RaftCore::CaughtUp(const std::string& id) const {
+  const auto peer = peers_.find(id);
+  return id == id_ || (peer != peers_.end() && peer->second.match_ > 0 &&
+                       peer->second.match_ >= commit_);
+}
+
+base::Duration RaftCore::SilenceOf(const std::string& id,
+                                   const base::Now& now) const {
+  const auto peer = peers_.find(id);
+  return peer == peers_.end() ? base::Duration(0)
+                              : now.mono_ - peer->second.last_heard_;
+}
+
+ResultCode RaftCore::PromoteLearner(const std::string& id) {
+  const ResultCode allowed = CheckMembershipChange();
+  if (allowed != ResultCode::kOk) {
+    return allowed;
+  }
+  rpc::Membership next = membership_;
+  for (rpc::Member& member : *next.mutable_members()) {
+    if (member.id() == id && member.learner()) {
+      member.set_learner(false);
       AppendOwn(rpc::ENTRY_KIND_MEMBERSHIP, next.SerializeAsString());
+      return ResultCode::kOk;
+    }
+  }
+  return ResultCode::kUnknownMember;
+}
+
+void RaftCore::PromoteCaughtUpLearner() {
+  for (const rpc::Member& member : membership_.members()) {
+    if (member.learner() && CaughtUp(member.id())) {
+      (void)PromoteLearner(member.id());
       return;
     }
   }
--- /dev/null
+++ b/src/daemon/admin_server.cc
@@ -0,0 +1,132 @@
+// Admin pages by cpp-httplib: few calls, each short.
+#include "daemon/admin_server.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "daemon/settings.h"
+#include "http/head.h"
+
+namespace buckthorngate::daemon {
+namespace {
+
+constexpr size_t kThreads = 8;
+constexpr time_t kKeepAliveSeconds = 5;
+constexpr uint64_t kDefaultSlots = 20;
+constexpr uint64_t kMaxSlots = 100'000;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+
+uint32_t SlotsOf(const std::string& text) {
+  const uint64_t slots = http::ParseNumber(text).value_or(0);
+  return static_cast<uint32_t>(slots == 0 ? kDefaultSlots
+                                          : std::min(slots, kMaxSlots));
+}
+
+void AnswerText(httplib::Response& response,
+                int status,
+                const std::string& text) {
+  response.status = status;
+  response.set_content(text + "\n", "text/plain");
+}
+
+}  // namespace
+
+class AdminServer::Impl {
+ public:
+  explicit Impl(AdminHandlers handlers) : handlers_(std::move(handlers)) {
+    server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+    server_.set_tcp_nodelay(true);
+    server_.set_keep_alive_timeout(kKeepAliveSeconds);
+    Configure();
+  }
+
+  ResultCode Start(const std::string& address) {
+    if (!server_.bind_to_port(HostOf(address), PortOf(address))) {
+      return ResultCode::kBadSettings;
+    }
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    return ResultCode::kOk;
+  }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      server_.stop();
+      thread_.join();
+    }
+  }
+
+ private:
+  void OnAnnounce(const httplib::Request& request,
+                  httplib::Response& response) {
+    registry::Announcement announcement;
+    announcement.service_ = request.get_param_value("service");
+    announcement.version_ = request.get_param_value("version");
+    announcement.address_ = request.get_param_value("address");
+    announcement.slots_ = SlotsOf(request.get_param_value("slots"));
+    announcement.instance_ = request.get_param_value("instance");
+    const bool valid = !announcement.service_.empty() &&
+                       !announcement.version_.empty() &&
+                       IsIpAddress(announcement.address_);
+    if (!valid) {
+      AnswerText(response, kBadRequest,
+                 std::string(Describe(ResultCode::kMissingKey).message_));
+      return;
+    }
+    handlers_.announce_(announcement);
+    AnswerText(response, kOk, "ok");
+  }
+
+  void Configure() {
+    server_.Post("/announce", [this](const httplib::Request& request,
+                                     httplib::Response& response) {
+      OnAnnounce(request, response);
+    });
+    server_.Post("/drain", [this](const httplib::Request& request,
+                                  httplib::Response& response) {
+      handlers_.drain_(request.get_param_value("address"));
+      AnswerText(response, kOk, "ok");
+    });
+    server_.Post("/leave", [this](const httplib::Request& request,
+                                  httplib::Response& response) {
+      handlers_.leave_(request.get_param_value("address"));
+      AnswerText(response, kOk, "ok");
+    });
+    server_.Get("/metrics", [this](const httplib::Request&,
+                                   httplib::Response& response) {
+      response.set_content(handlers_.metrics_(), "text/plain; version=0.0.4");
+    });
+    server_.Get("/healthz",
+                [](const httplib::Request&, httplib::Response& response) {
+                  AnswerText(response, kOk, "ok");
+                });
+    server_.Get("/readyz",
+                [this](const httplib::Request&, httplib::Response& response) {
+                  const bool ready = handlers_.ready_();
+                  AnswerText(response, ready ? kOk : kUnavailable,
+                             ready ? "ready" : "not ready");
+                });
+  }
+
+  const AdminHandlers handlers_;
+  httplib::Server server_;
+  std::thread thread_;
+};
+
+AdminServer::AdminServer(AdminHandlers handlers)
+    : impl_(std::make_unique<Impl>(std::move(handlers))) {}
+AdminServer::~AdminServer() {
+  Stop();
+}
+ResultCode AdminServer::Start(const std::string& address) {
+  return impl_->Start(address);
+}
+void AdminServer::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace buckthorngate::daemon
--- a/src/daemon/claim_client.h
+++ b/src/daemon/claim_client.h
@@ -2,40 +2,51 @@
 #ifndef SRC_DAEMON_CLAIM_CLIENT_H_
 #define SRC_DAEMON_CLAIM_CLIENT_H_
 
-#include <future>
 #include <map>
 #include <memory>
-#include <mutex>
-#include <string>
+#include <optional>
+#include <utility>
 #include <vector>
 
-#include "base/time.h"
 #include "daemon/node_loop.h"
 #include "distribution/proxy_node.h"
+#include "http/event_loop.h"
 #include "request/claim_coordinator.h"
 
 namespace buckthorngate::daemon {
 
-// Safe for concurrent use.
 class ClaimClient {
  public:
-  // Both must outlive the client.
-  ClaimClient(NodeLoop& loop, distribution::ProxyNode& node);
-
-  // Waits for the outcome; kClaimNoQuorum if it does not come in time.
-  request::ClaimOutcome Run(rpc::ClaimRequest::Action action,
-                            const rpc::ClaimRecord& record);
-
-  // Hands over what the node has decided. Runs on the loop's thread.
+  // All must outlive the client.
+  ClaimClient(const base::Clock& clock,
+              http::EventLoop& loop,
+              NodeLoop& node_loop,
+              distribution::ProxyNode& node);
+
+  // Waits for the outcome; kClaimNoQuorum if it does not come in time. On the
+  // event loop's thread.
+  http::Task<request::ClaimOutcome> Run(rpc::ClaimRequest::Action action,
+                                        rpc::ClaimRecord record);
+
+  // Hands over what the node has decided. On the node loop's thread.
   void Complete(std::vector<request::ClaimOutcome> outcomes);
 
  private:
   using Key = std::pair<std::string, rpc::ClaimRequest::Action>;
 
-  NodeLoop& loop_;
+  struct Waiting {
+    explicit Waiting(http::EventLoop& loop) : decided_(loop) {}
+
+    http::Notifier decided_;
+    std::optional<request::ClaimOutcome> outcome_;
+  };
+
+  const base::Clock& clock_;
+  http::EventLoop& loop_;
+  NodeLoop& node_loop_;
   distribution::ProxyNode& node_;
-  std::mutex mutex_;
-  std::map<Key, std::shared_ptr<std::promise<request::ClaimOutcome>>> waiting_;
+  // Used on the event loop's thread only.
+  std::map<Key, std::shared_ptr<Waiting>> waiting_;
 };
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,21 +1,20 @@
 // Composition of a daemon.
 #include "daemon/daemon.h"
 
-#include <condition_variable>
 #include <filesystem>
-#include <future>
-#include <map>
-#include <mutex>
 #include <utility>
 
 #include <grpcpp/impl/codegen/service_type.h>
 
 #include "base/events.h"
 #include "base/hash.h"
+#include "daemon/host_identity.h"
 #include "daemon/node_loop.h"
 #include "daemon/proxy_role.h"
+#include "daemon/source_commands.h"
 #include "distribution/relay_node.h"
 #include "distribution/source_node.h"
+#include "membership/node_id.h"
 #include "rpc/control_service.h"
 #include "storage/file_journal.h"
 
@@ -25,8 +24,6 @@
 using base::EventId;
 using base::LogEvent;
 
-constexpr std::chrono::seconds kPublishTimeout{5};
-
 // Both a source and its loop; a relay likewise.
 template <typename NodeType>
 struct Role {
@@ -41,14 +38,27 @@
 
 }  // namespace
 
-class Daemon::Impl {
+class Daemon::Impl : public ControlApi {
  public:
-  explicit Impl(Settings settings) : settings_(std::move(settings)) {}
+  Impl(Settings settings, request::Dialect dialect)
+      : settings_(std::move(settings)), dialect_(std::move(dialect)) {}
 
   ResultCode Start();
+  void DrainHost();
   void Stop();
 
+  rpc::PublishReply PublishRouting(rpc::RoutingCommand command) override;
+  rpc::PublishReply OrderMove(rpc::MoveOrder order) override;
+  RoutingText ReadRouting() override;
+  MoveReport ReadMove(const std::string& service) override;
+  ResultCode Announce(const registry::Announcement& announcement) override;
+  void Drain(const std::string& instance) override;
+  void Leave(const std::string& instance) override;
+  bool Ready() override;
+
  private:
+  ResultCode ChooseIdentity();
+  ResultCode CreateNodes(const base::Now& now);
   ResultCode CreateSource(const base::Now& now);
   ResultCode CreateRelay();
   void AddAddresses();
@@ -56,20 +66,21 @@
   rpc::PublishReply Publish(const rpc::PublishRequest& request);
   rpc::QueryReply Query(const rpc::QueryRequest& request);
   rpc::PublishReply ChangeMember(const rpc::MemberRequest& request);
-  void CompletePublications();
   template <typename NodeType>
   void StartLoop(Role<NodeType>& role, const std::string& id);
+  void AddAlias(const std::string& id, NodeLoop* loop);
 
-  const Settings settings_;
+  Settings settings_;
+  const request::Dialect dialect_;
+  rpc::Membership first_members_;
   base::SystemClock clock_;
   uint64_t incarnation_ = 0;
   std::unique_ptr<rpc::MeshTransport> transport_;
   std::unique_ptr<grpc::Service> control_;
   Role<distribution::SourceNode> source_;
   Role<distribution::RelayNode> relay_;
+  std::unique_ptr<SourceCommands> commands_;
   std::unique_ptr<ProxyRole> proxy_;
-  // Publications by ticket; used on the source's loop only.
-  std::map<uint64_t, std::shared_ptr<std::promise<rpc::PublishReply>>> waiting_;
 };
 
 template <typename NodeType>
@@ -81,6 +92,44 @@
   NodeLoop* const loop = role.loop_.get();
   transport_->AddNode(
       id, [loop](rpc::Envelope envelope) { loop->Post(std::move(envelope)); });
+  AddAlias(id, loop);
+}
+
+void Daemon::Impl::AddAlias(const std::string& id, NodeLoop* loop) {
+  const std::string alias =
+      membership::SiblingOf(id, "").empty()
+          ? std::string()
+          : membership::NodeId(id.substr(0, id.find('@')),
+                               membership::AddressOfNode(id));
+  if (alias.empty() || alias == id) {
+    return;
+  }
+  // Who knows this host as a seed knows its address only. Messages of the
+  // consensus and of claims mean the identity that lost its disk.
+  transport_->AddNode(alias, [loop](rpc::Envelope envelope) {
+    const bool for_identity = envelope.has_raft() || envelope.has_claim() ||
+                              envelope.has_claim_transfer_request() ||
+                              envelope.has_claim_transfer();
+    if (!for_identity) {
+      loop->Post(std::move(envelope));
+    }
+  });
+}
+
+ResultCode Daemon::Impl::ChooseIdentity() {
+  if (settings_.seeds_.empty() || !(settings_.source_ || settings_.relay_)) {
+    return ResultCode::kOk;
+  }
+  tl::expected<HostIdentity, ResultCode> identity = LoadHostIdentity(settings_);
+  if (!identity) {
+    return identity.error();
+  }
+  settings_.source_id_ =
+      membership::NodeId(membership::kSourceRole, identity->host_id_);
+  settings_.relay_id_ =
+      membership::NodeId(membership::kRelayRole, identity->host_id_);
+  first_members_ = std::move(identity->first_members_);
+  return ResultCode::kOk;
 }
 
 ResultCode Daemon::Impl::CreateSource(const base::Now& now) {
@@ -89,6 +138,10 @@
   distribution::SourceOptions options;
   options.id_ = settings_.source_id_;
   options.seed_ = incarnation_ ^ base::Hash(settings_.source_id_);
+  options.seeds_ = settings_.seeds_;
+  options.address_ = settings_.control_address_;
+  options.zone_ = settings_.zone_;
+  options.members_ = first_members_;
   for (const auto& [id, address] : settings_.sources_) {
     rpc::Member& member = *options.members_.add_members();
     member.set_id(id);
@@ -103,8 +156,9 @@
   }
   source_.node_ = std::move(*node);
   StartLoop(source_, settings_.source_id_);
+  commands_ = std::make_unique<SourceCommands>(*source_.loop_, *source_.node_);
   source_.loop_->SetAfterFlush(
-      [this](const base::Now&) { CompletePublications(); });
+      [this](const base::Now&) { commands_->Complete(); });
   return ResultCode::kOk;
 }
 
@@ -116,6 +170,7 @@
   options.zone_ = settings_.zone_;
   options.incarnation_ = incarnation_;
   options.seed_ = incarnation_ ^ base::Hash(settings_.relay_id_);
+  options.seeds_ = settings_.seeds_;
   for (const auto& [id, address] : settings_.sources_) {
     options.sources_.push_back(id);
   }
@@ -149,6 +204,26 @@
   }
 }
 
+ResultCode Daemon::Impl::CreateNodes(const base::Now& now) {
+  ResultCode code = ResultCode::kOk;
+  if (settings_.source_) {
+    code = CreateSource(now);
+  }
+  if (code == ResultCode::kOk && settings_.relay_) {
+    code = CreateRelay();
+  }
+  if (code != ResultCode::kOk || !settings_.proxy_) {
+    return code;
+  }
+  tl::expected<std::unique_ptr<ProxyRole>, ResultCode> proxy =
+      ProxyRole::Create(settings_, dialect_, incarnation_, clock_, *transport_);
+  if (!proxy) {
+    return proxy.error();
+  }
+  proxy_ = std::move(*proxy);
+  return ResultCode::kOk;
+}
+
 ResultCode Daemon::Impl::Start() {
   const base::Now now = clock_.Read();
   incarnation_ = static_cast<uint64_t>(base::ToUnixMs(now.wall_));
@@ -159,30 +234,25 @@
       return ResultCode::kStorageFailed;
     }
   }
+  ResultCode code = ChooseIdentity();
+  if (code != ResultCode::kOk) {
+    return code;
+  }
   rpc::TransportOptions options;
   options.listen_ = settings_.control_address_;
   options.tls_ = settings_.tls_;
+  if (!settings_.seeds_.empty()) {
+    options.address_of_ = [](const std::string& node) {
+      return membership::AddressOfNode(node);
+    };
+  }
   transport_ = std::make_unique<rpc::MeshTransport>(std::move(options));
   AddAddresses();
   WarnIfOpen();
-  ResultCode code = ResultCode::kOk;
-  if (settings_.source_) {
-    code = CreateSource(now);
-  }
-  if (code == ResultCode::kOk && settings_.relay_) {
-    code = CreateRelay();
-  }
+  code = CreateNodes(now);
   if (code != ResultCode::kOk) {
     return code;
   }
-  if (settings_.proxy_) {
-    tl::expected<std::unique_ptr<ProxyRole>, ResultCode> proxy =
-        ProxyRole::Create(settings_, incarnation_, clock_, *transport_);
-    if (!proxy) {
-      return proxy.error();
-    }
-    proxy_ = std::move(*proxy);
-  }
   control_ = rpc::MakeControlService(
       {[this](const rpc::PublishRequest& request) { return Publish(request); },
        [this](const rpc::QueryRequest& request) { return Query(request); },
@@ -211,37 +281,54 @@
   return code;
 }
 
-void Daemon::Impl::CompletePublications() {
-  for (distribution::PublishResult& result :
-       source_.node_->TakePublishResults()) {
-    const auto found = waiting_.find(result.ticket_);
-    if (found != waiting_.end()) {
-      found->second->set_value(std::move(result.reply_));
-      waiting_.erase(found);
-    }
+rpc::PublishReply Daemon::Impl::Publish(const rpc::PublishRequest& request) {
+  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+                              : commands_->Publish(request.publication());
+}
+
+rpc::PublishReply Daemon::Impl::PublishRouting(rpc::RoutingCommand command) {
+  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+                              : commands_->PublishRouting(command);
+}
+
+rpc::PublishReply Daemon::Impl::OrderMove(rpc::MoveOrder order) {
+  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+                              : commands_->OrderMove(order);
+}
+
+RoutingText Daemon::Impl::ReadRouting() {
+  if (commands_ == nullptr) {
+    return {ResultCode::kNotLeader};
   }
+  return commands_->ReadRouting();
 }
 
-rpc::PublishReply Daemon::Impl::Publish(const rpc::PublishRequest& request) {
-  rpc::PublishReply failure;
-  const auto fail = [&failure](ResultCode code) {
-    failure.set_result_code(static_cast<uint32_t>(code));
-    failure.set_message(std::string(Describe(code).message_));
-    return failure;
-  };
-  if (source_.loop_ == nullptr) {
-    return fail(ResultCode::kNotLeader);
+MoveReport Daemon::Impl::ReadMove(const std::string& service) {
+  if (commands_ == nullptr) {
+    return {ResultCode::kNotLeader};
   }
-  std::shared_ptr<std::promise<rpc::PublishReply>> promise =
-      std::make_shared<std::promise<rpc::PublishReply>>();
-  std::future<rpc::PublishReply> reply = promise->get_future();
-  source_.loop_->Run([this, request, promise](const base::Now& now) {
-    waiting_[source_.node_->Publish(request.publication(), now)] = promise;
-  });
-  if (reply.wait_for(kPublishTimeout) != std::future_status::ready) {
-    return fail(ResultCode::kOutcomeUnknown);
+  return commands_->ReadMove(service);
+}
+
+ResultCode Daemon::Impl::Announce(const registry::Announcement& announcement) {
+  return proxy_ == nullptr ? ResultCode::kNoEndpoint
+                           : proxy_->Announce(announcement);
+}
+
+void Daemon::Impl::Drain(const std::string& instance) {
+  if (proxy_ != nullptr) {
+    proxy_->DrainUpstream(proxy_->AddressOfInstance(instance));
   }
-  return reply.get();
+}
+
+void Daemon::Impl::Leave(const std::string& instance) {
+  if (proxy_ != nullptr) {
+    proxy_->RemoveUpstream(proxy_->AddressOfInstance(instance));
+  }
+}
+
+bool Daemon::Impl::Ready() {
+  return proxy_ == nullptr || proxy_->Ready();
 }
 
 rpc::QueryReply Daemon::Impl::Query(const rpc::QueryRequest& request) {
@@ -283,10 +370,15 @@
   return reply;
 }
 
-void Daemon::Impl::Stop() {
+void Daemon::Impl::DrainHost() {
   LogEvent(EventId::kStopping, {{"host", settings_.host_}});
   if (proxy_ != nullptr) {
     proxy_->Drain();
+  }
+}
+
+void Daemon::Impl::Stop() {
+  if (proxy_ != nullptr) {
     proxy_->Stop();
   }
   transport_->Stop();
@@ -299,15 +391,21 @@
   LogEvent(EventId::kStopped, {{"host", settings_.host_}});
 }
 
-Daemon::Daemon(Settings settings)
-    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+Daemon::Daemon(Settings settings, request::Dialect dialect)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(dialect))) {}
 Daemon::~Daemon() = default;
 
 ResultCode Daemon::Start() {
   return impl_->Start();
 }
+void Daemon::Drain() {
+  impl_->DrainHost();
+}
 void Daemon::Stop() {
   impl_->Stop();
 }
+ControlApi& Daemon::Api() {
+  return *impl_;
+}
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,13 +5,16 @@
 #include <memory>
 
 #include "buckthorngate/result_code.h"
+#include "daemon/control_api.h"
 #include "daemon/settings.h"
+#include "request/dialect.h"
 
 namespace buckthorngate::daemon {
 
 class Daemon {
  public:
-  explicit Daemon(Settings settings);
+  explicit Daemon(Settings settings,
+                  request::Dialect dialect = request::Dialect());
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -19,9 +22,13 @@
   // Loads the state and opens the ports. Errors: kStorageCorrupt,
   // kStorageFailed, kBadSettings.
   ResultCode Start();
-  // Drains, finishes what runs and stops.
+  // Tells others that this host leaves, and finishes what runs.
+  void Drain();
   void Stop();
 
+  // For an adapter to a platform, which must be stopped before the daemon.
+  ControlApi& Api();
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -1,15 +1,13 @@
 // The destination side of a daemon.
 #include "daemon/destination.h"
 
-#include <httplib.h>
-
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
-#include "daemon/socket_probe.h"
+#include "base/events.h"
+#include "daemon/hop_codec.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
-#include "request/retry.h"
 
 namespace buckthorngate::daemon {
 namespace {
@@ -17,45 +15,44 @@
 using request::AdmissionQueue;
 using request::AdmissionVerdict;
 
-constexpr base::Duration kUpstreamIdle = std::chrono::seconds(1);
-// How often a waiting handler looks after its caller.
-constexpr base::Duration kWatchSlice = std::chrono::milliseconds(50);
-constexpr std::chrono::milliseconds kDefaultDeadline{10'000};
-
-std::chrono::milliseconds DeadlineOf(const httplib::Request& request) {
-  const std::string text = HeaderOf(request, request::kDeadlineHeader);
-  int64_t left = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), left);
-  const bool valid =
-      !text.empty() && parsed.ptr == text.data() + text.size() && left >= 0;
-  return valid ? std::chrono::milliseconds(left) : kDefaultDeadline;
-}
+// Keep-alive time of upstreams that do not announce one.
+constexpr base::Duration kUpstreamIdle = std::chrono::seconds(3);
+constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(300);
+constexpr base::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
+// Waiting requests are looked after at least this often.
+constexpr base::Duration kQueueTick = std::chrono::milliseconds(50);
+constexpr int kServerError = 500;
 
 }  // namespace
 
+struct Destination::Waiter {
+  explicit Waiter(http::EventLoop& loop) : released_(loop) {}
+
+  http::Notifier released_;
+  bool decided_ = false;
+  bool admitted_ = false;
+};
+
 struct Destination::Upstream {
-  Upstream(std::string address, std::string service, uint32_t slots)
-      : address_(std::move(address)),
-        service_(std::move(service)),
-        admission_({slots, 1.0}) {}
+  explicit Upstream(const UpstreamInfo& info)
+      : info_(info), admission_({info.slots_, 1.0}) {}
 
-  const std::string address_;
-  const std::string service_;
-  std::mutex mutex_;
-  std::condition_variable released_;
+  const UpstreamInfo info_;
   AdmissionQueue admission_;
-  std::map<uint64_t, bool> verdicts_;  // Of tickets that left the queue.
+  std::map<uint64_t, Waiter*> waiting_;
   // Set when the upstream is found dead; names this one death.
   std::string crash_id_;
 
-  // Under mutex_.
   void ReleaseWaiting(base::MonoTime now) {
     for (const AdmissionQueue::Released& released :
          admission_.TakeReleased(now)) {
-      verdicts_[released.ticket_] = released.admitted_;
+      const auto found = waiting_.find(released.ticket_);
+      if (found != waiting_.end()) {
+        found->second->decided_ = true;
+        found->second->admitted_ = released.admitted_;
+        found->second->released_.Notify();
+      }
     }
-    released_.notify_all();
   }
 };
 
@@ -63,315 +60,311 @@
 class Destination::Slot {
  public:
   Slot(Destination& owner, std::shared_ptr<Upstream> upstream, uint64_t ticket)
-      : owner_(owner), upstream_(std::move(upstream)), ticket_(ticket) {
-    owner_.in_flight_.fetch_add(1);
+      : owner_(owner),
+        upstream_(std::move(upstream)),
+        ticket_(ticket),
+        began_(owner.clock_.Read().mono_) {
+    ++owner_.in_flight_;
   }
   ~Slot() { Release(/*failed=*/true); }
   Slot(const Slot&) = delete;
   Slot& operator=(const Slot&) = delete;
 
-  void Begin() { began_ = owner_.clock_.Read().mono_; }
-
   void Release(bool failed) {
-    if (released_.exchange(true)) {
+    if (std::exchange(released_, true)) {
       return;
     }
-    {
-      const base::MonoTime now = owner_.clock_.Read().mono_;
-      const std::lock_guard<std::mutex> lock(upstream_->mutex_);
-      upstream_->admission_.Leave(ticket_, now - began_, failed, now);
-      upstream_->ReleaseWaiting(now);
-    }
-    owner_.in_flight_.fetch_sub(1);
+    const base::MonoTime now = owner_.clock_.Read().mono_;
+    upstream_->admission_.Leave(ticket_, now - began_, failed, now);
+    upstream_->ReleaseWaiting(now);
+    --owner_.in_flight_;
   }
 
  private:
   Destination& owner_;
   const std::shared_ptr<Upstream> upstream_;
   const uint64_t ticket_;
-  base::MonoTime began_;
-  std::atomic<bool> released_{false};
+  const base::MonoTime began_;
+  bool released_ = false;
+};
+
+// The rest of a long answer; holds the slot until its end.
+class Destination::SlottedBody : public http::BodyReader {
+ public:
+  SlottedBody(std::shared_ptr<http::BodyReader> body,
+              std::shared_ptr<Slot> slot)
+      : body_(std::move(body)), slot_(std::move(slot)) {}
+
+  http::Task<http::BodyState> Read(std::string& piece, size_t most) override {
+    const http::BodyState state = co_await body_->Read(piece, most);
+    if (state != http::BodyState::kMore) {
+      slot_->Release(/*failed=*/state == http::BodyState::kFailed);
+    }
+    co_return state;
+  }
+  std::optional<uint64_t> Length() const override { return body_->Length(); }
+
+ private:
+  const std::shared_ptr<http::BodyReader> body_;
+  const std::shared_ptr<Slot> slot_;
 };
 
 Destination::Destination(std::string host,
+                         const request::Dialect& dialect,
                          const base::Clock& clock,
-                         WorkerPool& workers,
-                         ExchangeWatchdog& watchdog,
+                         http::EventLoop& loop,
                          blackboard::Blackboard& board,
                          CrashHandler on_crash)
     : host_(std::move(host)),
+      dialect_(dialect),
       clock_(clock),
-      workers_(workers),
-      watchdog_(watchdog),
+      loop_(loop),
       board_(board),
       on_crash_(std::move(on_crash)),
-      connections_(kUpstreamIdle) {}
+      connections_(loop, {kUpstreamIdle, kConnectTimeout}) {}
+Destination::~Destination() = default;
 
-void Destination::SetUpstream(const std::string& endpoint_id,
-                              const std::string& address,
-                              const std::string& service,
-                              uint32_t slots) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  upstreams_[endpoint_id] = std::make_shared<Upstream>(address, service, slots);
+void Destination::SetUpstream(const UpstreamInfo& info) {
+  const auto found = upstreams_.find(info.endpoint_id_);
+  if (found != upstreams_.end()) {
+    found->second->admission_.Drain();
+    connections_.Forget(found->second->info_.address_);
+  }
+  upstreams_[info.endpoint_id_] = std::make_shared<Upstream>(info);
 }
 
 void Destination::DrainUpstream(const std::string& endpoint_id) {
-  const std::shared_ptr<Upstream> upstream = Find(endpoint_id);
-  if (upstream != nullptr) {
-    const std::lock_guard<std::mutex> lock(upstream->mutex_);
-    upstream->admission_.Drain();
+  const auto found = upstreams_.find(endpoint_id);
+  if (found != upstreams_.end()) {
+    found->second->admission_.Drain();
   }
 }
 
 void Destination::RemoveUpstream(const std::string& endpoint_id) {
   DrainUpstream(endpoint_id);
-  const std::lock_guard<std::mutex> lock(mutex_);
   upstreams_.erase(endpoint_id);
 }
 
 void Destination::DrainAll() {
-  const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [id, upstream] : upstreams_) {
-    const std::lock_guard<std::mutex> upstream_lock(upstream->mutex_);
     upstream->admission_.Drain();
   }
 }
 
-std::shared_ptr<Destination::Upstream> Destination::Find(
-    const std::string& endpoint_id) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = upstreams_.find(endpoint_id);
-  return found == upstreams_.end() ? nullptr : found->second;
-}
-
-ResultCode Destination::Admit(Upstream& upstream,
-                              uint64_t ticket,
-                              const httplib::Request& request,
-                              base::MonoTime deadline) {
-  std::unique_lock<std::mutex> lock(upstream.mutex_);
-  if (upstream.admission_.Draining()) {
-    return ResultCode::kEndpointDraining;
+http::Task<ResultCode> Destination::Admit(std::shared_ptr<Upstream> upstream,
+                                          uint64_t ticket,
+                                          HopRequest& request) {
+  AdmissionQueue& admission = upstream->admission_;
+  if (admission.Draining()) {
+    co_return ResultCode::kEndpointDraining;
   }
-  const AdmissionVerdict verdict = upstream.admission_.Enter(
-      ticket, HeaderOf(request, request::kCallerHeader), deadline,
-      clock_.Read().mono_);
+  const AdmissionVerdict verdict = admission.Enter(
+      ticket, request.caller_host_, request.deadline_, clock_.Read().mono_);
   if (verdict != AdmissionVerdict::kQueued) {
-    return verdict == AdmissionVerdict::kAdmitted
-               ? ResultCode::kOk
-               : ResultCode::kEndpointOverloaded;
+    co_return verdict == AdmissionVerdict::kAdmitted
+        ? ResultCode::kOk
+        : ResultCode::kEndpointOverloaded;
   }
-  ConnectionWatch watch(request);
-  while (true) {
-    upstream.released_.wait_for(lock, kWatchSlice);
-    upstream.ReleaseWaiting(clock_.Read().mono_);
-    const auto found = upstream.verdicts_.find(ticket);
-    if (found != upstream.verdicts_.end()) {
-      const bool admitted = found->second;
-      upstream.verdicts_.erase(found);
-      return admitted ? ResultCode::kOk : ResultCode::kEndpointOverloaded;
-    }
-    if (watch.Closed()) {
-      upstream.admission_.Cancel(ticket);
-      return ResultCode::kCallerGone;
+  Waiter waiter(loop_);
+  upstream->waiting_[ticket] = &waiter;
+  const http::CancelScope interrupt(*request.cancel_,
+                                    [&waiter] { waiter.released_.Notify(); });
+  while (!waiter.decided_ && !request.cancel_->Raised()) {
+    const bool woken =
+        co_await waiter.released_.Wait(clock_.Read().mono_ + kQueueTick);
+    if (!woken) {
+      upstream->ReleaseWaiting(clock_.Read().mono_);
     }
   }
+  upstream->waiting_.erase(ticket);
+  if (!waiter.decided_) {
+    admission.Cancel(ticket);
+    co_return ResultCode::kCallerGone;
+  }
+  co_return waiter.admitted_ ? ResultCode::kOk
+                             : ResultCode::kEndpointOverloaded;
 }
 
-void Destination::Handle(const httplib::Request& request,
-                         const httplib::ContentReader* reader,
-                         httplib::Response& response) {
-  DisableAnswerRewriting(request);
-  const base::MonoTime now = clock_.Read().mono_;
-  const base::MonoTime deadline = now + DeadlineOf(request);
-  const std::string attempt = HeaderOf(request, request::kAttemptHeader);
-  RequestBody body(request, reader);
-  const auto refuse = [&](ResultCode code) {
-    body.Drain();
-    AnswerRefusal(code, /*not_run=*/true, "", response);
-    response.set_header(request::kAttemptHeader, attempt);
-  };
-  const std::shared_ptr<Upstream> upstream =
-      Find(HeaderOf(request, request::kEndpointHeader));
-  if (upstream == nullptr) {
-    refuse(ResultCode::kEndpointDraining);
-    return;
+http::Task<HopAnswer> Destination::Run(HopRequest& request) {
+  const auto found = upstreams_.find(request.endpoint_id_);
+  if (found == upstreams_.end()) {
+    co_return FailedHop(ResultCode::kEndpointDraining, /*not_run=*/true);
   }
-  const uint64_t ticket = next_ticket_.fetch_add(1);
-  const ResultCode admitted = Admit(*upstream, ticket, request, deadline);
+  const std::shared_ptr<Upstream> upstream = found->second;
+  const uint64_t ticket = next_ticket_++;
+  const ResultCode admitted = co_await Admit(upstream, ticket, request);
   if (admitted != ResultCode::kOk) {
-    refuse(admitted);
-    return;
+    co_return FailedHop(admitted, /*not_run=*/true);
   }
-  std::shared_ptr<Slot> slot = std::make_shared<Slot>(*this, upstream, ticket);
-  slot->Begin();
+  const std::shared_ptr<Slot> slot =
+      std::make_shared<Slot>(*this, upstream, ticket);
   // The process may have been stopped for long while the request waited, here
   // or in the socket.
   const base::MonoTime present = clock_.Read().mono_;
   const bool abandoned =
-      board_.Stalls().Stalled(present) && ConnectionWatch(request).Closed();
-  if (present >= deadline || abandoned) {
-    slot->Release(/*failed=*/true);
-    refuse(ResultCode::kDeadlineExceeded);
-    return;
+      request.cancel_->Raised() ||
+      (board_.Stalls().Stalled(present) && !request.still_wanted_());
+  if (present >= request.deadline_ || abandoned) {
+    co_return FailedHop(
+        abandoned ? ResultCode::kCallerGone : ResultCode::kDeadlineExceeded,
+        /*not_run=*/true);
   }
-  RunAdmitted(upstream, slot, request, body, deadline, response);
+  board_.Calls().Open(request.request_id_);
+  HopAnswer answer = co_await RunAdmitted(upstream, slot, request);
+  answer.calls_ = board_.Calls().Take(request.request_id_) + 1;
+  co_return answer;
 }
 
-ExchangeRequest Destination::MakeUpstreamRequest(
-    const httplib::Request& request,
-    RequestBody& body,
-    base::Duration left) {
-  ExchangeRequest outgoing;
-  outgoing.method_ = request.method;
-  outgoing.target_ = request.target;
-  outgoing.headers_ = PassedHeaders(request);
+http::RequestHead Destination::UpstreamHead(const Upstream& upstream,
+                                            const HopRequest& request) const {
+  http::RequestHead head = request.head_;
   // The upstream learns its time and passes both on with calls of its own.
-  outgoing.headers_.emplace_back(
-      request::kDeadlineHeader,
-      std::to_string(left / std::chrono::milliseconds(1)));
-  if (!HeaderOf(request, request::kBelowRetryHeader).empty()) {
-    outgoing.headers_.emplace_back(request::kBelowRetryHeader, "1");
+  const base::Duration left = request.deadline_ - clock_.Read().mono_;
+  head.headers_.Set(dialect_.deadline_,
+                    std::to_string(left / std::chrono::milliseconds(1)));
+  if (request.below_retry_ && dialect_.tells_calls_) {
+    head.headers_.Set(request::kBelowRetryHeader, "1");
   }
-  if (body.Present()) {
-    body.AttachTo(outgoing);
+  if (!dialect_.caller_service_.empty()) {
+    head.headers_.Set(dialect_.caller_service_, request.caller_service_);
   }
-  return outgoing;
+  if (!dialect_.expected_instance_.empty()) {
+    head.headers_.Set(dialect_.expected_instance_, upstream.info_.instance_);
+  }
+  return head;
 }
 
-std::shared_ptr<Exchange> Destination::RunExchange(
-    const std::shared_ptr<Upstream>& upstream,
-    const httplib::Request& request,
-    RequestBody& body,
-    base::MonoTime deadline,
-    ResultCode& code) {
-  std::shared_ptr<ExchangeSignal> signal = std::make_shared<ExchangeSignal>();
-  const auto prepare = [&] {
-    const base::Duration left = deadline - clock_.Read().mono_;
-    return Exchange::Prepare(connections_, upstream->address_,
-                             MakeUpstreamRequest(request, body, left), left,
-                             signal);
-  };
-  std::shared_ptr<Exchange> exchange = prepare();
-  blackboard::ServiceState& service = board_.Service(upstream->service_);
-  const bool may_inline =
-      request::IsSafeMethod(request.method) && !body.Present() &&
-      service.small_answers_ >= blackboard::kSmallAnswersToInline;
-  if (may_inline) {
-    code = watchdog_.Run(*exchange, deadline, request);
-    if (code != ResultCode::kOk || !exchange->TooLarge()) {
-      return exchange;
-    }
-    service.small_answers_ = blackboard::kAfterLargeAnswer;
-    exchange = prepare();
+ResultCode Destination::NotExecuted(const http::AnswerHead& head) const {
+  if (dialect_.not_executed_.empty()) {
+    return ResultCode::kOk;
   }
-  exchange->Start(workers_);
-  code = AwaitHead(*exchange, request, deadline);
-  // With the head there, the request has been sent whole.
-  if (body.Present() && exchange->CurrentStage() != Exchange::Stage::kHead) {
-    exchange->WaitFinished();
-    body.Drain();
+  if (head.status_ == request::kMisdirectedStatus) {
+    return ResultCode::kUpstreamReplaced;
   }
-  return exchange;
+  return head.headers_.Has(dialect_.not_executed_) ? ResultCode::kUpstreamShed
+                                                   : ResultCode::kOk;
 }
 
-ResultCode Destination::AwaitHead(Exchange& exchange,
-                                  const httplib::Request& request,
-                                  base::MonoTime deadline) {
-  ConnectionWatch watch(request);
-  while (exchange.CurrentStage() == Exchange::Stage::kWaiting) {
-    exchange.Signal().Wait(kWatchSlice);
-    if (clock_.Read().mono_ >= deadline) {
-      exchange.Abort();
-      return ResultCode::kDeadlineExceeded;
+http::Task<HopAnswer> Destination::RunAdmitted(
+    std::shared_ptr<Upstream> upstream,
+    std::shared_ptr<Slot> slot,
+    HopRequest& request) {
+  tl::expected<http::ClientConnectionPtr, ResultCode> connection =
+      co_await connections_.Take(upstream->info_.address_, request.deadline_,
+                                 *request.cancel_);
+  if (!connection) {
+    // What was not sent cannot have killed the upstream.
+    HopAnswer failed = FailedHop(connection.error(), /*not_run=*/true);
+    if (connection.error() == ResultCode::kConnectFailed) {
+      const std::string no_suspect;
+      failed.crashed_ = co_await NoteBroken(upstream, no_suspect);
     }
-    if (watch.Closed()) {
-      exchange.Abort();
-      return ResultCode::kCallerGone;
+    co_return failed;
+  }
+  const std::shared_ptr<http::Exchange> exchange =
+      std::make_shared<http::Exchange>(connections_, *connection,
+                                       *request.cancel_);
+  const http::RequestHead head = UpstreamHead(*upstream, request);
+  const bool repeats_id = dialect_.upstreams_repeat_id_;
+  const std::string id = request.request_id_;
+  const auto belongs = [repeats_id, id](const http::AnswerHead& answer) {
+    const std::string_view told =
+        answer.headers_.Find(request::kRequestIdHeader);
+    return told == id || (told.empty() && !repeats_id);
+  };
+  tl::expected<http::AnswerHead, http::ExchangeFailure> began;
+  if (request.rest_ == nullptr) {
+    began =
+        co_await exchange->Run(head, request.body_, request.deadline_, belongs);
+  } else {
+    began = co_await exchange->RunStreamed(
+        loop_, head, request.body_, *request.rest_, request.deadline_, belongs);
+  }
+  if (!began) {
+    HopAnswer failed = FailedHop(began.error().code_, began.error().not_sent_);
+    failed.reached_ = !failed.not_run_;
+    failed.upload_ = exchange;
+    base::LogEvent(base::EventId::kUpstreamFailed,
+                   {{"request", request.request_id_},
+                    {"endpoint", request.endpoint_id_},
+                    {"code", std::string(Describe(failed.code_).name_)},
+                    {"sent", failed.not_run_ ? "false" : "true"},
+                    {"detail", began.error().detail_}});
+    if (failed.code_ == ResultCode::kUpstreamFailed) {
+      const std::string suspect =
+          failed.not_run_ ? std::string() : request.fingerprint_;
+      failed.crashed_ = co_await NoteBroken(upstream, suspect);
     }
+    co_return failed;
+  }
+  const bool without_body = request.head_.method_ == "HEAD";
+  const ResultCode not_executed = NotExecuted(*began);
+  HopAnswer answer =
+      co_await CollectAnswer(exchange, std::move(*began), without_body);
+  if (not_executed != ResultCode::kOk) {
+    answer.code_ = not_executed;
+    answer.not_run_ = true;
+  } else if (answer.code_ == ResultCode::kUpstreamFailed) {
+    answer.crashed_ = co_await NoteBroken(upstream, request.fingerprint_);
   }
-  return ResultCode::kOk;
+  if (answer.rest_ != nullptr) {
+    answer.rest_ = std::make_shared<SlottedBody>(std::move(answer.rest_), slot);
+  } else {
+    // A fast failure says nothing about the time that work takes.
+    slot->Release(answer.code_ != ResultCode::kOk ||
+                  answer.head_.status_ >= kServerError);
+  }
+  co_return answer;
 }
 
-void Destination::RunAdmitted(const std::shared_ptr<Upstream>& upstream,
-                              const std::shared_ptr<Slot>& slot,
-                              const httplib::Request& request,
-                              RequestBody& body,
-                              base::MonoTime deadline,
-                              httplib::Response& response) {
-  const std::string attempt = HeaderOf(request, request::kAttemptHeader);
-  const std::string request_id = HeaderOf(request, request::kRequestIdHeader);
-  ResultCode code = ResultCode::kOk;
-  const std::shared_ptr<Exchange> exchange =
-      RunExchange(upstream, request, body, deadline, code);
-  const uint32_t calls = board_.Calls().Take(request_id) + 1;
-  const std::string fingerprint =
-      HeaderOf(request, request::kFingerprintHeader);
-  bool crashed = false;
-  const auto fail = [&](ResultCode reason, bool not_run) {
-    AnswerRefusal(reason, not_run, "", response);
-    if (crashed) {
-      response.set_header(request::kCrashedHeader, "true");
-    }
-    response.set_header(request::kAttemptHeader, attempt);
-    response.set_header(request::kCallsHeader, std::to_string(calls));
-  };
-  if (code == ResultCode::kOk &&
-      exchange->CurrentStage() == Exchange::Stage::kFailed) {
-    const bool not_run = exchange->NotSent();
-    // What was not sent cannot have killed the upstream.
-    crashed = NoteBroken(upstream, not_run ? "" : fingerprint);
-    slot->Release(/*failed=*/true);
-    fail(exchange->Code(), not_run);
-    return;
-  }
-  if (code != ResultCode::kOk) {
-    slot->Release(/*failed=*/true);
-    fail(code, /*not_run=*/false);
-    return;
+http::Task<void> Destination::Handle(http::ServerCall& call) {
+  tl::expected<HopRequest, ResultCode> decoded =
+      DecodeHopRequest(call.Head(), clock_.Read().mono_);
+  if (!decoded) {
+    const Refusal refusal{decoded.error(), /*not_run=*/true, ""};
+    const http::AnswerHead head = RefusalHead(refusal, dialect_);
+    const std::string body = RefusalBody(refusal.code_);
+    co_await call.Answer(head, body);
+    co_return;
   }
-  const bool passed = AnswerFromExchange(
-      exchange, deadline,
-      [slot](bool whole) { slot->Release(/*failed=*/!whole); }, response);
-  if (!passed) {
-    crashed = NoteBroken(upstream, fingerprint);
-    slot->Release(/*failed=*/true);
-    fail(ResultCode::kUpstreamFailed, /*not_run=*/false);
-    return;
+  HopRequest& request = *decoded;
+  request.cancel_ = &call.Gone();
+  request.still_wanted_ = [&call] { return call.StillThere(); };
+  if (call.HasBody()) {
+    const http::BodyState state =
+        co_await http::ReadUpTo(call, request.body_, kWholeBodyBytes);
+    if (state == http::BodyState::kFailed) {
+      co_return;
+    }
+    request.rest_ = state == http::BodyState::kMore ? &call : nullptr;
   }
-  std::atomic<int32_t>& small =
-      board_.Service(upstream->service_).small_answers_;
-  small = response.content_provider_
-              ? blackboard::kAfterLargeAnswer
-              : std::min(small + 1, blackboard::kSmallAnswersToInline);
-  response.headers.erase(request::kResultHeader);
-  response.headers.erase(request::kNotRunHeader);
-  response.set_header(request::kAttemptHeader, attempt);
-  response.set_header(request::kCallsHeader, std::to_string(calls));
+  HopAnswer answer = co_await Run(request);
+  EncodeHopAnswer(request, answer);
+  co_await SendAnswer(call, answer);
+  co_await FinishUpload(call, answer);
 }
 
-bool Destination::NoteBroken(const std::shared_ptr<Upstream>& upstream,
-                             const std::string& fingerprint) {
+http::Task<bool> Destination::NoteBroken(std::shared_ptr<Upstream> upstream,
+                                         std::string fingerprint) {
   // An upstream that no longer accepts connections has died.
-  if (AcceptsConnections(upstream->address_)) {
-    return false;
+  const bool alive = co_await http::AcceptsConnections(
+      loop_, upstream->info_.address_, kCrashProbeTimeout);
+  if (alive) {
+    co_return false;
   }
-  rpc::CrashReport report;
-  {
-    const std::lock_guard<std::mutex> lock(upstream->mutex_);
-    if (upstream->crash_id_.empty()) {
-      upstream->crash_id_ = host_ + "/" +
-                            std::to_string(next_crash_.fetch_add(1)) + "/" +
-                            std::to_string(base::ToUnixMs(clock_.Read().wall_));
-    }
-    upstream->admission_.Drain();
-    report.set_crash_id(upstream->crash_id_);
+  if (upstream->crash_id_.empty()) {
+    upstream->crash_id_ = host_ + "/" + std::to_string(next_crash_++) + "/" +
+                          std::to_string(base::ToUnixMs(clock_.Read().wall_));
   }
-  report.set_service(upstream->service_);
+  upstream->admission_.Drain();
+  rpc::CrashReport report;
+  report.set_crash_id(upstream->crash_id_);
+  report.set_service(upstream->info_.service_);
   if (!fingerprint.empty()) {
     report.add_fingerprints(fingerprint);
   }
-  on_crash_(upstream->address_, report);
-  return true;
+  on_crash_(upstream->info_.address_, report);
+  co_return true;
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/destination.h
+++ b/src/daemon/destination.h
@@ -1,31 +1,24 @@
-// The destination side: admits requests of other daemons to this host's
-// upstreams, and runs them.
+// The destination side: admits requests of daemons to this host's upstreams,
+// and runs them.
+//
+// Only this daemon talks to its upstreams, so its count of their slots is
+// exact and its "not run" is true.
 #ifndef SRC_DAEMON_DESTINATION_H_
 #define SRC_DAEMON_DESTINATION_H_
 
-#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 #include "base/time.h"
 #include "blackboard/blackboard.h"
-#include "daemon/exchange.h"
-#include "daemon/exchange_watchdog.h"
-#include "daemon/http_answer.h"
-#include "daemon/request_body.h"
-#include "daemon/worker_pool.h"
+#include "daemon/hop.h"
+#include "http/event_loop.h"
 #include "mesh.pb.h"
 #include "request/admission.h"
-
-namespace httplib {
-struct Request;
-struct Response;
-class ContentReader;
-}  // namespace httplib
+#include "request/dialect.h"
 
 namespace buckthorngate::daemon {
 
@@ -33,81 +26,74 @@
 using CrashHandler = std::function<void(const std::string& address,
                                         const rpc::CrashReport& report)>;
 
-// Safe for concurrent use.
-class Destination {
+// An upstream of this host, as it announced itself.
+struct UpstreamInfo {
+  std::string endpoint_id_;
+  std::string address_;
+  std::string service_;
+  std::string instance_;
+  uint32_t slots_ = 0;
+};
+
+// Used on the loop's thread only.
+class Destination : public Hop, public http::Handler {
  public:
+  // All references must outlive it.
   Destination(std::string host,
+              const request::Dialect& dialect,
               const base::Clock& clock,
-              WorkerPool& workers,
-              ExchangeWatchdog& watchdog,
+              http::EventLoop& loop,
               blackboard::Blackboard& board,
               CrashHandler on_crash);
+  ~Destination() override;
 
-  // Upstreams of this host, as they announce themselves.
-  void SetUpstream(const std::string& endpoint_id,
-                   const std::string& address,
-                   const std::string& service,
-                   uint32_t slots);
+  void SetUpstream(const UpstreamInfo& info);
   void DrainUpstream(const std::string& endpoint_id);
   void RemoveUpstream(const std::string& endpoint_id);
   void DrainAll();
 
-  // Serves a request of another daemon; `reader` is null without a body.
-  void Handle(const httplib::Request& request,
-              const httplib::ContentReader* reader,
-              httplib::Response& response);
+  // Runs a request of this daemon's own entry.
+  http::Task<HopAnswer> Run(HopRequest& request) override;
+  // Serves a request of another daemon.
+  http::Task<void> Handle(http::ServerCall& call) override;
 
   int64_t InFlight() const { return in_flight_; }
 
  private:
   struct Upstream;
+  struct Waiter;
   class Slot;
+  class SlottedBody;
 
-  std::shared_ptr<Upstream> Find(const std::string& endpoint_id);
   // Waits for a slot. kOk, kEndpointDraining, kEndpointOverloaded or
   // kCallerGone; all but kOk mean that the request did not run.
-  ResultCode Admit(Upstream& upstream,
-                   uint64_t ticket,
-                   const httplib::Request& request,
-                   base::MonoTime deadline);
-  // Runs the exchange with the upstream until its head or an end; `code` says
-  // why it ended early.
-  std::shared_ptr<Exchange> RunExchange(
-      const std::shared_ptr<Upstream>& upstream,
-      const httplib::Request& request,
-      RequestBody& body,
-      base::MonoTime deadline,
-      ResultCode& code);
-  ResultCode AwaitHead(Exchange& exchange,
-                       const httplib::Request& request,
-                       base::MonoTime deadline);
-  void RunAdmitted(const std::shared_ptr<Upstream>& upstream,
-                   const std::shared_ptr<Slot>& slot,
-                   const httplib::Request& request,
-                   RequestBody& body,
-                   base::MonoTime deadline,
-                   httplib::Response& response);
+  http::Task<ResultCode> Admit(std::shared_ptr<Upstream> upstream,
+                               uint64_t ticket,
+                               HopRequest& request);
+  http::Task<HopAnswer> RunAdmitted(std::shared_ptr<Upstream> upstream,
+                                    std::shared_ptr<Slot> slot,
+                                    HopRequest& request);
+  http::RequestHead UpstreamHead(const Upstream& upstream,
+                                 const HopRequest& request) const;
+  // kOk, or why the upstream's answer says that the request did not run.
+  ResultCode NotExecuted(const http::AnswerHead& head) const;
   // After a broken exchange: reports a crash if the upstream has died, and
   // returns whether it has. `fingerprint` is that of the request that may have
   // killed it, or empty.
-  bool NoteBroken(const std::shared_ptr<Upstream>& upstream,
-                  const std::string& fingerprint);
-  ExchangeRequest MakeUpstreamRequest(const httplib::Request& request,
-                                      RequestBody& body,
-                                      base::Duration left);
+  http::Task<bool> NoteBroken(std::shared_ptr<Upstream> upstream,
+                              std::string fingerprint);
 
   const std::string host_;
+  const request::Dialect& dialect_;
   const base::Clock& clock_;
-  WorkerPool& workers_;
-  ExchangeWatchdog& watchdog_;
+  http::EventLoop& loop_;
   blackboard::Blackboard& board_;
   const CrashHandler on_crash_;
-  ConnectionPool connections_;
-  std::mutex mutex_;
+  http::ConnectionPool connections_;
   std::map<std::string, std::shared_ptr<Upstream>> upstreams_;
-  std::atomic<uint64_t> next_ticket_{1};
-  std::atomic<uint64_t> next_crash_{1};
-  std::atomic<int64_t> in_flight_{0};
+  uint64_t next_ticket_ = 1;
+  uint64_t next_crash_ = 1;
+  int64_t in_flight_ = 0;
 };
 
 }  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/entry.cc
@@ -0,0 +1,41 @@
+// The entry side of a daemon.
+#include "daemon/entry.h"
+
+#include <utility>
+
+#include "base/hash.h"
+#include "daemon/entry_call.h"
+
+namespace buckthorngate::daemon {
+
+Entry::Entry(EntryOptions options,
+             const base::Clock& clock,
+             http::EventLoop& loop,
+             blackboard::Blackboard& board,
+             ClaimClient& claims,
+             Hop& own_host,
+             Hop& other_hosts,
+             BrakeHandler on_brake)
+    : options_(std::move(options)),
+      clock_(clock),
+      loop_(loop),
+      board_(board),
+      claims_(claims),
+      own_host_(own_host),
+      other_hosts_(other_hosts),
+      on_brake_(std::move(on_brake)),
+      random_(options_.incarnation_ ^ base::Hash(options_.host_)) {}
+
+std::string Entry::NextId() {
+  return options_.host_ + "-" + std::to_string(options_.incarnation_) + "-" +
+         std::to_string(next_request_++);
+}
+
+http::Task<void> Entry::Handle(http::ServerCall& server_call) {
+  board_.InFlight().fetch_add(1);
+  Call call(*this, server_call);
+  co_await call.Run();
+  board_.InFlight().fetch_sub(1);
+}
+
+}  // namespace buckthorngate::daemon
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -1,64 +1,71 @@
 // The entry side: takes requests of callers, routes them, and sends them to
-// the daemon of the picked endpoint, again if that is allowed.
+// the daemon beside the picked endpoint.
 #ifndef SRC_DAEMON_ENTRY_H_
 #define SRC_DAEMON_ENTRY_H_
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
+#include "base/random.h"
 #include "base/time.h"
 #include "blackboard/blackboard.h"
 #include "daemon/claim_client.h"
-#include "daemon/exchange.h"
-#include "daemon/exchange_watchdog.h"
-#include "daemon/worker_pool.h"
-
-namespace httplib {
-struct Request;
-struct Response;
-class ContentReader;
-}  // namespace httplib
+#include "daemon/hop.h"
+#include "http/event_loop.h"
+#include "http/server.h"
+#include "mesh.pb.h"
+#include "request/dialect.h"
 
 namespace buckthorngate::daemon {
 
-// Told when this daemon's own evidence stops a move's target.
-using BrakeHandler = std::function<void(const rpc::BrakeNotice& notice)>;
+// Told when the local brake closes.
+using BrakeHandler = std::function<void(const rpc::BrakeNotice&)>;
+
+struct EntryOptions {
+  std::string host_;
+  uint64_t incarnation_ = 0;
+  request::Dialect dialect_;
+};
 
-// Safe for concurrent use.
-class Entry {
+// Used on the loop's thread only.
+class Entry : public http::Handler {
  public:
-  Entry(std::string host,
-        uint64_t incarnation,
+  // All must outlive the entry.
+  Entry(EntryOptions options,
         const base::Clock& clock,
-        WorkerPool& workers,
-        ExchangeWatchdog& watchdog,
+        http::EventLoop& loop,
         blackboard::Blackboard& board,
         ClaimClient& claims,
+        Hop& own_host,
+        Hop& other_hosts,
         BrakeHandler on_brake);
 
-  // Serves a caller's request; `reader` is null without a body.
-  void Handle(const httplib::Request& request,
-              const httplib::ContentReader* reader,
-              httplib::Response& response);
+  http::Task<void> Handle(http::ServerCall& call) override;
+
+  // The service that runs beside this daemon: upstreams are told that a
+  // request comes from there.
+  void SetCallerService(const std::string& service) {
+    caller_service_ = service;
+  }
 
  private:
-  // One request on its way; entry.cc.
   class Call;
   friend class Call;
 
-  const std::string host_;
-  const uint64_t incarnation_;
+  std::string NextId();
+
+  const EntryOptions options_;
   const base::Clock& clock_;
-  WorkerPool& workers_;
-  ExchangeWatchdog& watchdog_;
+  http::EventLoop& loop_;
   blackboard::Blackboard& board_;
   ClaimClient& claims_;
+  Hop& own_host_;
+  Hop& other_hosts_;
   const BrakeHandler on_brake_;
-  ConnectionPool connections_;
-  std::atomic<uint64_t> next_request_{1};
+  std::string caller_service_;
+  base::Random random_;
+  uint64_t next_request_ = 1;
 };
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -1,272 +1,260 @@
 // The entry side: attempts, retries and the answer.
-#include <httplib.h>
-
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "base/events.h"
+#include "config/service_file.h"
 #include "daemon/entry_call.h"
 #include "request/hop_headers.h"
+#include "rollout/evidence_collector.h"
 
 namespace buckthorngate::daemon {
 namespace {
 
 using request::AttemptOutcome;
 
-constexpr base::Duration kWatchSlice = std::chrono::milliseconds(50);
 // A safe read that takes this many times its usual latency is hedged.
 constexpr int kHedgeFactor = 4;
 constexpr base::Duration kLeastHedgeDelay = std::chrono::milliseconds(20);
 constexpr double kTreeSizeWeight = 0.1;
 constexpr int kServerError = 500;
-
-thread_local base::Random t_random(std::random_device{}());
-
-uint32_t CallsOf(const ExchangeHead& head) {
-  const std::string text = head.Header(request::kCallsHeader);
-  uint32_t calls = 0;
-  std::from_chars(text.data(), text.data() + text.size(), calls);
-  return std::max<uint32_t>(calls, 1);
-}
-
-ResultCode ResultOf(const ExchangeHead& head) {
-  const std::string text = head.Header(request::kResultHeader);
-  uint32_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return ResultCodeFromNumber(number);
-}
+constexpr double kMilli = 1000.0;
+// When to come back after a refusal; the same time again is added at random,
+// so that callers do not return together.
+constexpr base::Duration kReturnWhenFull = std::chrono::milliseconds(100);
+constexpr base::Duration kReturnWhenUnreachable =
+    std::chrono::milliseconds(150);
+constexpr base::Duration kReturnWhenStarting = std::chrono::milliseconds(250);
 
 }  // namespace
 
-ResultCode Entry::Call::Begin(Attempt& attempt) {
-  const rpc::ServiceState& service = *match_.service_;
-  const bool braked = service_->brake_.Closed(service.move().step());
-  attempt.version_ = request::PickVersion(service, request_id_, braked);
-  const request::VersionView* version =
-      view_->Find(service.service().name(), attempt.version_);
-  if (version == nullptr && service.has_move() &&
-      attempt.version_ == service.move().to()) {
+const request::VersionView* Entry::Call::FindEndpoints(
+    std::string& version) const {
+  if (service_state_ == nullptr) {
+    version = request::kAnyVersion;
+    return view_->Find(service_name_, version);
+  }
+  const rpc::Move& move = service_state_->move();
+  const bool braked = service_->brake_.Closed(move.step());
+  version = request::PickVersion(*service_state_, request_id_, braked);
+  const request::VersionView* endpoints = view_->Find(service_name_, version);
+  if (endpoints == nullptr && service_state_->has_move() &&
+      version == move.to()) {
     // The new version has no endpoints here; the old one serves.
-    attempt.version_ = service.move().from();
-    version = view_->Find(service.service().name(), attempt.version_);
+    version = move.from();
+    endpoints = view_->Find(service_name_, version);
   }
+  return endpoints;
+}
+
+Entry::Call::AttemptPtr Entry::Call::Begin(ResultCode& code) {
+  std::string version;
+  const request::VersionView* endpoints = FindEndpoints(version);
   const base::MonoTime now = entry_.clock_.Read().mono_;
   const request::EndpointView* endpoint =
-      version == nullptr
+      endpoints == nullptr
           ? nullptr
-          : request::PickEndpoint(*version, tried_, now, t_random);
+          : request::PickEndpoint(*endpoints, tried_, now, entry_.random_);
   if (endpoint == nullptr) {
-    return ResultCode::kNoEndpoint;
+    code = ResultCode::kNoEndpoint;
+    return nullptr;
   }
-  attempt.view_ = view_;
-  attempt.endpoint_ = endpoint;
-  attempt.began_ = now;
-  attempt.id_ = request_id_ + "/" + std::to_string(attempts_);
+  AttemptPtr attempt = std::make_shared<Attempt>();
+  attempt->view_ = view_;
+  attempt->endpoint_ = endpoint;
+  attempt->version_ = version;
+  attempt->began_ = now;
   tried_.push_back(endpoint->endpoint_.id());
+  last_endpoint_ = endpoint->endpoint_.id();
+  attempt->request_ = MakeHopRequest(*attempt);
+  attempt->request_.cancel_ = &attempt->cancel_;
   ++attempts_;
   ++calls_;
-  attempt.endpoint_->stats_->Begin();
-  attempt.exchange_ = PrepareExchange(attempt);
-  attempt.inline_ = MayRunInline();
-  if (!attempt.inline_) {
-    attempt.exchange_->Start(entry_.workers_);
-  }
-  return ResultCode::kOk;
-}
-
-std::shared_ptr<Exchange> Entry::Call::PrepareExchange(const Attempt& attempt) {
-  return Exchange::Prepare(
-      entry_.connections_, attempt.endpoint_->endpoint_.peer_address(),
-      MakeRequest(attempt), Left(), std::make_shared<ExchangeSignal>());
+  endpoint->stats_->Begin();
+  return attempt;
 }
 
-bool Entry::Call::MayRunInline() const {
-  // A large answer would have to be asked for again: safe methods only.
-  return request::IsSafeMethod(request_.method) && !streamed_ &&
-         !match_.route_->hedge() &&
-         service_->small_answers_ >= blackboard::kSmallAnswersToInline;
+HopRequest Entry::Call::MakeHopRequest(const Attempt& attempt) const {
+  const rpc::Endpoint& endpoint = attempt.endpoint_->endpoint_;
+  HopRequest request;
+  request.head_ = call_.Head();
+  http::Headers& headers = request.head_.headers_;
+  // A caller may shorten its time and forbid retries; that has been read. All
+  // else that daemons tell each other comes from daemons only.
+  headers.EraseWithPrefix(request::kPrefix);
+  headers.Erase(dialect_.deadline_);
+  if (!dialect_.caller_service_.empty()) {
+    headers.Erase(dialect_.caller_service_);
+  }
+  if (!dialect_.expected_instance_.empty()) {
+    headers.Erase(dialect_.expected_instance_);
+  }
+  headers.Set(request::kRequestIdHeader, request_id_);
+  request.body_ = body_;
+  request.rest_ = streamed_ ? &call_ : nullptr;
+  request.peer_address_ = endpoint.peer_address();
+  request.endpoint_id_ = endpoint.id();
+  request.request_id_ = request_id_;
+  request.attempt_id_ = request_id_ + "/" + std::to_string(attempts_);
+  request.caller_host_ = entry_.options_.host_;
+  request.caller_service_ = entry_.caller_service_;
+  request.fingerprint_ = fingerprint_;
+  request.below_retry_ = below_retry_ || retrying_;
+  request.priority_ = match_.route_->priority();
+  request.deadline_ = deadline_;
+  request.objective_ = objective_;
+  request.still_wanted_ = [call = &call_] { return call->StillThere(); };
+  return request;
 }
 
-ResultCode Entry::Call::RunInline(Attempt& attempt) {
-  const ResultCode code =
-      entry_.watchdog_.Run(*attempt.exchange_, deadline_, request_);
-  if (code != ResultCode::kOk || !attempt.exchange_->TooLarge()) {
-    return code;
-  }
-  service_->small_answers_ = blackboard::kAfterLargeAnswer;
-  attempt.exchange_ = PrepareExchange(attempt);
-  attempt.exchange_->Start(entry_.workers_);
-  return ResultCode::kOk;
+Hop& Entry::Call::HopTo(const Attempt& attempt) const {
+  const bool own = attempt.endpoint_->endpoint_.host() == entry_.options_.host_;
+  return own ? entry_.own_host_ : entry_.other_hosts_;
 }
 
-ExchangeRequest Entry::Call::MakeRequest(const Attempt& attempt) {
-  ExchangeRequest outgoing;
-  outgoing.method_ = request_.method;
-  outgoing.target_ = request_.target;
-  outgoing.headers_ = PassedHeaders(request_);
-  std::erase_if(outgoing.headers_, [](const auto& header) {
-    return strcasecmp(header.first.c_str(), request::kRequestIdHeader) == 0;
-  });
-  HeaderList& headers = outgoing.headers_;
-  headers.emplace_back(request::kRequestIdHeader, request_id_);
-  headers.emplace_back(request::kAttemptHeader, attempt.id_);
-  headers.emplace_back(request::kEndpointHeader,
-                       attempt.endpoint_->endpoint_.id());
-  headers.emplace_back(request::kCallerHeader, entry_.host_);
-  headers.emplace_back(request::kFingerprintHeader, fingerprint_);
-  headers.emplace_back(request::kDeadlineHeader,
-                       std::to_string(Left() / std::chrono::milliseconds(1)));
-  if (below_retry_ || retrying_) {
-    headers.emplace_back(request::kBelowRetryHeader, "1");
-  }
-  if (streamed_) {
-    request_body_.AttachTo(outgoing);
-  } else {
-    outgoing.body_ = body_;
-  }
-  return outgoing;
+http::Task<void> Entry::Call::RunHop(AttemptPtr attempt) {
+  attempt->answer_ = co_await HopTo(*attempt).Run(attempt->request_);
+  attempt->done_ = true;
 }
 
-bool Entry::Call::MayHedge(const Attempt& attempt) const {
+base::Duration Entry::Call::HedgeDelay(const Attempt& attempt) const {
   const base::Duration usual = attempt.endpoint_->stats_->Latency();
-  const base::Duration waited = entry_.clock_.Read().mono_ - attempt.began_;
-  return match_.route_->hedge() && !below_retry_ && usual.count() > 0 &&
-         waited > std::max(usual * kHedgeFactor, kLeastHedgeDelay);
+  if (!match_.route_->hedge() || below_retry_ || streamed_ ||
+      usual.count() == 0) {
+    return base::Duration(0);
+  }
+  return std::max(usual * kHedgeFactor, kLeastHedgeDelay);
 }
 
-ResultCode Entry::Call::Await(Attempt& attempt) {
-  if (attempt.inline_) {
-    const ResultCode inline_code = RunInline(attempt);
-    if (inline_code != ResultCode::kOk) {
-      return inline_code;
-    }
+http::Task<Entry::Call::AttemptPtr> Entry::Call::RunHedged(AttemptPtr first) {
+  const base::Duration delay = HedgeDelay(*first);
+  if (delay.count() == 0) {
+    co_await RunHop(first);
+    co_return first;
   }
-  ConnectionWatch watch(request_);
-  Attempt hedge;
-  const auto waiting = [](const Attempt& tried) {
-    return tried.exchange_ != nullptr &&
-           tried.exchange_->CurrentStage() == Exchange::Stage::kWaiting;
+  const std::shared_ptr<http::Notifier> changed =
+      std::make_shared<http::Notifier>(entry_.loop_);
+  // Runs apart from the call: the loser ends after it.
+  const auto spawn = [this, changed](AttemptPtr attempt) {
+    const auto run =
+        [](Hop& hop, AttemptPtr tried,
+           std::shared_ptr<http::Notifier> done) -> http::Task<void> {
+      tried->answer_ = co_await hop.Run(tried->request_);
+      tried->done_ = true;
+      done->Notify();
+    };
+    entry_.loop_.Spawn(run(HopTo(*attempt), attempt, changed));
   };
-  const base::Duration slice =
-      match_.route_->hedge() ? kLeastHedgeDelay / 4 : kWatchSlice;
+  spawn(first);
+  co_await changed->Wait(entry_.clock_.Read().mono_ + delay);
+  AttemptPtr second;
   ResultCode code = ResultCode::kOk;
-  while (waiting(attempt)) {
-    attempt.exchange_->Signal().Wait(slice);
-    if (Left().count() <= 0) {
-      code = ResultCode::kDeadlineExceeded;
-      break;
-    }
-    if (watch.Closed()) {
-      code = ResultCode::kCallerGone;
-      break;
-    }
-    if (hedge.exchange_ == nullptr && MayHedge(attempt) &&
-        service_->retry_budget_.Spend(1.0)) {
-      retrying_ = true;
-      (void)Begin(hedge);
-      retrying_ = false;
-    }
-    if (hedge.exchange_ != nullptr &&
-        hedge.exchange_->CurrentStage() == Exchange::Stage::kHead) {
-      std::swap(attempt, hedge);
-      break;
-    }
+  if (!first->done_ && service_->retry_budget_.Spend(1.0)) {
+    retrying_ = true;
+    second = Begin(code);
+    retrying_ = false;
   }
-  if (hedge.exchange_ != nullptr) {
-    // The loser is cancelled.
-    hedge.exchange_->Abort();
-    hedge.endpoint_->stats_->End(base::Duration(0), /*failed=*/true,
-                                 entry_.clock_.Read().mono_);
+  if (second != nullptr) {
+    spawn(second);
   }
-  if (code != ResultCode::kOk) {
-    attempt.exchange_->Abort();
+  const auto decided = [&first, &second] {
+    return first->done_ || (second != nullptr && second->done_);
+  };
+  while (!decided()) {
+    co_await changed->Wait(base::MonoTime::max());
   }
-  // With the head there, the request has been sent whole.
-  if (streamed_ &&
-      attempt.exchange_->CurrentStage() != Exchange::Stage::kHead) {
-    attempt.exchange_->WaitFinished();
+  if (second == nullptr) {
+    co_return first;
   }
-  return code;
+  const AttemptPtr winner = first->done_ ? first : second;
+  const AttemptPtr loser = first->done_ ? second : first;
+  loser->cancel_.Raise();
+  loser->endpoint_->stats_->End(base::Duration(0), /*failed=*/true,
+                                entry_.clock_.Read().mono_);
+  co_return winner;
 }
 
-AttemptOutcome Entry::Call::Judge(Attempt& attempt, ResultCode waited) {
+AttemptOutcome Entry::Call::OutcomeOf(const Attempt& attempt) const {
+  const HopAnswer& answer = attempt.answer_;
   AttemptOutcome outcome;
-  outcome.code_ = waited;
-  if (waited != ResultCode::kOk) {
-    return outcome;
-  }
-  Exchange& exchange = *attempt.exchange_;
-  if (exchange.CurrentStage() == Exchange::Stage::kFailed) {
-    outcome.code_ = exchange.Code();
-    outcome.not_run_ = exchange.NotSent();
-    return outcome;
-  }
-  const ExchangeHead& head = exchange.Head();
-  if (head.Header(request::kAttemptHeader) != attempt.id_) {
-    // Another request's answer must never reach this caller.
-    base::LogEvent(base::EventId::kAnswerCrossed,
-                   {{"request", request_id_},
-                    {"endpoint", attempt.endpoint_->endpoint_.id()}});
-    exchange.Abort();
-    outcome.code_ = ResultCode::kAnswerCrossed;
-    return outcome;
+  outcome.code_ = answer.code_;
+  outcome.not_run_ = answer.not_run_;
+  outcome.reached_ = answer.reached_;
+  outcome.crashed_ = answer.crashed_;
+  outcome.calls_ = answer.calls_;
+  outcome.status_ = answer.code_ == ResultCode::kOk ? answer.head_.status_ : 0;
+  if (call_.Gone().Raised()) {
+    outcome.code_ = ResultCode::kCallerGone;
   }
-  outcome.calls_ = CallsOf(head);
-  outcome.crashed_ = !head.Header(request::kCrashedHeader).empty();
-  outcome.status_ = head.status_;
-  outcome.code_ = ResultOf(head);
-  outcome.not_run_ = head.Header(request::kNotRunHeader) == "true";
   return outcome;
 }
 
 void Entry::Call::Note(const Attempt& attempt, const AttemptOutcome& outcome) {
   const base::MonoTime now = entry_.clock_.Read().mono_;
-  const base::Duration latency = now - attempt.began_;
   const bool gone = outcome.code_ == ResultCode::kCallerGone;
   const bool failed = !gone && (outcome.code_ != ResultCode::kOk ||
                                 outcome.status_ >= kServerError);
   request::EndpointStats& stats = *attempt.endpoint_->stats_;
-  stats.End(latency, failed || gone, now);
+  stats.End(now - attempt.began_, failed || gone, now);
   const bool unreachable = outcome.code_ == ResultCode::kConnectFailed ||
-                           outcome.code_ == ResultCode::kEndpointDraining;
+                           outcome.code_ == ResultCode::kEndpointDraining ||
+                           outcome.code_ == ResultCode::kUpstreamReplaced;
   if (unreachable) {
     stats.Eject(now);
+    base::LogEvent(base::EventId::kEndpointEjected,
+                   {{"endpoint", attempt.endpoint_->endpoint_.id()},
+                    {"request", request_id_},
+                    {"code", std::string(Describe(outcome.code_).name_)}});
   }
   const double tree = service_->tree_size_milli_.load();
   service_->tree_size_milli_ = static_cast<uint32_t>(
-      tree + kTreeSizeWeight * (outcome.calls_ * 1000.0 - tree));
+      tree + kTreeSizeWeight * (outcome.calls_ * kMilli - tree));
   calls_ += outcome.calls_ - 1;
-  const rpc::ServiceState& service = *match_.service_;
-  if (!service.has_move() || gone || outcome.not_run_) {
+  if (!gone && !outcome.not_run_) {
+    NoteEvidence(attempt, outcome, failed);
+  }
+}
+
+void Entry::Call::NoteEvidence(const Attempt& attempt,
+                               const AttemptOutcome& outcome,
+                               bool failed) {
+  if (service_state_ == nullptr || !service_state_->has_move()) {
     return;
   }
+  const base::MonoTime now = entry_.clock_.Read().mono_;
+  const rpc::Move& move = service_state_->move();
   rollout::CallRecord record;
-  record.service_ = service.service().name();
+  record.service_ = service_name_;
   record.version_ = attempt.version_;
-  record.route_ = match_.route_->name();
-  record.latency_ = latency;
+  record.route_ = RouteName();
+  record.latency_ = now - attempt.began_;
   record.failed_ = failed;
   record.crashed_ = outcome.crashed_;
-  record.cold_ = now - stats.Created() < request::kWarmUp;
+  record.cold_ = now - attempt.endpoint_->stats_->Created() < request::kWarmUp;
   entry_.board_.Evidence().Record(record);
-  const bool is_new = attempt.version_ == service.move().to();
-  if (service_->brake_.Note(service.move().step(), is_new, failed)) {
+  const bool is_new = attempt.version_ == move.to();
+  if (service_->brake_.Note(move.step(), is_new, failed)) {
     rpc::BrakeNotice notice;
     notice.set_service(record.service_);
     notice.set_version(attempt.version_);
-    notice.set_step(service.move().step());
+    notice.set_step(move.step());
     notice.set_reason("failures in a row on route " + record.route_);
     entry_.on_brake_(notice);
   }
 }
 
-bool Entry::Call::Retry(const AttemptOutcome& outcome) {
+bool Entry::Call::MayRetry(const AttemptOutcome& outcome) {
+  const rpc::Route& route = *match_.route_;
   request::RetryContext context;
   context.attempts_ = attempts_;
-  context.repeatable_ =
-      match_.route_->repeatable() || (request::IsSafeMethod(request_.method) &&
-                                      !match_.route_->at_most_once());
+  context.reached_ = reached_;
+  if (route.max_attempts() != 0) {
+    context.most_reached_ = static_cast<int>(route.max_attempts());
+  }
+  // What a route of the mesh allows goes before what the method means.
+  const bool safe_method = !OfMesh() && !route.at_most_once() &&
+                           request::IsSafeMethod(call_.Head().method_);
+  context.repeatable_ = route.repeatable() || safe_method;
   context.body_replayable_ = !streamed_;
   context.below_retry_ = below_retry_;
   context.suspect_ =
@@ -275,98 +263,124 @@
   if (!request::WorthRetry(outcome, context)) {
     return false;
   }
-  const double tree = service_->tree_size_milli_.load() / 1000.0;
-  if (!service_->retry_budget_.Spend(outcome.not_run_ ? 1.0 : tree)) {
+  const double tree = service_->tree_size_milli_.load() / kMilli;
+  // What no upstream has seen multiplies nothing.
+  const bool free = outcome.not_run_ && !outcome.reached_;
+  if (!free && !service_->retry_budget_.Spend(outcome.not_run_ ? 1.0 : tree)) {
     return false;
   }
   entry_.board_.Numbers().CountRetry();
   retrying_ = retrying_ || !outcome.not_run_;
+  base::LogEvent(base::EventId::kRequestRetried,
+                 {{"request", request_id_},
+                  {"endpoint", last_endpoint_},
+                  {"code", std::string(Describe(outcome.code_).name_)},
+                  {"status", std::to_string(outcome.status_)},
+                  {"not_run", outcome.not_run_ ? "true" : "false"},
+                  {"reached", std::to_string(reached_)}});
   return true;
 }
 
-void Entry::Call::AnswerFailure(const AttemptOutcome& outcome) {
-  const bool not_run = !may_have_run_;
-  if (not_run) {
-    ReleaseClaim();
+base::Duration Entry::Call::RetryAfter(ResultCode code) const {
+  base::Duration least{0};
+  switch (code) {
+    case ResultCode::kEndpointOverloaded:
+    case ResultCode::kUpstreamShed:
+    case ResultCode::kOverloaded:
+      least = kReturnWhenFull;
+      break;
+    case ResultCode::kBelowFloor:
+    case ResultCode::kNoEndpoint:
+      least = kReturnWhenStarting;
+      break;
+    case ResultCode::kNoRoute:
+    case ResultCode::kKeyMissing:
+    case ResultCode::kKeyReused:
+      return least;
+    default:
+      least = kReturnWhenUnreachable;
+      break;
   }
-  Refuse(outcome.code_, not_run);
+  return least + entry_.random_.Jitter(least);
 }
 
-void Entry::Call::Answer(const Attempt& attempt,
-                         const AttemptOutcome& outcome) {
-  if (outcome.code_ != ResultCode::kOk) {
-    AnswerFailure(outcome);
-    return;
-  }
-  const bool whole = AnswerFromExchange(
-      attempt.exchange_, deadline_, [](bool) {}, response_);
-  if (!whole) {
-    AttemptOutcome cut = outcome;
-    cut.code_ = ResultCode::kUpstreamFailed;
-    may_have_run_ = true;
-    AnswerFailure(cut);
-    return;
-  }
-  const bool small = !response_.content_provider_;
-  service_->small_answers_ = small ? std::min(service_->small_answers_ + 1,
-                                              blackboard::kSmallAnswersToInline)
-                                   : blackboard::kAfterLargeAnswer;
-  for (const char* header : {request::kAttemptHeader, request::kCallsHeader,
-                             request::kRequestIdHeader}) {
-    response_.headers.erase(header);
+http::Task<void> Entry::Call::Answer(Attempt& attempt) {
+  HopAnswer& answer = attempt.answer_;
+  http::Headers& headers = answer.head_.headers_;
+  headers.EraseWithPrefix(request::kPrefix);
+  headers.Set(request::kRequestIdHeader, request_id_);
+  if (dialect_.tells_calls_) {
+    headers.Add(request::kCallsHeader, std::to_string(calls_));
   }
-  response_.set_header(request::kRequestIdHeader, request_id_);
-  response_.set_header(request::kCallsHeader, std::to_string(calls_));
-  StoreAnswer();
+  co_await StoreAnswer(answer);
   entry_.board_.Numbers().CountResult(ResultCode::kOk);
   entry_.board_.Numbers().NoteCall(entry_.clock_.Read().mono_ - began_);
+  LogDone(answer.head_.status_, ResultCode::kOk);
+  co_await SendAnswer(call_, answer);
 }
 
 void Entry::Call::RefreshView() {
   std::shared_ptr<const request::MeshView> newer = entry_.board_.View().Read();
+  const http::RequestHead& head = call_.Head();
   const request::RouteMatch again = newer->routes_->Match(
-      HeaderOf(request_, "Host"), PathOf(request_.target), request_.method);
-  // The match points into its view, so both change together.
-  if (again.route_ != nullptr) {
-    view_ = std::move(newer);
+      head.headers_.Find("Host"), head.Path(), head.method_);
+  // The request stays with its service. The match points into its view, so
+  // both change together.
+  const bool same_kind =
+      (again.service_ == nullptr) == (match_.service_ == nullptr);
+  const bool same_service = again.service_ == nullptr ||
+                            again.service_->service().name() == service_name_;
+  if (again.route_ != nullptr && same_kind && same_service) {
     match_ = again;
+    service_state_ = newer->routes_->FindService(service_name_);
+    view_ = std::move(newer);
   }
 }
 
-void Entry::Call::RunAttempts() {
+http::Task<void> Entry::Call::RunAttempts() {
   if (!below_retry_) {
-    service_->retry_budget_.NoteFirstTry(
-        match_.service_->service().retry_percent());
+    const uint32_t percent = service_state_ == nullptr
+                                 ? config::kDefaultRetryPercent
+                                 : service_state_->service().retry_percent();
+    service_->retry_budget_.NoteFirstTry(percent);
   }
   AttemptOutcome outcome;
   outcome.not_run_ = true;
-  Attempt attempt;
+  AttemptPtr attempt;
   while (true) {
-    attempt = Attempt();
-    const ResultCode begun = Begin(attempt);
-    if (begun != ResultCode::kOk) {
+    ResultCode begun = ResultCode::kOk;
+    const AttemptPtr next = Begin(begun);
+    if (next == nullptr) {
       if (attempts_ == 0) {
         outcome.code_ = begun;
       }
       break;
     }
-    const ResultCode waited = Await(attempt);
-    outcome = Judge(attempt, waited);
+    const http::CancelScope link(call_.Gone(),
+                                 [next] { next->cancel_.Raise(); });
+    attempt = co_await RunHedged(next);
+    outcome = OutcomeOf(*attempt);
     may_have_run_ = may_have_run_ || !outcome.not_run_;
-    Note(attempt, outcome);
-    if (!Retry(outcome)) {
+    reached_ += outcome.reached_ ? 1 : 0;
+    Note(*attempt, outcome);
+    if (!MayRetry(outcome)) {
       break;
     }
-    attempt.exchange_->Abort();
     // A newer view knows better which endpoints are left.
     RefreshView();
   }
   entry_.board_.Calls().Add(request_id_, calls_);
-  if (attempt.exchange_ == nullptr) {
-    AnswerFailure(outcome);
-    return;
+  if (attempt != nullptr && outcome.code_ == ResultCode::kOk) {
+    co_await Answer(*attempt);
+  } else {
+    if (!may_have_run_) {
+      co_await ReleaseClaim();
+    }
+    co_await Refuse(outcome.code_, !may_have_run_);
+  }
+  if (attempt != nullptr) {
+    co_await FinishUpload(call_, attempt->answer_);
   }
-  Answer(attempt, outcome);
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -1,12 +1,10 @@
-// The entry side: preparation of a request and its claim.
+// The entry side: preparation of a request, and its claim.
 #include "daemon/entry_call.h"
 
-#include <httplib.h>
-
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "base/events.h"
 #include "base/hash.h"
 #include "request/claim_ledger.h"
 #include "request/hop_headers.h"
@@ -14,64 +12,19 @@
 namespace buckthorngate::daemon {
 namespace {
 
-// Shorter than the keep-alive of a daemon's server.
-constexpr base::Duration kPeerIdle = std::chrono::seconds(3);
+// A request that may run at most once is held whole up to this size; its
+// claim needs a digest of all of it.
+constexpr size_t kClaimBodyBytes = size_t{1024} * 1024;
 // Claims outlive their request by far, so that a daemon which was stopped in
 // between cannot run what another one was told to be unclaimed.
 constexpr std::chrono::milliseconds kClaimLifetimeMs = request::kClaimLifetime;
 
-int64_t NumberOr(const std::string& text, int64_t fallback) {
-  int64_t value = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool whole = !text.empty() && parsed.ptr == text.data() + text.size();
-  return whole ? value : fallback;
-}
-
 }  // namespace
 
-std::string PathOf(const std::string& target) {
-  return target.substr(0, target.find('?'));
-}
-
-Entry::Entry(std::string host,
-             uint64_t incarnation,
-             const base::Clock& clock,
-             WorkerPool& workers,
-             ExchangeWatchdog& watchdog,
-             blackboard::Blackboard& board,
-             ClaimClient& claims,
-             BrakeHandler on_brake)
-    : host_(std::move(host)),
-      incarnation_(incarnation),
-      clock_(clock),
-      workers_(workers),
-      watchdog_(watchdog),
-      board_(board),
-      claims_(claims),
-      on_brake_(std::move(on_brake)),
-      connections_(kPeerIdle) {}
-
-void Entry::Handle(const httplib::Request& request,
-                   const httplib::ContentReader* reader,
-                   httplib::Response& response) {
-  board_.InFlight().fetch_add(1);
-  Call(*this, request, reader, response).Run();
-  if (board_.Draining()) {
-    // Moves the caller to another daemon for its next request.
-    response.set_header("Connection", "close");
-  }
-  board_.InFlight().fetch_sub(1);
-}
-
-Entry::Call::Call(Entry& entry,
-                  const httplib::Request& request,
-                  const httplib::ContentReader* reader,
-                  httplib::Response& response)
+Entry::Call::Call(Entry& entry, http::ServerCall& call)
     : entry_(entry),
-      request_(request),
-      request_body_(request, reader),
-      response_(response),
+      call_(call),
+      dialect_(entry.options_.dialect_),
       view_(entry.board_.View().Read()),
       began_(entry.clock_.Read().mono_) {}
 
@@ -87,10 +40,7 @@
     return true;
   }
   std::atomic<int32_t>& in_flight =
-      entry_.board_
-          .Service(match_.service_->service().name() + "/" +
-                   match_.route_->name())
-          .in_flight_;
+      entry_.board_.Service(service_name_ + "/" + RouteName()).in_flight_;
   if (in_flight.fetch_add(1) >= most) {
     in_flight.fetch_sub(1);
     return false;
@@ -103,158 +53,223 @@
   return deadline_ - entry_.clock_.Read().mono_;
 }
 
-void Entry::Call::Refuse(ResultCode code, bool not_run) {
-  request_body_.Drain();
-  AnswerRefusal(code, not_run, request_id_, response_);
-  response_.set_header(request::kCallsHeader, std::to_string(calls_));
+http::Task<void> Entry::Call::Refuse(ResultCode code, bool not_run) {
+  Refusal refusal;
+  refusal.code_ = code;
+  refusal.not_run_ = not_run;
+  refusal.request_id_ = request_id_;
+  refusal.retry_after_ = not_run ? RetryAfter(code) : base::Duration(0);
+  http::AnswerHead head = RefusalHead(refusal, dialect_);
+  if (dialect_.tells_calls_) {
+    head.headers_.Add(request::kCallsHeader, std::to_string(calls_));
+  }
   entry_.board_.Numbers().CountResult(code);
+  LogDone(head.status_, code);
+  const std::string body = RefusalBody(code);
+  co_await call_.Answer(head, body);
 }
 
-bool Entry::Call::ReadBody() {
-  if (!request_body_.Present()) {
-    return true;
-  }
-  const bool once = match_.route_->at_most_once();
-  const uint64_t most = once ? kClaimBodyBytes : kReplayBytes;
-  const bool small = request_body_.Length().value_or(most + 1) <= most;
-  if (!small) {
-    streamed_ = true;
-    return !once;
-  }
-  return request_body_.ReadAll(body_);
+void Entry::Call::LogDone(int status, ResultCode code) {
+  const base::Duration took = entry_.clock_.Read().mono_ - began_;
+  base::LogEvent(
+      base::EventId::kRequestDone,
+      {{"request", request_id_},
+       {"route", match_.route_ == nullptr ? "" : RouteName()},
+       {"service", service_name_},
+       {"endpoint", last_endpoint_},
+       {"status", std::to_string(status)},
+       {"code", std::string(Describe(code).name_)},
+       {"attempts", std::to_string(attempts_)},
+       {"reached", std::to_string(reached_)},
+       {"revision", std::to_string(view_->revision_)},
+       {"us", std::to_string(took.count())},
+       {"left_ms", std::to_string(Left() / std::chrono::milliseconds(1))}});
 }
 
-ResultCode Entry::Call::Prepare() {
-  request_id_ = HeaderOf(request_, request::kRequestIdHeader);
+ResultCode Entry::Call::MatchRoute() {
+  const http::RequestHead& head = call_.Head();
+  request_id_ = std::string(head.headers_.Find(request::kRequestIdHeader));
   if (request_id_.empty()) {
-    request_id_ = entry_.host_ + "-" + std::to_string(entry_.incarnation_) +
-                  "-" + std::to_string(entry_.next_request_.fetch_add(1));
+    request_id_ = entry_.NextId();
   }
-  below_retry_ = !HeaderOf(request_, request::kBelowRetryHeader).empty();
+  below_retry_ = head.headers_.Has(request::kBelowRetryHeader);
   if (!view_->may_serve_) {
     return ResultCode::kBelowFloor;
   }
-  match_ = view_->routes_->Match(HeaderOf(request_, "Host"),
-                                 PathOf(request_.target), request_.method);
-  if (match_.route_ == nullptr) {
-    return ResultCode::kNoRoute;
+  match_ = view_->routes_->Match(head.headers_.Find("Host"), head.Path(),
+                                 head.method_);
+  return match_.route_ == nullptr ? ResultCode::kNoRoute : ResultCode::kOk;
+}
+
+void Entry::Call::ChooseTarget() {
+  if (match_.service_ != nullptr) {
+    service_state_ = match_.service_;
+    service_name_ = match_.service_->service().name();
+    return;
   }
-  service_ = &entry_.board_.Service(match_.service_->service().name());
-  const int64_t given_ms =
-      NumberOr(HeaderOf(request_, request::kDeadlineHeader),
-               match_.route_->timeout_ms());
-  const int64_t left_ms =
-      std::min<int64_t>(given_ms, match_.route_->timeout_ms());
-  deadline_ = began_ + std::chrono::milliseconds(left_ms);
-  if (left_ms <= 0) {
-    return ResultCode::kDeadlineExceeded;
+  uint64_t weights = 0;
+  for (const rpc::RouteTarget& target : match_.route_->targets()) {
+    weights += target.weight();
   }
-  if (!ReadBody()) {
-    return ResultCode::kKeyMissing;
+  uint64_t draw = entry_.random_.Below(std::max<uint64_t>(weights, 1));
+  for (const rpc::RouteTarget& target : match_.route_->targets()) {
+    service_name_ = target.service();
+    if (draw < target.weight()) {
+      break;
+    }
+    draw -= target.weight();
   }
-  const uint64_t digest = base::Hash(
-      request_.target, base::Hash(body_, base::Hash(request_.method)));
-  fingerprint_ =
-      match_.service_->service().name() + ":" + std::to_string(digest);
-  return view_->quarantined_.count(fingerprint_) != 0 ? ResultCode::kQuarantined
-                                                      : ResultCode::kOk;
+  service_state_ = view_->routes_->FindService(service_name_);
+}
+
+void Entry::Call::SetTimes() {
+  const rpc::Route& route = *match_.route_;
+  const uint64_t given_ms =
+      http::ParseNumber(call_.Head().headers_.Find(dialect_.deadline_))
+          .value_or(route.timeout_ms());
+  const std::chrono::milliseconds left(
+      std::min<uint64_t>(given_ms, route.timeout_ms()));
+  deadline_ = began_ + left;
+  objective_ = route.objective_ms() == 0
+                   ? deadline_
+                   : began_ + std::chrono::milliseconds(route.objective_ms());
+}
+
+http::Task<ResultCode> Entry::Call::ReadBody() {
+  if (!call_.HasBody()) {
+    co_return ResultCode::kOk;
+  }
+  const bool once = match_.route_->at_most_once();
+  const size_t most = once ? kClaimBodyBytes : kWholeBodyBytes;
+  const http::BodyState state = co_await http::ReadUpTo(call_, body_, most);
+  if (state == http::BodyState::kFailed) {
+    co_return ResultCode::kCallerGone;
+  }
+  streamed_ = state == http::BodyState::kMore;
+  co_return once&& streamed_ ? ResultCode::kKeyMissing : ResultCode::kOk;
+}
+
+http::Task<ResultCode> Entry::Call::Prepare() {
+  const ResultCode matched = MatchRoute();
+  if (matched != ResultCode::kOk) {
+    co_return matched;
+  }
+  ChooseTarget();
+  service_ = &entry_.board_.Service(service_name_);
+  SetTimes();
+  if (deadline_ <= began_) {
+    co_return ResultCode::kDeadlineExceeded;
+  }
+  const ResultCode read = co_await ReadBody();
+  if (read != ResultCode::kOk) {
+    co_return read;
+  }
+  const uint64_t digest =
+      base::Hash(call_.Head().target_,
+                 base::Hash(body_, base::Hash(call_.Head().method_)));
+  fingerprint_ = service_name_ + ":" + std::to_string(digest);
+  co_return view_->quarantined_.count(fingerprint_) != 0
+      ? ResultCode::kQuarantined
+      : ResultCode::kOk;
 }
 
 std::string Entry::Call::ClaimKey() const {
   const rpc::Route& route = *match_.route_;
-  const std::string& service = match_.service_->service().name();
+  const std::string scope = service_name_ + "/" + route.name() + "/";
   if (route.key_source() == rpc::KEY_SOURCE_DIGEST) {
-    return service + "/" + route.name() + "/" + fingerprint_;
+    return scope + fingerprint_;
   }
-  const std::string key = HeaderOf(request_, route.key_header());
-  return key.empty() ? key : service + "/" + route.name() + "/" + key;
+  const std::string_view key = call_.Head().headers_.Find(route.key_header());
+  return key.empty() ? std::string() : scope + std::string(key);
 }
 
-ResultCode Entry::Call::Claim() {
+http::Task<ResultCode> Entry::Call::Claim() {
   rpc::ClaimRecord record;
   record.set_key(ClaimKey());
   if (record.key().empty()) {
-    return ResultCode::kKeyMissing;
+    co_await Refuse(ResultCode::kKeyMissing, /*not_run=*/true);
+    co_return ResultCode::kKeyMissing;
   }
   record.set_content_digest(base::Hash(fingerprint_));
-  record.set_owner(entry_.host_ + "-" + std::to_string(entry_.incarnation_) +
-                   "-" + std::to_string(entry_.next_request_.fetch_add(1)));
+  record.set_owner(entry_.NextId());
   record.set_state(rpc::CLAIM_STATE_RUNNING);
   record.set_expires_ms(
       base::ToUnixMs(entry_.clock_.Read().wall_ + kClaimLifetimeMs));
   const request::ClaimOutcome outcome =
-      entry_.claims_.Run(rpc::ClaimRequest::CLAIM, record);
+      co_await entry_.claims_.Run(rpc::ClaimRequest::CLAIM, record);
   if (outcome.code_ == ResultCode::kOk) {
     claim_ = std::move(record);
-    return ResultCode::kOk;
+    co_return ResultCode::kOk;
   }
   if (outcome.answer_) {
-    AnswerStored(*outcome.answer_);
+    co_await AnswerStored(*outcome.answer_);
+    co_return ResultCode::kClaimOutcomeUnknown;
   }
-  return outcome.code_;
+  co_await Refuse(outcome.code_,
+                  outcome.code_ != ResultCode::kClaimOutcomeUnknown);
+  co_return outcome.code_;
 }
 
-void Entry::Call::AnswerStored(const rpc::StoredAnswer& answer) {
-  response_.status = static_cast<int>(answer.status());
-  response_.set_content(answer.body(), answer.content_type());
-  response_.set_header("Idempotent-Replayed", "true");
-  response_.set_header(request::kRequestIdHeader, request_id_);
+http::Task<void> Entry::Call::AnswerStored(const rpc::StoredAnswer& answer) {
+  http::AnswerHead head;
+  head.status_ = static_cast<int>(answer.status());
+  head.headers_.Add("Content-Type", answer.content_type());
+  head.headers_.Add("Idempotent-Replayed", "true");
+  head.headers_.Add(request::kRequestIdHeader, request_id_);
   entry_.board_.Numbers().CountResult(ResultCode::kOk);
+  LogDone(head.status_, ResultCode::kOk);
+  co_await call_.Answer(head, answer.body());
 }
 
-void Entry::Call::StoreAnswer() {
-  if (claim_.key().empty() ||
-      response_.body.size() > request::kMaxStoredAnswerBytes ||
-      response_.content_provider_) {
-    return;
+http::Task<void> Entry::Call::StoreAnswer(const HopAnswer& answer) {
+  if (claim_.key().empty() || answer.rest_ != nullptr ||
+      answer.body_.size() > request::kMaxStoredAnswerBytes) {
+    co_return;
   }
   rpc::ClaimRecord record = claim_;
   record.set_state(rpc::CLAIM_STATE_ANSWERED);
-  record.mutable_answer()->set_status(static_cast<uint32_t>(response_.status));
+  record.mutable_answer()->set_status(
+      static_cast<uint32_t>(answer.head_.status_));
   record.mutable_answer()->set_content_type(
-      response_.get_header_value("Content-Type"));
-  record.mutable_answer()->set_body(response_.body);
+      std::string(answer.head_.headers_.Find("Content-Type")));
+  record.mutable_answer()->set_body(answer.body_);
   // Stored before the caller hears of it, so that a resend finds it. If that
   // fails, a resend learns that the outcome is unknown.
-  entry_.claims_.Run(rpc::ClaimRequest::ANSWER, record);
+  co_await entry_.claims_.Run(rpc::ClaimRequest::ANSWER, std::move(record));
 }
 
-void Entry::Call::ReleaseClaim() {
+http::Task<void> Entry::Call::ReleaseClaim() {
   if (claim_.key().empty()) {
-    return;
+    co_return;
   }
   rpc::ClaimRecord record = claim_;
   record.set_released(true);
-  entry_.claims_.Run(rpc::ClaimRequest::RELEASE, record);
+  co_await entry_.claims_.Run(rpc::ClaimRequest::RELEASE, std::move(record));
 }
 
-void Entry::Call::Run() {
-  DisableAnswerRewriting(request_);
-  const ResultCode prepared = Prepare();
+http::Task<void> Entry::Call::Run() {
+  const ResultCode prepared = co_await Prepare();
   if (prepared != ResultCode::kOk) {
-    Refuse(prepared, /*not_run=*/true);
-    return;
+    co_await Refuse(prepared, /*not_run=*/true);
+    co_return;
   }
   if (!EnterRoute()) {
-    Refuse(ResultCode::kEndpointOverloaded, /*not_run=*/true);
-    return;
+    co_await Refuse(ResultCode::kEndpointOverloaded, /*not_run=*/true);
+    co_return;
   }
   if (match_.route_->at_most_once()) {
-    const ResultCode claimed = Claim();
+    const ResultCode claimed = co_await Claim();
     if (claimed != ResultCode::kOk) {
-      if (response_.status < 0) {
-        Refuse(claimed, claimed != ResultCode::kClaimOutcomeUnknown);
-      }
-      return;
+      co_return;
     }
     if (Left().count() <= 0) {
       // Stopped for long between the claim and its use.
-      ReleaseClaim();
-      Refuse(ResultCode::kDeadlineExceeded, /*not_run=*/true);
-      return;
+      co_await ReleaseClaim();
+      co_await Refuse(ResultCode::kDeadlineExceeded, /*not_run=*/true);
+      co_return;
     }
   }
-  RunAttempts();
+  co_await RunAttempts();
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -1,4 +1,4 @@
-// One caller's request on its way through the entry side.
+// One request of a caller, on the entry side.
 #ifndef SRC_DAEMON_ENTRY_CALL_H_
 #define SRC_DAEMON_ENTRY_CALL_H_
 
@@ -7,105 +7,109 @@
 #include <vector>
 
 #include "daemon/entry.h"
-#include "daemon/http_answer.h"
-#include "daemon/request_body.h"
+#include "daemon/refusal.h"
 #include "request/endpoint_picker.h"
 #include "request/mesh_view.h"
 #include "request/retry.h"
 
 namespace buckthorngate::daemon {
 
-// Bodies up to this size are kept, so that they can be sent again.
-inline constexpr size_t kReplayBytes = 64 * 1024;
-// Largest body of a request that may run at most once.
-inline constexpr size_t kClaimBodyBytes = 1024 * 1024;
-
-// The target without its query.
-std::string PathOf(const std::string& target);
-
 class Entry::Call {
  public:
-  Call(Entry& entry,
-       const httplib::Request& request,
-       const httplib::ContentReader* reader,
-       httplib::Response& response);
-
+  Call(Entry& entry, http::ServerCall& call);
   ~Call();
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
 
-  void Run();
+  http::Task<void> Run();
 
  private:
-  // One try at one endpoint.
+  // One try at one endpoint. Shared with the coroutine that runs it, which
+  // outlasts the call if the try is hedged and loses.
   struct Attempt {
-    std::string id_;
-    std::string version_;
-    // Keeps endpoint_ valid.
     std::shared_ptr<const request::MeshView> view_;
     const request::EndpointView* endpoint_ = nullptr;
-    std::shared_ptr<Exchange> exchange_;
+    std::string version_;
     base::MonoTime began_;
-    bool inline_ = false;
+    HopRequest request_;
+    http::CancelSignal cancel_;
+    HopAnswer answer_;
+    bool done_ = false;
   };
+  using AttemptPtr = std::shared_ptr<Attempt>;
 
   // entry_call.cc: preparation and claims.
-  ResultCode Prepare();
-  // Counts the call against its route's limit for this daemon; false if that
-  // is reached.
+  // Matches the route and reads the body; kOk, or the reason to refuse.
+  http::Task<ResultCode> Prepare();
+  ResultCode MatchRoute();
+  void ChooseTarget();
+  void SetTimes();
+  http::Task<ResultCode> ReadBody();
+  // Counts the request against its route's limit; false if that is reached.
   bool EnterRoute();
-  bool ReadBody();
-  ResultCode Claim();
   std::string ClaimKey() const;
-  void StoreAnswer();
-  void ReleaseClaim();
-  void AnswerStored(const rpc::StoredAnswer& answer);
-  void Refuse(ResultCode code, bool not_run);
+  // kOk, or else the caller has been answered.
+  http::Task<ResultCode> Claim();
+  http::Task<void> StoreAnswer(const HopAnswer& answer);
+  http::Task<void> ReleaseClaim();
+  http::Task<void> AnswerStored(const rpc::StoredAnswer& answer);
+  http::Task<void> Refuse(ResultCode code, bool not_run);
+  void LogDone(int status, ResultCode code);
 
-  // entry_attempt.cc: attempts and retries.
-  void RunAttempts();
-  ResultCode Begin(Attempt& attempt);
-  std::shared_ptr<Exchange> PrepareExchange(const Attempt& attempt);
-  // Whether this thread may run the exchange itself.
-  bool MayRunInline() const;
-  ResultCode RunInline(Attempt& attempt);
-  ExchangeRequest MakeRequest(const Attempt& attempt);
-  // Waits for the head, a failure, the deadline or the caller's leaving;
-  // hedges a safe read that is late.
-  ResultCode Await(Attempt& attempt);
-  bool MayHedge(const Attempt& attempt) const;
-  request::AttemptOutcome Judge(Attempt& attempt, ResultCode waited);
+  // entry_attempt.cc: tries and their judgement.
+  http::Task<void> RunAttempts();
+  // Picks an endpoint; null if there is none left.
+  AttemptPtr Begin(ResultCode& code);
+  const request::VersionView* FindEndpoints(std::string& version) const;
+  HopRequest MakeHopRequest(const Attempt& attempt) const;
+  Hop& HopTo(const Attempt& attempt) const;
+  http::Task<void> RunHop(AttemptPtr attempt);
+  // Runs the attempt, and a second one beside it if it is slow; returns the
+  // one whose answer counts.
+  http::Task<AttemptPtr> RunHedged(AttemptPtr first);
+  base::Duration HedgeDelay(const Attempt& attempt) const;
+  request::AttemptOutcome OutcomeOf(const Attempt& attempt) const;
   void Note(const Attempt& attempt, const request::AttemptOutcome& outcome);
+  void NoteEvidence(const Attempt& attempt,
+                    const request::AttemptOutcome& outcome,
+                    bool failed);
+  bool MayRetry(const request::AttemptOutcome& outcome);
+  http::Task<void> Answer(Attempt& attempt);
   void RefreshView();
-  bool Retry(const request::AttemptOutcome& outcome);
-  void Answer(const Attempt& attempt, const request::AttemptOutcome& outcome);
-  void AnswerFailure(const request::AttemptOutcome& outcome);
+  base::Duration RetryAfter(ResultCode code) const;
+
   base::Duration Left() const;
+  const std::string& RouteName() const { return match_.route_->name(); }
+  bool OfMesh() const { return match_.route_->targets_size() > 0; }
 
   Entry& entry_;
-  const httplib::Request& request_;
-  RequestBody request_body_;
-  httplib::Response& response_;
-
+  http::ServerCall& call_;
+  const request::Dialect& dialect_;
   std::shared_ptr<const request::MeshView> view_;
   request::RouteMatch match_;
+  // The service that serves the request, and what is known of its versions.
+  std::string service_name_;
+  const rpc::ServiceState* service_state_ = nullptr;
   blackboard::ServiceState* service_ = nullptr;
+  std::atomic<int32_t>* route_in_flight_ = nullptr;
+  const base::MonoTime began_;
+  base::MonoTime deadline_;
+  base::MonoTime objective_;
   std::string request_id_;
   std::string fingerprint_;
   std::string body_;
-  // The body is too large to be kept and goes through as a stream.
+  // The body is longer than what is kept: it can be sent once only.
   bool streamed_ = false;
   bool below_retry_ = false;
   bool retrying_ = false;
-  base::MonoTime began_;
-  base::MonoTime deadline_;
+  bool may_have_run_ = false;
+  rpc::ClaimRecord claim_;
   std::vector<std::string> tried_;
   int attempts_ = 0;
+  // Attempts that reached an upstream, which are what a route limits.
+  int reached_ = 0;
   uint32_t calls_ = 0;
-  // An attempt may have run: "not run" can no longer be said.
-  bool may_have_run_ = false;
-  // The route's counter, while this call is counted.
-  std::atomic<int32_t>* route_in_flight_ = nullptr;
-  // Set while this call holds a claim.
-  rpc::ClaimRecord claim_;
+  std::string last_endpoint_;
 };
 
 }  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/hop.cc
@@ -0,0 +1,82 @@
+// What both kinds of hops have in common.
+#include "daemon/hop.h"
+
+#include <utility>
+
+namespace buckthorngate::daemon {
+namespace {
+
+// A caller that still sends its body after it has got its answer.
+constexpr base::Duration kUploadPatience = std::chrono::milliseconds(500);
+
+}  // namespace
+
+HopAnswer FailedHop(ResultCode code, bool not_run) {
+  HopAnswer answer;
+  answer.code_ = code;
+  answer.not_run_ = not_run;
+  return answer;
+}
+
+http::Task<HopAnswer> CollectAnswer(std::shared_ptr<http::Exchange> exchange,
+                                    http::AnswerHead head,
+                                    bool without_body) {
+  HopAnswer answer;
+  answer.reached_ = true;
+  answer.head_ = std::move(head);
+  if (without_body) {
+    answer.told_length_ = exchange->Length();
+  }
+  const http::BodyState state =
+      co_await http::ReadUpTo(*exchange, answer.body_, kWholeBodyBytes);
+  if (state == http::BodyState::kFailed) {
+    answer.code_ = ResultCode::kUpstreamFailed;
+  } else if (state == http::BodyState::kMore) {
+    exchange->StreamAnswer();
+    answer.rest_ = exchange;
+  }
+  answer.upload_ = std::move(exchange);
+  co_return answer;
+}
+
+http::Task<bool> SendAnswer(http::ServerCall& call, HopAnswer& answer) {
+  const bool without_body =
+      call.Head().method_ == "HEAD" || http::NeverHasBody(answer.head_.status_);
+  if (without_body) {
+    co_return co_await call.AnswerWithoutBody(answer.head_,
+                                              answer.told_length_);
+  }
+  if (answer.rest_ == nullptr) {
+    co_return co_await call.Answer(answer.head_, answer.body_);
+  }
+  bool sent = co_await call.Begin(answer.head_, answer.rest_->Length());
+  http::BodyState state = http::BodyState::kMore;
+  while (sent && state != http::BodyState::kFailed) {
+    sent = co_await call.Write(answer.body_);
+    answer.body_.clear();
+    if (state == http::BodyState::kEnd) {
+      break;
+    }
+    if (sent) {
+      state = co_await answer.rest_->Read(answer.body_, http::kPieceBytes);
+    }
+  }
+  if (!sent || state != http::BodyState::kEnd) {
+    // Left unfinished: the connection closes, so the answer is seen to be cut.
+    co_return false;
+  }
+  co_return co_await call.Finish();
+}
+
+http::Task<void> FinishUpload(http::ServerCall& call, HopAnswer& answer) {
+  if (answer.upload_ == nullptr) {
+    co_return;
+  }
+  const bool ended = co_await answer.upload_->AwaitSender(kUploadPatience);
+  if (!ended) {
+    call.Abort();
+    co_await answer.upload_->AwaitSender(base::Duration::max());
+  }
+}
+
+}  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/hop_codec.cc
@@ -0,0 +1,122 @@
+// Hops between daemons as HTTP messages.
+#include "daemon/hop_codec.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "request/hop_headers.h"
+
+namespace buckthorngate::daemon {
+namespace {
+
+using http::Headers;
+
+std::string LeftMs(base::MonoTime until, base::MonoTime now) {
+  const int64_t left = (until - now) / std::chrono::milliseconds(1);
+  return std::to_string(std::max<int64_t>(left, 0));
+}
+
+base::MonoTime After(std::string_view milliseconds, base::MonoTime now) {
+  // A year, so that no sum overflows.
+  constexpr uint64_t kMostMs = uint64_t{366} * 24 * 3600 * 1000;
+  const uint64_t left = http::ParseNumber(milliseconds).value_or(0);
+  return now + std::chrono::milliseconds(std::min(left, kMostMs));
+}
+
+std::string TakeText(Headers& headers, std::string_view name) {
+  const std::string value(headers.Find(name));
+  headers.Erase(name);
+  return value;
+}
+
+}  // namespace
+
+http::RequestHead EncodeHopRequest(const HopRequest& request,
+                                   base::MonoTime now) {
+  http::RequestHead head = request.head_;
+  Headers& headers = head.headers_;
+  headers.Set(request::kRequestIdHeader, request.request_id_);
+  headers.Add(request::kAttemptHeader, request.attempt_id_);
+  headers.Add(request::kEndpointHeader, request.endpoint_id_);
+  headers.Add(request::kCallerHeader, request.caller_host_);
+  headers.Add(request::kFingerprintHeader, request.fingerprint_);
+  headers.Add(request::kDeadlineHeader, LeftMs(request.deadline_, now));
+  if (request.objective_ > now && request.objective_ < request.deadline_) {
+    headers.Add(request::kObjectiveHeader, LeftMs(request.objective_, now));
+  }
+  if (request.priority_ != 0) {
+    headers.Add(request::kPriorityHeader, std::to_string(request.priority_));
+  }
+  if (!request.caller_service_.empty()) {
+    headers.Add(request::kCallerServiceHeader, request.caller_service_);
+  }
+  if (request.below_retry_) {
+    headers.Add(request::kBelowRetryHeader, "1");
+  }
+  return head;
+}
+
+tl::expected<HopRequest, ResultCode> DecodeHopRequest(
+    const http::RequestHead& head,
+    base::MonoTime now) {
+  HopRequest request;
+  request.head_ = head;
+  Headers& headers = request.head_.headers_;
+  request.request_id_ = std::string(headers.Find(request::kRequestIdHeader));
+  request.attempt_id_ = TakeText(headers, request::kAttemptHeader);
+  request.endpoint_id_ = TakeText(headers, request::kEndpointHeader);
+  if (request.attempt_id_.empty() || request.endpoint_id_.empty()) {
+    return tl::unexpected(ResultCode::kMalformed);
+  }
+  request.caller_host_ = TakeText(headers, request::kCallerHeader);
+  request.fingerprint_ = TakeText(headers, request::kFingerprintHeader);
+  request.caller_service_ = TakeText(headers, request::kCallerServiceHeader);
+  request.deadline_ = After(headers.Find(request::kDeadlineHeader), now);
+  request.objective_ = headers.Has(request::kObjectiveHeader)
+                           ? After(headers.Find(request::kObjectiveHeader), now)
+                           : request.deadline_;
+  request.priority_ = static_cast<uint32_t>(
+      http::ParseNumber(headers.Find(request::kPriorityHeader)).value_or(0));
+  request.below_retry_ = headers.Has(request::kBelowRetryHeader);
+  headers.EraseWithPrefix(request::kPrefix);
+  return request;
+}
+
+void EncodeHopAnswer(const HopRequest& request, HopAnswer& answer) {
+  if (answer.code_ != ResultCode::kOk) {
+    answer.head_ =
+        RefusalHead({answer.code_, answer.not_run_, ""}, request::Dialect());
+    answer.body_.clear();
+    answer.rest_ = nullptr;
+  } else {
+    answer.head_.headers_.EraseWithPrefix(request::kPrefix);
+  }
+  Headers& headers = answer.head_.headers_;
+  headers.Add(request::kAttemptHeader, request.attempt_id_);
+  if (answer.calls_ != 1) {
+    headers.Add(request::kCallsHeader, std::to_string(answer.calls_));
+  }
+  if (answer.crashed_) {
+    headers.Add(request::kCrashedHeader, "true");
+  }
+  if (answer.reached_) {
+    headers.Add(request::kReachedHeader, "true");
+  }
+}
+
+void DecodeHopAnswer(HopAnswer& answer) {
+  Headers& headers = answer.head_.headers_;
+  const std::string_view result = headers.Find(request::kResultHeader);
+  const std::optional<uint64_t> number =
+      http::ParseNumber(result.substr(0, result.find(' ')));
+  answer.code_ = number ? ResultCodeFromNumber(static_cast<uint32_t>(*number))
+                        : ResultCode::kOk;
+  answer.not_run_ = headers.Find(request::kNotRunHeader) == "true";
+  answer.crashed_ = headers.Has(request::kCrashedHeader);
+  answer.reached_ = headers.Has(request::kReachedHeader);
+  answer.calls_ = static_cast<uint32_t>(std::max<uint64_t>(
+      http::ParseNumber(headers.Find(request::kCallsHeader)).value_or(1), 1));
+  headers.EraseWithPrefix(request::kPrefix);
+}
+
+}  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/program.h
@@ -0,0 +1,36 @@
+// The daemon as a program: settings, signals, start and stop.
+#ifndef SRC_DAEMON_PROGRAM_H_
+#define SRC_DAEMON_PROGRAM_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "daemon/control_api.h"
+#include "daemon/settings.h"
+#include "request/dialect.h"
+
+namespace buckthorngate::daemon {
+
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadSettings = 2;
+
+// Reads and checks a settings file; problems go to standard error.
+bool LoadSettings(const std::string& file, Settings& settings);
+
+struct Program {
+  Settings settings_;
+  // Read again on SIGHUP; may be empty.
+  std::string settings_file_;
+  request::Dialect dialect_;
+  // Makes the adapter to a platform; may be null.
+  std::function<std::unique_ptr<Adapter>(const Settings&, ControlApi&)>
+      make_adapter_;
+};
+
+// Runs the daemon until SIGTERM or SIGINT; returns the exit code.
+int RunProgram(Program program);
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_PROGRAM_H_
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -1,41 +1,49 @@
 // The proxy role of a daemon.
 #include "daemon/proxy_role.h"
 
-#include <httplib.h>
-
-#include <charconv>
 #include <thread>
 #include <utility>
 
+#include "base/events.h"
 #include "base/hash.h"
 #include "blackboard/blackboard.h"
+#include "daemon/admin_server.h"
 #include "daemon/claim_client.h"
 #include "daemon/destination.h"
 #include "daemon/entry.h"
-#include "daemon/http_answer.h"
-#include "daemon/http_server.h"
 #include "daemon/node_loop.h"
-#include "daemon/worker_pool.h"
+#include "daemon/peer_client.h"
 #include "distribution/proxy_node.h"
+#include "http/server.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
 
 namespace buckthorngate::daemon {
 namespace {
 
-constexpr size_t kAdminThreads = 8;
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 // Others learn of a drain well within this time.
 constexpr std::chrono::milliseconds kDrainNotice{2000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
-constexpr std::chrono::seconds kDrainMost{60};
-constexpr uint32_t kDefaultSlots = 20;
-constexpr uint32_t kMaxSlots = 100'000;
+constexpr std::chrono::milliseconds kCloseTime{500};
+constexpr std::chrono::milliseconds kClosePoll{5};
 
-uint32_t SlotsOf(const std::string& text) {
-  uint32_t slots = 0;
-  std::from_chars(text.data(), text.data() + text.size(), slots);
-  return slots == 0 ? kDefaultSlots : std::min(slots, kMaxSlots);
+http::ServerLimits LimitsOf(const rpc::CallerLimits& limits) {
+  http::ServerLimits server;
+  if (limits.header_bytes() != 0) {
+    server.header_bytes_ = limits.header_bytes();
+  }
+  if (limits.body_bytes() != 0) {
+    server.body_bytes_ = limits.body_bytes();
+  }
+  if (limits.header_timeout_ms() != 0) {
+    server.header_timeout_ =
+        std::chrono::milliseconds(limits.header_timeout_ms());
+  }
+  if (limits.idle_timeout_ms() != 0) {
+    server.idle_timeout_ = std::chrono::milliseconds(limits.idle_timeout_ms());
+  }
+  return server;
 }
 
 }  // namespace
@@ -43,6 +51,7 @@
 class ProxyRole::Impl {
  public:
   Impl(const Settings& settings,
+       const request::Dialect& dialect,
        uint64_t incarnation,
        const base::Clock& clock,
        rpc::MeshTransport& transport,
@@ -54,104 +63,132 @@
   void Drain();
   void Stop();
   rpc::QueryReply Query(const rpc::QueryRequest& request);
+  ResultCode Announce(const registry::Announcement& announcement);
+  void DrainUpstream(const std::string& address);
+  void RemoveUpstream(const std::string& address);
+  std::string AddressOfInstance(const std::string& instance);
+  bool Ready() {
+    return board_.View().Read()->may_serve_ && !board_.Draining();
+  }
 
  private:
   void AfterFlush(const base::Now& now);
   void PublishView(const base::Now& now);
-  void ConfigureAdmin();
-  void OnAnnounce(const httplib::Request& request, httplib::Response& response);
-  void OnLeaving(const httplib::Request& request,
-                 httplib::Response& response,
-                 bool gone);
-  ResultCode Listen(httplib::Server& server, const std::string& address);
+  void CloseConnections();
+  void OnCrash(const std::string& address, const rpc::CrashReport& report);
+  AdminHandlers MakeAdminHandlers();
 
   const Settings& settings_;
+  const request::Dialect dialect_;
   const base::Clock& clock_;
   rpc::MeshTransport& transport_;
   const std::unique_ptr<storage::Journal> journal_;
   const std::unique_ptr<distribution::ProxyNode> node_;
-  NodeLoop loop_;
+  NodeLoop node_loop_;
   blackboard::Blackboard board_;
-  WorkerPool workers_;
-  ExchangeWatchdog watchdog_;
+  http::EventLoop loop_;
   ClaimClient claims_;
   Destination destination_;
+  PeerClient peer_client_;
   Entry entry_;
+  http::Server callers_;
+  http::Server peers_;
+  AdminServer admin_;
   request::MeshViewBuilder views_;
   uint64_t published_version_ = 0;
   bool published_may_serve_ = false;
   uint64_t addresses_version_ = 0;
   base::MonoTime next_evidence_;
-  httplib::Server callers_;
-  httplib::Server peers_;
-  httplib::Server admin_;
-  std::vector<std::thread> threads_;
+  bool started_ = false;
   bool stopped_ = false;
 };
 
 ProxyRole::Impl::Impl(const Settings& settings,
+                      const request::Dialect& dialect,
                       uint64_t incarnation,
                       const base::Clock& clock,
                       rpc::MeshTransport& transport,
                       std::unique_ptr<storage::Journal> journal,
                       std::unique_ptr<distribution::ProxyNode> node)
     : settings_(settings),
+      dialect_(dialect),
       clock_(clock),
       transport_(transport),
       journal_(std::move(journal)),
       node_(std::move(node)),
-      loop_(*node_,
-            clock,
-            [&transport](rpc::Envelope envelope) {
-              transport.Send(std::move(envelope));
-            }),
-      // Each exchange of either side holds one worker.
-      workers_(settings.exchange_threads_),
-      watchdog_(clock),
-      claims_(loop_, *node_),
+      node_loop_(*node_,
+                 clock,
+                 [&transport](rpc::Envelope envelope) {
+                   transport.Send(std::move(envelope));
+                 }),
+      claims_(clock, loop_, node_loop_, *node_),
       destination_(
           settings.host_,
+          dialect_,
           clock,
-          workers_,
-          watchdog_,
+          loop_,
           board_,
           [this](const std::string& address, const rpc::CrashReport& report) {
-            loop_.Run([this, address, report](const base::Now&) {
-              node_->Local().Crash(address);
-              node_->SendCrash(report);
-            });
+            OnCrash(address, report);
           }),
-      entry_(settings.host_,
-             incarnation,
+      peer_client_(clock, loop_),
+      entry_({settings.host_, incarnation, dialect_},
              clock,
-             workers_,
-             watchdog_,
+             loop_,
              board_,
              claims_,
+             destination_,
+             peer_client_,
              [this](const rpc::BrakeNotice& notice) {
-               loop_.Run([this, notice](const base::Now&) {
+               node_loop_.Run([this, notice](const base::Now&) {
                  node_->SendBrake(notice);
                });
              }),
+      callers_(loop_, entry_),
+      peers_(loop_, destination_),
+      admin_(MakeAdminHandlers()),
       views_(settings.zone_) {
-  loop_.SetAfterFlush([this](const base::Now& now) { AfterFlush(now); });
-  transport_.AddNode(settings.host_, [this](rpc::Envelope envelope) {
-    loop_.Post(std::move(envelope));
+  entry_.SetCallerService(settings.service_);
+  callers_.OnMalformed([](int status, std::string_view what) {
+    base::LogEvent(
+        base::EventId::kCallerMalformed,
+        {{"status", std::to_string(status)}, {"what", std::string(what)}});
   });
-  ConfigureServer(callers_, settings.http_threads_);
-  ConfigureServer(peers_, settings.http_threads_);
-  ConfigureServer(admin_, kAdminThreads);
-  HandleAll(callers_, [this](const httplib::Request& request,
-                             const httplib::ContentReader* reader,
-                             httplib::Response& response) {
-    entry_.Handle(request, reader, response);
+  node_loop_.SetAfterFlush([this](const base::Now& now) { AfterFlush(now); });
+  transport_.AddNode(settings.host_, [this](rpc::Envelope envelope) {
+    node_loop_.Post(std::move(envelope));
   });
-  HandleAll(peers_, [this](const httplib::Request& request,
-                           const httplib::ContentReader* reader,
-                           httplib::Response& response) {
-    destination_.Handle(request, reader, response);
+}
+
+AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
+  AdminHandlers handlers;
+  handlers.announce_ = [this](const registry::Announcement& announcement) {
+    return Announce(announcement);
+  };
+  handlers.drain_ = [this](const std::string& address) {
+    DrainUpstream(address);
+  };
+  handlers.leave_ = [this](const std::string& address) {
+    RemoveUpstream(address);
+  };
+  handlers.metrics_ = [this] { return board_.Numbers().Render(); };
+  handlers.ready_ = [this] { return Ready(); };
+  return handlers;
+}
+
+void ProxyRole::Impl::OnCrash(const std::string& address,
+                              const rpc::CrashReport& report) {
+  base::LogEvent(
+      base::EventId::kEndpointCrashed,
+      {{"address", address},
+       {"service", report.service()},
+       {"crash", report.crash_id()},
+       {"suspect", report.fingerprints().empty() ? std::string()
+                                                 : report.fingerprints(0)}});
+  node_loop_.Run([this, address, report](const base::Now&) {
+    node_->Local().Crash(address);
+    node_->SendCrash(report);
   });
-  ConfigureAdmin();
 }
 
 void ProxyRole::Impl::AfterFlush(const base::Now& now) {
@@ -176,6 +213,9 @@
                                      node_->MutableEndpoints(),
                                      node_->Quarantine(), now.mono_));
   board_.Numbers().SetRevision(node_->Config().Revision());
+  const http::ServerLimits limits =
+      LimitsOf(node_->Config().Routing().limits());
+  loop_.Post([this, limits] { callers_.SetLimits(limits); });
   if (node_->Endpoints().Version() == addresses_version_) {
     return;
   }
@@ -188,146 +228,146 @@
   }
 }
 
-void ProxyRole::Impl::OnAnnounce(const httplib::Request& request,
-                                 httplib::Response& response) {
-  registry::Announcement announcement;
-  announcement.service_ = request.get_param_value("service");
-  announcement.version_ = request.get_param_value("version");
-  announcement.address_ = request.get_param_value("address");
-  announcement.slots_ = SlotsOf(request.get_param_value("slots"));
-  announcement.instance_ = request.get_param_value("instance");
-  const bool valid = !announcement.service_.empty() &&
-                     !announcement.version_.empty() &&
-                     IsIpAddress(announcement.address_);
-  if (!valid) {
-    AnswerRefusal(ResultCode::kMissingKey, true, "", response);
-    response.status = 400;
-    return;
-  }
+ResultCode ProxyRole::Impl::Announce(
+    const registry::Announcement& announcement) {
+  bool late = false;
   bool changed = false;
-  std::string id;
-  loop_.RunAndWait([&](const base::Now& now) {
-    changed = node_->Local().Announce(announcement, now.mono_);
-    id = node_->Local().EndpointId(announcement.address_);
+  UpstreamInfo info;
+  node_loop_.RunAndWait([&](const base::Now& now) {
+    late = node_->Local().Judge(announcement) == registry::Freshness::kLate;
+    if (!late) {
+      changed = node_->Local().Announce(announcement, now.mono_);
+    }
+    info.endpoint_id_ = node_->Local().EndpointId(announcement.address_);
   });
+  if (late) {
+    base::LogEvent(base::EventId::kAnnouncementIgnored,
+                   {{"instance", announcement.instance_},
+                    {"address", announcement.address_},
+                    {"sequence", std::to_string(announcement.sequence_)}});
+    return ResultCode::kNumberStale;
+  }
   if (changed) {
-    destination_.SetUpstream(id, announcement.address_, announcement.service_,
-                             announcement.slots_);
+    info.address_ = announcement.address_;
+    info.service_ = announcement.service_;
+    info.instance_ = announcement.instance_;
+    info.slots_ = announcement.slots_;
+    loop_.RunAndWait([this, &info] {
+      destination_.SetUpstream(info);
+      entry_.SetCallerService(info.service_);
+    });
+    base::LogEvent(base::EventId::kEndpointReady,
+                   {{"endpoint", info.endpoint_id_},
+                    {"instance", info.instance_},
+                    {"service", info.service_},
+                    {"version", announcement.version_},
+                    {"slots", std::to_string(info.slots_)}});
   }
   if (board_.Draining()) {
-    destination_.DrainAll();
+    loop_.RunAndWait([this] { destination_.DrainAll(); });
   }
-  response.set_content("ok\n", "text/plain");
+  return ResultCode::kOk;
 }
 
-void ProxyRole::Impl::OnLeaving(const httplib::Request& request,
-                                httplib::Response& response,
-                                bool gone) {
-  const std::string address = request.get_param_value("address");
+void ProxyRole::Impl::DrainUpstream(const std::string& address) {
   std::string id;
-  loop_.RunAndWait([&](const base::Now&) {
+  bool changed = false;
+  node_loop_.RunAndWait([&](const base::Now&) {
     id = node_->Local().EndpointId(address);
-    if (gone) {
-      node_->Local().Leave(address);
-    } else {
-      node_->Local().Drain(address);
-    }
+    changed = node_->Local().Drain(address);
   });
-  if (gone) {
-    destination_.RemoveUpstream(id);
-  } else {
-    destination_.DrainUpstream(id);
+  if (changed) {
+    loop_.RunAndWait([this, &id] { destination_.DrainUpstream(id); });
+    base::LogEvent(base::EventId::kEndpointDraining, {{"endpoint", id}});
   }
-  response.set_content("ok\n", "text/plain");
 }
 
-void ProxyRole::Impl::ConfigureAdmin() {
-  admin_.Post("/announce", [this](const httplib::Request& request,
-                                  httplib::Response& response) {
-    OnAnnounce(request, response);
-  });
-  admin_.Post("/drain", [this](const httplib::Request& request,
-                               httplib::Response& response) {
-    OnLeaving(request, response, /*gone=*/false);
-  });
-  admin_.Post("/leave", [this](const httplib::Request& request,
-                               httplib::Response& response) {
-    OnLeaving(request, response, /*gone=*/true);
-  });
-  admin_.Get("/metrics",
-             [this](const httplib::Request&, httplib::Response& response) {
-               response.set_content(board_.Numbers().Render(),
-                                    "text/plain; version=0.0.4");
-             });
-  admin_.Get("/healthz",
-             [](const httplib::Request&, httplib::Response& response) {
-               response.set_content("ok\n", "text/plain");
-             });
-  admin_.Get("/readyz", [this](const httplib::Request&,
-                               httplib::Response& response) {
-    const bool ready = board_.View().Read()->may_serve_ && !board_.Draining();
-    response.status = ready ? 200 : 503;
-    response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
+  std::string id;
+  node_loop_.RunAndWait([&](const base::Now&) {
+    id = node_->Local().EndpointId(address);
+    node_->Local().Leave(address);
   });
+  loop_.RunAndWait([this, &id] { destination_.RemoveUpstream(id); });
+  base::LogEvent(base::EventId::kEndpointDraining,
+                 {{"endpoint", id}, {"leaves", "true"}});
 }
 
-ResultCode ProxyRole::Impl::Listen(httplib::Server& server,
-                                   const std::string& address) {
-  if (!server.bind_to_port(HostOf(address), PortOf(address))) {
-    return ResultCode::kBadSettings;
-  }
-  threads_.emplace_back([&server] { server.listen_after_bind(); });
-  return ResultCode::kOk;
+std::string ProxyRole::Impl::AddressOfInstance(const std::string& instance) {
+  std::string address;
+  node_loop_.RunAndWait(
+      [&](const base::Now&) { address = node_->Local().AddressOf(instance); });
+  return address;
 }
 
 ResultCode ProxyRole::Impl::Start() {
-  loop_.Start();
-  for (const auto& [server, address] :
-       {std::pair<httplib::Server*, std::string>{&peers_,
-                                                 settings_.peers_address_},
-        {&callers_, settings_.callers_address_},
-        {&admin_, settings_.admin_address_}}) {
-    const ResultCode code = Listen(*server, address);
-    if (code != ResultCode::kOk) {
-      return code;
-    }
+  started_ = true;
+  node_loop_.Start();
+  ResultCode code = peers_.Listen(settings_.peers_address_);
+  if (code == ResultCode::kOk) {
+    code = callers_.Listen(settings_.callers_address_);
   }
-  return ResultCode::kOk;
+  if (code == ResultCode::kOk) {
+    code = admin_.Start(settings_.admin_address_);
+  }
+  loop_.Start();
+  return code;
 }
 
 void ProxyRole::Impl::Drain() {
+  const std::chrono::steady_clock::time_point give_up =
+      std::chrono::steady_clock::now() + settings_.drain_time_;
   board_.Draining() = true;
-  destination_.DrainAll();
-  loop_.RunAndWait([this](const base::Now&) { node_->Local().DrainAll(); });
+  loop_.RunAndWait([this] { destination_.DrainAll(); });
+  node_loop_.RunAndWait(
+      [this](const base::Now&) { node_->Local().DrainAll(); });
   // Requests that were picked for this host just before are refused as not
   // run; callers' requests go to other hosts.
   std::this_thread::sleep_for(kDrainNotice);
-  const std::chrono::steady_clock::time_point give_up =
-      std::chrono::steady_clock::now() + kDrainMost;
-  while (board_.InFlight() + destination_.InFlight() > 0 &&
-         std::chrono::steady_clock::now() < give_up) {
+  loop_.RunAndWait([this] { callers_.Drain(); });
+  while (board_.InFlight() > 0 && std::chrono::steady_clock::now() < give_up) {
     std::this_thread::sleep_for(kDrainPoll);
   }
-  loop_.RunAndWait([this](const base::Now&) { node_->Local().LeaveAll(); });
+  int64_t running = 1;
+  while (running > 0 && std::chrono::steady_clock::now() < give_up) {
+    loop_.RunAndWait([&] { running = destination_.InFlight(); });
+    if (running > 0) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+  }
+  node_loop_.RunAndWait(
+      [this](const base::Now&) { node_->Local().LeaveAll(); });
 }
 
 void ProxyRole::Impl::Stop() {
-  if (stopped_) {
+  if (stopped_ || !started_) {
     return;
   }
   stopped_ = true;
-  callers_.stop();
-  peers_.stop();
-  admin_.stop();
-  for (std::thread& thread : threads_) {
-    thread.join();
-  }
+  admin_.Stop();
+  CloseConnections();
   loop_.Stop();
+  node_loop_.Stop();
+}
+
+void ProxyRole::Impl::CloseConnections() {
+  // Coroutines end before what they refer to.
+  const std::chrono::steady_clock::time_point give_up =
+      std::chrono::steady_clock::now() + kCloseTime;
+  size_t open = 1;
+  while (open > 0 && std::chrono::steady_clock::now() < give_up) {
+    loop_.RunAndWait([this, &open] {
+      callers_.Close();
+      peers_.Close();
+      open = callers_.Connections() + peers_.Connections();
+    });
+    std::this_thread::sleep_for(kClosePoll);
+  }
 }
 
 rpc::QueryReply ProxyRole::Impl::Query(const rpc::QueryRequest& request) {
   rpc::QueryReply reply;
-  loop_.RunAndWait([&](const base::Now&) {
+  node_loop_.RunAndWait([&](const base::Now&) {
     reply.set_node(settings_.host_);
     reply.set_revision(node_->Config().Revision());
     if (request.kind() == rpc::QueryRequest::CONFIG) {
@@ -348,6 +388,7 @@
 
 tl::expected<std::unique_ptr<ProxyRole>, ResultCode> ProxyRole::Create(
     const Settings& settings,
+    const request::Dialect& dialect,
     uint64_t incarnation,
     const base::Clock& clock,
     rpc::MeshTransport& transport) {
@@ -365,6 +406,8 @@
   options.identity_.control_address_ = settings.control_address_;
   options.identity_.incarnation_ = incarnation;
   options.seed_ = incarnation ^ base::Hash(settings.host_);
+  options.seeds_ = settings.seeds_;
+  options.announce_lease_ = settings.announce_lease_;
   for (const auto& [id, relay] : settings.relays_) {
     if (relay.zone_ == settings.zone_) {
       options.relays_.push_back(id);
@@ -376,7 +419,7 @@
     return tl::unexpected(node.error());
   }
   return std::unique_ptr<ProxyRole>(new ProxyRole(
-      std::make_unique<Impl>(settings, incarnation, clock, transport,
+      std::make_unique<Impl>(settings, dialect, incarnation, clock, transport,
                              std::move(journal), std::move(*node))));
 }
 
@@ -392,5 +435,20 @@
 rpc::QueryReply ProxyRole::Query(const rpc::QueryRequest& request) {
   return impl_->Query(request);
 }
+ResultCode ProxyRole::Announce(const registry::Announcement& announcement) {
+  return impl_->Announce(announcement);
+}
+void ProxyRole::DrainUpstream(const std::string& address) {
+  impl_->DrainUpstream(address);
+}
+void ProxyRole::RemoveUpstream(const std::string& address) {
+  impl_->RemoveUpstream(address);
+}
+std::string ProxyRole::AddressOfInstance(const std::string& instance) {
+  return impl_->AddressOfInstance(instance);
+}
+bool ProxyRole::Ready() {
+  return impl_->Ready();
+}
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/proxy_role.h
+++ b/src/daemon/proxy_role.h
@@ -1,5 +1,5 @@
-// The proxy role of a daemon: HTTP servers around the path of a request, and
-// the loop of the proxy's control side.
+// The proxy role of a daemon: the path of a request on its event loop, and the
+// loop of the proxy's control side.
 #ifndef SRC_DAEMON_PROXY_ROLE_H_
 #define SRC_DAEMON_PROXY_ROLE_H_
 
@@ -11,6 +11,8 @@
 #include "base/time.h"
 #include "buckthorngate/result_code.h"
 #include "daemon/settings.h"
+#include "registry/local_endpoints.h"
+#include "request/dialect.h"
 #include "rpc/mesh_transport.h"
 
 namespace buckthorngate::daemon {
@@ -20,6 +22,7 @@
   // All references must outlive the role. Errors: those of ProxyNode::Create.
   static tl::expected<std::unique_ptr<ProxyRole>, ResultCode> Create(
       const Settings& settings,
+      const request::Dialect& dialect,
       uint64_t incarnation,
       const base::Clock& clock,
       rpc::MeshTransport& transport);
@@ -34,6 +37,13 @@
 
   rpc::QueryReply Query(const rpc::QueryRequest& request);
 
+  // Calls of the host's upstreams; see ControlApi.
+  ResultCode Announce(const registry::Announcement& announcement);
+  void DrainUpstream(const std::string& address);
+  void RemoveUpstream(const std::string& address);
+  std::string AddressOfInstance(const std::string& instance);
+  bool Ready();
+
  private:
   class Impl;
   explicit ProxyRole(std::unique_ptr<Impl> impl);
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -128,15 +128,54 @@
     return;
   }
   TomlReader reader(*table, file, problems);
-  settings.http_threads_ = static_cast<uint32_t>(reader.Integer(
-      "http_threads", settings.http_threads_, kMinThreads, kMaxThreads));
-  settings.exchange_threads_ = static_cast<uint32_t>(
-      reader.Integer("exchange_threads", settings.exchange_threads_,
-                     kMinThreads, kMaxThreads));
+  reader.Integer("http_threads", kMinThreads, kMinThreads, kMaxThreads);
+  reader.Integer("exchange_threads", kMinThreads, kMinThreads, kMaxThreads);
+  settings.announce_lease_ = std::chrono::milliseconds(
+      reader.Integer("announce_lease_ms", settings.announce_lease_.count(),
+                     kMinAnnounceLeaseMs, kMaxAnnounceLeaseMs));
+  settings.drain_time_ = std::chrono::milliseconds(
+      reader.Integer("drain_time_ms", settings.drain_time_.count(),
+                     kMinDrainTimeMs, kMaxDrainTimeMs));
   reader.RejectUnknownKeys();
 }
 
+// Seeds may be given with the port of another interface of theirs; `mesh_port`
+// is then the port of the mesh on each host.
+void ParseSeeds(TomlReader& reader, Settings& settings) {
+  settings.seeds_ = reader.Strings("seeds");
+  settings.first_start_ = reader.Bool("first_start", false);
+  const int64_t mesh_port = reader.Integer("mesh_port", 0, 0, kMaxPort);
+  for (std::string& seed : settings.seeds_) {
+    if (!IsIpAddress(seed)) {
+      reader.Report(ResultCode::kWrongType, "seeds", "expected IP:port");
+    } else if (mesh_port != 0) {
+      seed = HostOf(seed) + ":" + std::to_string(mesh_port);
+    }
+  }
+}
+
+void ParseAdapter(const toml::table* table,
+                  const std::string& file,
+                  config::Problems& problems,
+                  Settings& settings) {
+  if (table == nullptr) {
+    return;
+  }
+  TomlReader reader(*table, file, problems);
+  for (const auto& [key, node] : *table) {
+    const std::string name(key.str());
+    settings.adapter_[name] = reader.RequiredString(name);
+  }
+}
+
 void CheckTogether(TomlReader& reader, const Settings& settings) {
+  if (!settings.seeds_.empty()) {
+    if (!settings.sources_.empty() || !settings.relays_.empty()) {
+      reader.Report(ResultCode::kConflictingOptions, "seeds",
+                    "seeds take the place of [sources] and [relays]");
+    }
+    return;
+  }
   if (settings.source_ && !settings.sources_.empty() &&
       settings.sources_.count(settings.source_id_) == 0) {
     reader.Report(ResultCode::kUnknownMember, "source_id",
@@ -197,6 +236,8 @@
   settings.source_id_ = reader.String("source_id", "");
   settings.source_joins_ = reader.Bool("source_joins", false);
   settings.relay_id_ = reader.String("relay_id", "");
+  settings.service_ = reader.String("service", "");
+  ParseSeeds(reader, settings);
   const std::string format = reader.String("log_format", "text");
   if (format != "text" && format != "json") {
     reader.Report(ResultCode::kWrongType, "log_format",
@@ -209,6 +250,7 @@
   ParseSources(reader.Table("sources"), file, problems, settings);
   ParseRelays(reader.Table("relays"), file, problems, settings);
   ParseTls(reader.Table("tls"), file, problems, settings);
+  ParseAdapter(reader.Table("adapter"), file, problems, settings);
   ParseLimits(reader.Table("limits"), file, problems, settings);
   if ((settings.source_ || settings.relay_) && settings.data_folder_.empty()) {
     reader.Report(ResultCode::kMissingKey, "data_folder",
@@ -220,6 +262,9 @@
 }
 
 void CompleteSettings(Settings& settings) {
+  if (!settings.seeds_.empty()) {
+    return;
+  }
   if (settings.source_id_.empty()) {
     settings.source_id_ = settings.host_ + "-source";
   }
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -23,10 +23,21 @@
     : options_(std::move(options)),
       journal_(journal),
       random_(options_.seed_ + 3),
+      hosts_(options_.seeds_),
       follower_(journal),
       link_(options_.identity_.host_, options_.relays_, options_.seed_ + 2),
-      local_(options_.identity_),
-      claims_(options_.identity_.host_) {}
+      local_(options_.identity_, options_.announce_lease_),
+      claims_(options_.identity_.host_) {
+  if (hosts_.Managed()) {
+    UseHosts();
+  }
+}
+
+void ProxyNode::UseHosts() {
+  link_.SetCandidates(hosts_.Relays(), [this](const std::string& relay) {
+    return relays_nearby_.count(relay) != 0;
+  });
+}
 
 tl::expected<std::unique_ptr<ProxyNode>, ResultCode> ProxyNode::Create(
     ProxyOptions options,
@@ -57,8 +68,7 @@
       OnFloor(envelope, now);
       break;
     case rpc::Envelope::kHeartbeat:
-      link_.Heard(envelope.from(), envelope.heartbeat().revision(),
-                  base::Duration(0), now.mono_);
+      OnHeartbeat(envelope, now);
       break;
     case rpc::Envelope::kRetryAfter:
       link_.DelayResume(
@@ -127,6 +137,19 @@
   next_keepalive_ = base::MonoTime();
 }
 
+void ProxyNode::OnHeartbeat(const rpc::Envelope& envelope,
+                            const base::Now& now) {
+  const rpc::SourceHeartbeat& heartbeat = envelope.heartbeat();
+  link_.Heard(envelope.from(), heartbeat.revision(),
+              std::chrono::milliseconds(heartbeat.contact_age_ms()), now.mono_);
+  const bool nearby = hosts_.Managed() &&
+                      heartbeat.zone() == options_.identity_.zone_ &&
+                      relays_nearby_.insert(envelope.from()).second;
+  if (hosts_.Update(heartbeat.members(), heartbeat.members_index()) || nearby) {
+    UseHosts();
+  }
+}
+
 void ProxyNode::OnFloor(const rpc::Envelope& envelope, const base::Now& now) {
   link_.Heard(envelope.from(), envelope.floor().relay_revision(),
               base::Duration(0), now.mono_);
@@ -160,6 +183,10 @@
 void ProxyNode::ReannounceIfExpired() {
   for (const rpc::Endpoint& own : local_.Entries()) {
     const rpc::Endpoint* held = endpoints_.Find(own.id());
+    if (held != nullptr && held->incarnation() > own.incarnation()) {
+      local_.Outrank(held->incarnation());
+      return;
+    }
     const bool expired = held != nullptr &&
                          held->state() == rpc::ENDPOINT_STATE_GONE &&
                          own.state() != rpc::ENDPOINT_STATE_GONE &&
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -19,6 +19,7 @@
 #include "base/node.h"
 #include "base/random.h"
 #include "distribution/config_follower.h"
+#include "distribution/control_hosts.h"
 #include "distribution/upstream_link.h"
 #include "registry/endpoint_registry.h"
 #include "registry/local_endpoints.h"
@@ -30,7 +31,11 @@
 struct ProxyOptions {
   registry::HostIdentity identity_;
   std::vector<std::string> relays_;
+  // Addresses of control hosts, instead of the list of relays.
+  std::vector<std::string> seeds_;
   uint64_t seed_ = 0;
+  // How long an upstream's announcement holds.
+  base::Duration announce_lease_ = registry::kAnnounceLease;
 };
 
 class ProxyNode : public base::Node {
@@ -77,6 +82,9 @@
   ProxyNode(ProxyOptions options, storage::Journal& journal);
 
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
+  void OnHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
+  // Follows the relays of the control hosts, those of the own zone first.
+  void UseHosts();
   void OnFloor(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
@@ -92,6 +100,8 @@
   const ProxyOptions options_;
   storage::Journal& journal_;
   base::Random random_;
+  ControlHosts hosts_;
+  std::set<std::string> relays_nearby_;
   ConfigFollower follower_;
   UpstreamLink link_;
   registry::EndpointRegistry endpoints_;
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -1,6 +1,8 @@
 // A relay: configuration, claims and the journal.
 #include "distribution/relay_node.h"
 
+#include "membership/node_id.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,17 +17,41 @@
 constexpr base::Duration kZoneAckInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kZoneAckMinInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kKeepalive = std::chrono::seconds(1);
+// A proxy must leave a relay that is cut off well before others count it as
+// connected; see kStaleContact.
+constexpr base::Duration kManagedHeartbeat = std::chrono::milliseconds(500);
 constexpr size_t kCompactBytes = size_t{8} * 1024 * 1024;
 
 }  // namespace
 
 RelayNode::RelayNode(RelayOptions options, storage::Journal& journal)
     : options_(std::move(options)),
+      hosts_(options_.seeds_),
+      sources_(options_.sources_),
+      relays_(options_.relays_),
       journal_(journal),
       follower_(journal),
       feeder_(options_.id_, options_.seed_ + 1),
       link_(options_.id_, options_.sources_, options_.seed_ + 2),
-      claims_(options_.id_, journal) {}
+      claims_(options_.id_, journal) {
+  if (hosts_.Managed()) {
+    UseHosts();
+  }
+}
+
+void RelayNode::UseHosts() {
+  sources_ = hosts_.Sources();
+  // The own source is there before any membership lists it.
+  const std::string own =
+      membership::SiblingOf(options_.id_, membership::kSourceRole);
+  if (std::find(sources_.begin(), sources_.end(), own) == sources_.end()) {
+    sources_.push_back(own);
+  }
+  relays_ = hosts_.Relays();
+  std::erase(relays_, options_.id_);
+  link_.SetCandidates(
+      sources_, [&own](const std::string& source) { return source == own; });
+}
 
 tl::expected<std::unique_ptr<RelayNode>, ResultCode> RelayNode::Create(
     RelayOptions options,
@@ -90,7 +116,7 @@
       OnRegistry(envelope, now);
       break;
     case rpc::Envelope::kRegistryDigest:
-      OnRegistryDigest(envelope);
+      OnRegistryDigest(envelope, now);
       break;
     case rpc::Envelope::kEvidence:
       evidence_.Add(envelope.evidence());
@@ -128,6 +154,9 @@
   floor.set_relay_revision(follower_.State().Revision());
   feeder_.OnResume(envelope.from(), envelope.resume(), follower_.State(),
                    follower_.Deltas(), now, outbox_);
+  if (hosts_.Managed()) {
+    SendHeartbeat(envelope.from(), now);
+  }
   if (!quarantine_.Entries().empty()) {
     rpc::QuarantineNotice& notice =
         *outbox_.Add(options_.id_, envelope.from()).mutable_quarantine();
@@ -181,6 +210,9 @@
   link_.Heard(envelope.from(), heartbeat.revision(),
               std::chrono::milliseconds(heartbeat.contact_age_ms()), now.mono_);
   ConfirmFloors(heartbeat);
+  if (hosts_.Update(heartbeat.members(), heartbeat.members_index())) {
+    UseHosts();
+  }
 }
 
 void RelayNode::ConfirmFloors(const rpc::SourceHeartbeat& heartbeat) {
@@ -214,7 +246,7 @@
     return;
   }
   next_keepalive_ = now.mono_ + kKeepalive;
-  for (const std::string& source : options_.sources_) {
+  for (const std::string& source : sources_) {
     rpc::Ack& ack = *outbox_.Add(options_.id_, source).mutable_ack();
     ack.set_revision(revision);
     ack.set_nonce(nonce_);
@@ -226,11 +258,24 @@
   if (now.mono_ < next_heartbeat_) {
     return;
   }
-  next_heartbeat_ = now.mono_ + kKeepalive;
+  next_heartbeat_ =
+      now.mono_ + (hosts_.Managed() ? kManagedHeartbeat : kKeepalive);
   for (const auto& [id, follower] : feeder_.Followers()) {
-    outbox_.Add(options_.id_, id)
-        .mutable_heartbeat()
-        ->set_revision(follower_.State().Revision());
+    SendHeartbeat(id, now);
+  }
+}
+
+void RelayNode::SendHeartbeat(const std::string& to, const base::Now& now) {
+  rpc::SourceHeartbeat& heartbeat =
+      *outbox_.Add(options_.id_, to).mutable_heartbeat();
+  heartbeat.set_revision(follower_.State().Revision());
+  heartbeat.set_zone(options_.zone_);
+  if (hosts_.Managed()) {
+    // A relay that is cut off from the sources says so, and is left.
+    heartbeat.set_contact_age_ms(link_.ContactAge(now.mono_) /
+                                 std::chrono::milliseconds(1));
+    *heartbeat.mutable_members() = hosts_.Members();
+    heartbeat.set_members_index(hosts_.Index());
   }
 }
 
@@ -251,7 +296,7 @@
   }
   next_zone_ack_ = now.mono_ + kZoneAckMinInterval;
   last_zone_ack_ = ack;
-  for (const std::string& source : options_.sources_) {
+  for (const std::string& source : sources_) {
     *outbox_.Add(options_.id_, source).mutable_zone_ack() = ack;
   }
 }
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 
 #include "base/node.h"
 #include "distribution/config_follower.h"
+#include "distribution/control_hosts.h"
 #include "distribution/feeder.h"
 #include "distribution/upstream_link.h"
 #include "registry/endpoint_registry.h"
@@ -33,6 +35,9 @@
   std::vector<std::string> sources_;
   // The other relays, of this and of other zones.
   std::vector<std::string> relays_;
+  // Addresses of control hosts, instead of the two lists: the membership of
+  // the sources then tells who else there is.
+  std::vector<std::string> seeds_;
   bool has_disk_ = true;
   uint64_t incarnation_ = 0;
   uint64_t seed_ = 0;
@@ -67,11 +72,14 @@
   void OnAck(const rpc::Envelope& envelope, const base::Now& now);
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
   void OnSourceHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
+  // Follows the control hosts that the sources' membership lists.
+  void UseHosts();
   void SendResumes(const base::Now& now);
   // Tells new proxies that nothing newer was in force when they resumed.
   void ConfirmFloors(const rpc::SourceHeartbeat& heartbeat);
   // Tells proxies, those on standby too, how far this relay is.
   void SendHeartbeats(const base::Now& now);
+  void SendHeartbeat(const std::string& to, const base::Now& now);
   void SendZoneAck(const base::Now& now);
   ResultCode SyncAndCompact();
 
@@ -79,7 +87,7 @@
   void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
   void OnEndpointHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
-  void OnRegistryDigest(const rpc::Envelope& envelope);
+  void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
   void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
   void OnQuarantine(const rpc::Envelope& envelope);
   void ExpireEndpoints(const base::Now& now);
@@ -93,10 +101,16 @@
   // Proxies get no update that would only repeat what they hold.
   void ShareEndpoints(const std::vector<rpc::Endpoint>& endpoints,
                       bool beyond_zone);
+  // Whether the registry of the own zone is complete enough to be its owner's
+  // word on who is gone.
+  bool Warm(base::MonoTime now);
   bool IsRelay(const std::string& id) const;
   bool IsSource(const std::string& id) const;
 
   const RelayOptions options_;
+  ControlHosts hosts_;
+  std::vector<std::string> sources_;
+  std::vector<std::string> relays_;  // The others.
   storage::Journal& journal_;
   ConfigFollower follower_;
   Feeder feeder_;
@@ -114,6 +128,9 @@
   uint64_t nonce_ = 1;
   // Proxies without memory, with the nonce that must be confirmed for each.
   std::map<std::string, uint64_t> unconfirmed_;
+  // Until then the registry may lack endpoints that have not announced
+  // themselves to this incarnation yet.
+  std::optional<base::MonoTime> warm_at_;
   base::MonoTime next_zone_ack_;
   base::MonoTime next_keepalive_;
   base::MonoTime next_heartbeat_;
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -12,19 +12,27 @@
 using base::LogEvent;
 
 constexpr base::Duration kDigestInterval = std::chrono::seconds(2);
+// After a start: time for the zone's proxies to announce their endpoints, and
+// for other relays to tell of theirs.
+constexpr base::Duration kRegistryWarmUp = std::chrono::seconds(4);
 constexpr base::Duration kExpiryInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 
 }  // namespace
 
 bool RelayNode::IsRelay(const std::string& id) const {
-  return std::find(options_.relays_.begin(), options_.relays_.end(), id) !=
-         options_.relays_.end();
+  return std::find(relays_.begin(), relays_.end(), id) != relays_.end();
 }
 
 bool RelayNode::IsSource(const std::string& id) const {
-  return std::find(options_.sources_.begin(), options_.sources_.end(), id) !=
-         options_.sources_.end();
+  return std::find(sources_.begin(), sources_.end(), id) != sources_.end();
+}
+
+bool RelayNode::Warm(base::MonoTime now) {
+  if (!warm_at_) {
+    warm_at_ = now + kRegistryWarmUp;
+  }
+  return now >= *warm_at_;
 }
 
 void RelayNode::SendToProxies(const rpc::Envelope& content) {
@@ -37,8 +45,7 @@
 }
 
 void RelayNode::SendToRelaysAndSources(const rpc::Envelope& content) {
-  for (const std::vector<std::string>* list :
-       {&options_.relays_, &options_.sources_}) {
+  for (const std::vector<std::string>* list : {&relays_, &sources_}) {
     for (const std::string& id : *list) {
       rpc::Envelope& envelope = outbox_.Add(options_.id_, id);
       envelope = content;
@@ -126,7 +133,8 @@
   }
 }
 
-void RelayNode::OnRegistryDigest(const rpc::Envelope& envelope) {
+void RelayNode::OnRegistryDigest(const rpc::Envelope& envelope,
+                                 const base::Now& now) {
   const rpc::RegistryDigest& digest = envelope.registry_digest();
   // A proxy reports what it holds of all zones; it gets the difference from
   // a full list. Relays and sources speak of one zone, which its relay owns.
@@ -136,6 +144,9 @@
     return;
   }
   if (from_proxy || zone == options_.zone_) {
+    if (!Warm(now.mono_)) {
+      return;
+    }
     SendFullRegistry(envelope.from(), zone);
     return;
   }
@@ -151,6 +162,9 @@
     return;
   }
   next_digest_ = now.mono_ + kDigestInterval;
+  if (!Warm(now.mono_)) {
+    return;
+  }
   rpc::Envelope content;
   content.mutable_registry_digest()->set_zone(options_.zone_);
   content.mutable_registry_digest()->set_digest(
@@ -216,7 +230,7 @@
   }
   SendToProxies(content);
   if (to_relays) {
-    for (const std::string& relay : options_.relays_) {
+    for (const std::string& relay : relays_) {
       *outbox_.Add(options_.id_, relay).mutable_quarantine() =
           content.quarantine();
     }
--- a/src/distribution/source_control.cc
+++ b/src/distribution/source_control.cc
@@ -3,6 +3,7 @@
 
 #include "base/events.h"
 #include "distribution/source_node.h"
+#include "membership/node_id.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -11,6 +12,8 @@
 using base::LogEvent;
 
 constexpr uint32_t kDefaultAuditLimit = 100;
+// Calls to the old version that began just before the move was done.
+constexpr std::chrono::milliseconds kMoveSettleTime{1200};
 
 rpc::PublishReply MakeReply(ResultCode code,
                             uint64_t revision,
@@ -28,32 +31,114 @@
 
 }  // namespace
 
-uint64_t SourceNode::Publish(const rpc::Publication& publication,
-                             const base::Now& now) {
-  const uint64_t ticket = next_ticket_++;
+bool SourceNode::TakesCommands(uint64_t ticket) {
   PublishResult result;
   result.ticket_ = ticket;
   if (!raft_->CanServe()) {
     result.reply_ = MakeReply(ResultCode::kNotLeader, 0, "");
     result.reply_.set_leader(AddressOf(raft_->LeaderId()));
-    results_.push_back(std::move(result));
-    return ticket;
-  }
-  if (pending_.size() >= kMaxPendingPublications) {
+  } else if (pending_.size() >= kMaxPendingPublications) {
     result.reply_ = MakeReply(ResultCode::kOverloaded, 0, "");
-    results_.push_back(std::move(result));
+  } else {
+    return true;
+  }
+  results_.push_back(std::move(result));
+  return false;
+}
+
+uint64_t SourceNode::ProposeFor(uint64_t ticket, const rpc::Command& command) {
+  const tl::expected<uint64_t, ResultCode> index =
+      raft_->Propose(command.SerializeAsString());
+  pending_[*index] = {ticket, raft_->Term()};
+  return ticket;
+}
+
+uint64_t SourceNode::Publish(const rpc::Publication& publication,
+                             const base::Now& now) {
+  const uint64_t ticket = next_ticket_++;
+  if (!TakesCommands(ticket)) {
     return ticket;
   }
   rpc::Command command;
   *command.mutable_publish()->mutable_publication() = publication;
   command.mutable_publish()->set_proposed_ms(
       base::ToUnixMs(raft_->MedianClock(now)));
-  const tl::expected<uint64_t, ResultCode> index =
-      raft_->Propose(command.SerializeAsString());
-  pending_[*index] = {ticket, raft_->Term()};
+  return ProposeFor(ticket, command);
+}
+
+uint64_t SourceNode::PublishRouting(rpc::RoutingCommand routing,
+                                    const base::Now& now) {
+  const uint64_t ticket = next_ticket_++;
+  if (!TakesCommands(ticket)) {
+    return ticket;
+  }
+  routing.set_proposed_ms(base::ToUnixMs(raft_->MedianClock(now)));
+  rpc::Command command;
+  *command.mutable_routing() = std::move(routing);
+  return ProposeFor(ticket, command);
+}
+
+uint64_t SourceNode::OrderMove(rpc::MoveOrder order, const base::Now& now) {
+  const uint64_t ticket = next_ticket_++;
+  if (!TakesCommands(ticket)) {
+    return ticket;
+  }
+  order.set_from(CurrentVersion(order.service(), order.to()));
+  order.set_ordered_ms(base::ToUnixMs(raft_->MedianClock(now)));
+  rpc::Command command;
+  *command.mutable_move_order() = std::move(order);
+  return ProposeFor(ticket, command);
+}
+
+std::string SourceNode::CurrentVersion(const std::string& service,
+                                       const std::string& to) const {
+  std::map<std::string, int> endpoints;
+  for (const rpc::Endpoint& endpoint : endpoints_.LiveOf(service)) {
+    if (endpoint.version() != to) {
+      ++endpoints[endpoint.version()];
+    }
+  }
+  const auto most = std::max_element(
+      endpoints.begin(), endpoints.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == endpoints.end() ? std::string() : most->first;
+}
+
+uint64_t SourceNode::ConfirmRead(const base::Now& now) {
+  const uint64_t ticket = next_ticket_++;
+  if (TakesCommands(ticket)) {
+    reads_.push_back({ticket, now.mono_});
+  }
   return ticket;
 }
 
+void SourceNode::AnswerReads(const base::Now& now) {
+  if (reads_.empty()) {
+    return;
+  }
+  const bool serves = raft_->CanServe();
+  const base::MonoTime contact = raft_->MajorityContact(now);
+  std::erase_if(reads_, [&](const Read& read) {
+    if (serves && contact < read.came_) {
+      return false;
+    }
+    PublishResult result;
+    result.ticket_ = read.ticket_;
+    result.reply_ = MakeReply(serves ? ResultCode::kOk : ResultCode::kNotLeader,
+                              state_.Config().Revision(), "");
+    results_.push_back(std::move(result));
+    return true;
+  });
+}
+
+bool SourceNode::MoveSettled(const rpc::Move& move,
+                             const base::Now& now) const {
+  const auto since = settled_since_.find(move.service());
+  return move.phase() == rpc::MOVE_PHASE_DONE &&
+         since != settled_since_.end() &&
+         now.mono_ - since->second >= kMoveSettleTime;
+}
+
 std::vector<PublishResult> SourceNode::TakePublishResults() {
   return std::exchange(results_, {});
 }
@@ -68,6 +153,35 @@
               {"code", std::string(Describe(code).name_)},
               {"detail", applied.detail_}});
   }
+  AnswerPending(entry, {code, applied.outcome_->revision(), applied.detail_});
+}
+
+void SourceNode::AnswerRouting(const rpc::LogEntry& entry,
+                               const CommandOutcome& outcome) {
+  if (leading_) {
+    LogEvent(outcome.code_ == ResultCode::kOk ? EventId::kRoutingAccepted
+                                              : EventId::kRoutingRefused,
+             {{"revision", std::to_string(outcome.revision_)},
+              {"current", std::to_string(state_.Config().Routing().number())},
+              {"code", std::string(Describe(outcome.code_).name_)},
+              {"detail", outcome.detail_}});
+  }
+  AnswerPending(entry, outcome);
+}
+
+void SourceNode::AnswerOrder(const rpc::LogEntry& entry,
+                             const CommandOutcome& outcome) {
+  if (leading_) {
+    LogEvent(EventId::kMoveOrdered,
+             {{"revision", std::to_string(outcome.revision_)},
+              {"code", std::string(Describe(outcome.code_).name_)},
+              {"detail", outcome.detail_}});
+  }
+  AnswerPending(entry, outcome);
+}
+
+void SourceNode::AnswerPending(const rpc::LogEntry& entry,
+                               const CommandOutcome& outcome) {
   const auto found = pending_.find(entry.index());
   if (found == pending_.end()) {
     return;
@@ -78,7 +192,7 @@
   const bool replaced = found->second.term_ != entry.term();
   result.reply_ =
       replaced ? MakeReply(ResultCode::kOutcomeUnknown, 0, "")
-               : MakeReply(code, applied.outcome_->revision(), applied.detail_);
+               : MakeReply(outcome.code_, outcome.revision_, outcome.detail_);
   pending_.erase(found);
   results_.push_back(std::move(result));
 }
@@ -99,7 +213,7 @@
       return known.address();
     }
   }
-  return {};
+  return membership::AddressOfNode(member);
 }
 
 void SourceNode::Audit(const std::string& author,
@@ -169,6 +283,10 @@
         }
       }
       break;
+    case rpc::QueryRequest::ROUTING:
+      reply.set_routing_document(state_.RoutingDocument());
+      reply.set_routing_number(state_.Config().Routing().number());
+      break;
     case rpc::QueryRequest::ENDPOINTS:
       for (rpc::Endpoint& endpoint : endpoints_.Live()) {
         *reply.add_endpoints() = std::move(endpoint);
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -15,6 +15,7 @@
 
 constexpr base::Duration kHeartbeatToRelays = std::chrono::milliseconds(500);
 constexpr base::Duration kZoneTimeout = std::chrono::seconds(6);
+constexpr base::Duration kSettleWithoutAcks = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -22,7 +23,8 @@
     : options_(std::move(options)),
       journal_(journal),
       feeder_(options_.id_, options_.seed_ + 1),
-      controller_(rollout::MakeMovePolicy(options_.policy_)) {}
+      controller_(rollout::MakeMovePolicy(options_.policy_)),
+      hosts_(options_.seeds_) {}
 
 tl::expected<std::unique_ptr<SourceNode>, ResultCode> SourceNode::Create(
     SourceOptions options,
@@ -33,6 +35,11 @@
   if (!persistent) {
     return tl::unexpected(persistent.error());
   }
+  // An identity that was made just now has taken part in nothing; it needs
+  // nobody's word for that.
+  const bool joins =
+      !options.seeds_.empty() && options.members_.members_size() == 0;
+  persistent->confirmed_ = persistent->confirmed_ || joins;
   std::unique_ptr<SourceNode> node(new SourceNode(std::move(options), journal));
   const std::string& saved = persistent->snapshot_.state();
   if (!saved.empty() && !node->state_.Restore(saved)) {
@@ -41,6 +48,9 @@
   node->raft_ = std::make_unique<consensus::RaftCore>(
       node->options_.id_, node->options_.members_, std::move(*persistent),
       node->options_.seed_, now);
+  if (node->hosts_.Managed()) {
+    node->raft_->HoldLearners();
+  }
   return node;
 }
 
@@ -65,6 +75,9 @@
     case rpc::Envelope::kRegistryDigest:
       OnRegistryDigest(envelope);
       break;
+    case rpc::Envelope::kJoin:
+      OnJoin(envelope, now);
+      break;
     case rpc::Envelope::kEvidence:
       if (leading_) {
         controller_.OnEvidence(envelope.evidence());
@@ -201,9 +214,34 @@
   if (leading_ && raft_->CanServe()) {
     RunController(now);
   }
+  if (hosts_.Managed()) {
+    RepairMembership(now);
+    AskToJoin(now);
+  }
+  NoteSettledMoves(now);
   SendHeartbeats(now);
 }
 
+void SourceNode::NoteSettledMoves(const base::Now& now) {
+  const uint64_t in_force = RevisionInForce();
+  for (const auto& [name, service] : state_.Config().Services()) {
+    if (service->move().phase() != rpc::MOVE_PHASE_DONE) {
+      settled_since_.erase(name);
+      done_moves_.erase(name);
+      continue;
+    }
+    const DoneMove& done =
+        done_moves_
+            .try_emplace(name, DoneMove{state_.Config().Revision(), now.mono_})
+            .first->second;
+    // A proxy that is cut off must not keep the move open for ever.
+    if (in_force >= done.revision_ ||
+        now.mono_ - done.seen_ > kSettleWithoutAcks) {
+      settled_since_.try_emplace(name, now.mono_);
+    }
+  }
+}
+
 void SourceNode::WatchLeadership() {
   const bool leads = raft_->IsLeader();
   if (leads == leading_) {
@@ -213,6 +251,7 @@
   if (leads) {
     controller_.Reset();
     claims_.Reset();
+    planner_.Reset();
     LogEvent(
         EventId::kLeaderElected,
         {{"source", options_.id_}, {"term", std::to_string(raft_->Term())}});
@@ -257,6 +296,10 @@
     heartbeat.set_revision(state_.Config().Revision());
     heartbeat.set_contact_age_ms(age_ms);
     heartbeat.set_confirmed_nonce(ConfirmNonce(id, now));
+    if (hosts_.Managed()) {
+      *heartbeat.mutable_members() = raft_->CurrentMembership();
+      heartbeat.set_members_index(raft_->MembershipIndex());
+    }
   }
 }
 
@@ -278,6 +321,7 @@
     *outbox_.Add(options_.id_, message.to_).mutable_raft() =
         std::move(message.message_);
   }
+  AnswerReads(now);
   feeder_.Push(state_.Config(), state_.Deltas(), now, outbox_);
   MaybeCompact();
   return outbox_.Take();
@@ -305,6 +349,12 @@
   if (applied.outcome_) {
     AnswerPublication(entry, applied);
   }
+  if (applied.routing_) {
+    AnswerRouting(entry, *applied.routing_);
+  }
+  if (applied.order_) {
+    AnswerOrder(entry, *applied.order_);
+  }
   if (applied.move_ && leading_) {
     LogMove(*applied.move_);
   }
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -17,8 +17,10 @@
 #include "base/node.h"
 #include "consensus/raft_core.h"
 #include "distribution/claim_planner.h"
+#include "distribution/control_hosts.h"
 #include "distribution/feeder.h"
 #include "distribution/source_state.h"
+#include "membership/planner.h"
 #include "registry/endpoint_registry.h"
 #include "rollout/move_controller.h"
 #include "storage/journal.h"
@@ -30,6 +32,11 @@
   // First members of the sources; a joining source lists itself as learner.
   rpc::Membership members_;
   uint64_t seed_ = 0;
+  // Addresses of control hosts; not empty: the leader keeps the membership at
+  // its fault tolerance, and hosts join by themselves.
+  std::vector<std::string> seeds_;
+  std::string address_;
+  std::string zone_;
   rollout::PolicyKind policy_ = rollout::PolicyKind::kSequential;
 };
 
@@ -56,10 +63,20 @@
   void OnTimer(const base::Now& now) override;
   std::vector<rpc::Envelope> Flush(const base::Now& now) override;
 
-  // Starts a publication; its result comes out of TakePublishResults.
+  // Each starts an operator's command; its result comes out of
+  // TakePublishResults.
   uint64_t Publish(const rpc::Publication& publication, const base::Now& now);
+  uint64_t PublishRouting(rpc::RoutingCommand command, const base::Now& now);
+  uint64_t OrderMove(rpc::MoveOrder order, const base::Now& now);
+  // Starts a linearizable read: kOk once a majority has confirmed this leader
+  // later than `now`. State() is then as new as any acknowledged command.
+  uint64_t ConfirmRead(const base::Now& now);
   std::vector<PublishResult> TakePublishResults();
 
+  // Whether the move is done and in force at every connected proxy for long
+  // enough that no call to the old version is under way.
+  bool MoveSettled(const rpc::Move& move, const base::Now& now) const;
+
   rpc::PublishReply ChangeMember(const rpc::MemberRequest& request,
                                  const base::Now& now);
   rpc::QueryReply Query(const rpc::QueryRequest& request,
@@ -75,6 +92,14 @@
     uint64_t ticket_ = 0;
     uint64_t term_ = 0;
   };
+  struct DoneMove {
+    uint64_t revision_ = 0;
+    base::MonoTime seen_;
+  };
+  struct Read {
+    uint64_t ticket_ = 0;
+    base::MonoTime came_;
+  };
   struct Zone {
     rpc::ZoneAck ack_;
     base::MonoTime heard_;
@@ -98,7 +123,17 @@
   void Propose(const rpc::Command& command);
   void ApplyCommitted();
   void ApplyEntry(const rpc::LogEntry& entry);
+  // Whether commands are taken; if not, `ticket` gets its refusal.
+  bool TakesCommands(uint64_t ticket);
+  uint64_t ProposeFor(uint64_t ticket, const rpc::Command& command);
   void AnswerPublication(const rpc::LogEntry& entry, const Applied& applied);
+  void AnswerRouting(const rpc::LogEntry& entry, const CommandOutcome& outcome);
+  void AnswerOrder(const rpc::LogEntry& entry, const CommandOutcome& outcome);
+  void AnswerPending(const rpc::LogEntry& entry, const CommandOutcome& outcome);
+  void AnswerReads(const base::Now& now);
+  // The version that most endpoints of the service announce, but `to`.
+  std::string CurrentVersion(const std::string& service,
+                             const std::string& to) const;
   void LogMove(const rpc::Move& move);
   void FailPending(ResultCode code);
   void WatchLeadership();
@@ -107,6 +142,13 @@
   // Confirms a relay's nonce once a majority was heard after it came.
   uint64_t ConfirmNonce(const std::string& relay, const base::Now& now);
   void SendHeartbeats(const base::Now& now);
+  // source_members.cc: joining and repair.
+  void AskToJoin(const base::Now& now);
+  void OnJoin(const rpc::Envelope& envelope, const base::Now& now);
+  void RepairMembership(const base::Now& now);
+  std::vector<membership::MemberStatus> MemberStatuses(
+      const base::Now& now) const;
+  void NoteSettledMoves(const base::Now& now);
   void NoteInForce();
   void MaybeCompact();
   std::string AddressOf(const std::string& member) const;
@@ -132,8 +174,17 @@
   uint64_t next_ticket_ = 1;
   // Publications by log index.
   std::map<uint64_t, Pending> pending_;
+  std::vector<Read> reads_;
   std::vector<PublishResult> results_;
+  // When each done move was first in force at every connected proxy.
+  std::map<std::string, base::MonoTime> settled_since_;
+  // Revision and time at which this source first saw each move done.
+  std::map<std::string, DoneMove> done_moves_;
+  ControlHosts hosts_;
+  membership::MembershipPlanner planner_;
   base::MonoTime next_heartbeat_;
+  base::MonoTime next_join_;
+  base::MonoTime next_repair_;
   uint64_t reported_in_force_ = 0;
   size_t size_after_compaction_ = 0;
 };
