--- a/src/distribution/source_state.cc
+++ b/src/distribution/source_state.cc
@@ -6,7 +6,9 @@
 
 #include "base/time.h"
 #include "config/check.h"
+#include "config/move_order.h"
 #include "config/publication.h"
+#include "config/routing.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -71,6 +73,12 @@
     case rpc::Command::kClaimGroup:
       ApplyClaimGroup(command.claim_group(), entry.index(), applied);
       break;
+    case rpc::Command::kRouting:
+      ApplyRouting(command.routing(), entry.index(), applied);
+      break;
+    case rpc::Command::kMoveOrder:
+      ApplyMoveOrder(command.move_order(), entry.index(), applied);
+      break;
     case rpc::Command::BODY_NOT_SET:
       break;
   }
@@ -125,6 +133,88 @@
   }
 }
 
+const rpc::RoutingOutcome* SourceState::FindRouting(uint64_t digest) const {
+  const auto found = routings_.find(digest);
+  return found == routings_.end() ? nullptr : &found->second;
+}
+
+void SourceState::RememberRouting(const rpc::RoutingOutcome& outcome) {
+  routings_[outcome.digest()] = outcome;
+  routing_order_.push_back(outcome.digest());
+  if (routing_order_.size() > kMaxOutcomes) {
+    routings_.erase(routing_order_.front());
+    routing_order_.pop_front();
+  }
+}
+
+void SourceState::ApplyRouting(const rpc::RoutingCommand& command,
+                               uint64_t index,
+                               Applied& applied) {
+  CommandOutcome& outcome = applied.routing_.emplace();
+  const rpc::RoutingOutcome* earlier = FindRouting(command.digest());
+  if (earlier != nullptr) {
+    // The same publication, resent: the first answer again.
+    outcome.revision_ = earlier->revision();
+    return;
+  }
+  const rpc::Routing& routing = command.routing();
+  config::ConfigState next = config_;
+  const tl::expected<void, config::Refusal> result =
+      config::ApplyRouting(command, next);
+  rpc::AuditRecord audit;
+  if (result) {
+    Commit(std::move(next), index, applied);
+    outcome.revision_ = index;
+    routing_document_ = routing.document();
+    rpc::RoutingOutcome accepted;
+    accepted.set_digest(command.digest());
+    accepted.set_number(routing.header().number());
+    accepted.set_revision(index);
+    RememberRouting(accepted);
+    audit.set_detail(std::to_string(routing.routes_size()) + " routes");
+  } else {
+    outcome.code_ = result.error().code_;
+    outcome.detail_ = result.error().detail_;
+    audit.set_detail(outcome.detail_);
+  }
+  audit.set_index(index);
+  audit.set_at_ms(command.proposed_ms());
+  audit.set_author(command.author());
+  audit.set_action(result ? "routes-published" : "routes-refused");
+  audit.set_number(routing.header().number());
+  audit.set_digest(command.digest());
+  audit.set_result_code(static_cast<uint32_t>(outcome.code_));
+  AddAudit(std::move(audit));
+}
+
+void SourceState::ApplyMoveOrder(const rpc::MoveOrder& order,
+                                 uint64_t index,
+                                 Applied& applied) {
+  CommandOutcome& outcome = applied.order_.emplace();
+  config::ConfigState next = config_;
+  const tl::expected<void, config::Refusal> result =
+      config::ApplyMoveOrder(order, next);
+  const bool changed =
+      result && next.Find(order.service()) != config_.Find(order.service());
+  if (changed) {
+    Commit(std::move(next), index, applied);
+    outcome.revision_ = index;
+  }
+  if (!result) {
+    outcome.code_ = result.error().code_;
+    outcome.detail_ = result.error().detail_;
+  }
+  rpc::AuditRecord audit;
+  audit.set_index(index);
+  audit.set_at_ms(order.ordered_ms());
+  audit.set_author(order.author());
+  audit.set_action(result ? "move-ordered" : "move-order-refused");
+  audit.set_result_code(static_cast<uint32_t>(outcome.code_));
+  audit.set_detail(order.service() + " to " + order.to() +
+                   (changed || !result ? "" : ", sent again"));
+  AddAudit(std::move(audit));
+}
+
 void SourceState::ApplyMoveStep(const rpc::MoveStep& step,
                                 uint64_t index,
                                 Applied& applied) {
@@ -207,6 +297,10 @@
   for (const auto& [number, outcome] : outcomes_) {
     *state.add_outcomes() = outcome;
   }
+  state.set_routing_document(routing_document_);
+  for (const uint64_t digest : routing_order_) {
+    *state.add_routing_outcomes() = routings_.at(digest);
+  }
   for (const rpc::AuditRecord& record : audit_) {
     *state.add_audit() = record;
   }
@@ -227,11 +321,18 @@
   for (const rpc::PublicationOutcome& outcome : state.outcomes()) {
     restored.outcomes_[outcome.number()] = outcome;
   }
+  restored.routing_document_ = state.routing_document();
+  for (const rpc::RoutingOutcome& outcome : state.routing_outcomes()) {
+    restored.RememberRouting(outcome);
+  }
   restored.audit_.assign(state.audit().begin(), state.audit().end());
   config_ = std::move(restored.config_);
   deltas_.Clear();
   outcomes_ = std::move(restored.outcomes_);
   highest_number_ = restored.highest_number_;
+  routing_document_ = std::move(restored.routing_document_);
+  routings_ = std::move(restored.routings_);
+  routing_order_ = std::move(restored.routing_order_);
   audit_ = std::move(restored.audit_);
   applied_index_ = restored.applied_index_;
   return true;
--- a/src/distribution/upstream_link.cc
+++ b/src/distribution/upstream_link.cc
@@ -16,12 +16,8 @@
 UpstreamLink::UpstreamLink(const std::string& self,
                            std::vector<std::string> candidates,
                            uint64_t seed)
-    : random_(seed), order_(std::move(candidates)) {
-  std::sort(order_.begin(), order_.end(),
-            [&self](const std::string& a, const std::string& b) {
-              return base::RendezvousScore(self, a) >
-                     base::RendezvousScore(self, b);
-            });
+    : self_(self), random_(seed), order_(std::move(candidates)) {
+  SortByScore();
   for (const std::string& id : order_) {
     candidates_[id] = Candidate();
   }
@@ -30,6 +26,31 @@
   }
 }
 
+void UpstreamLink::SortByScore() {
+  std::sort(order_.begin(), order_.end(),
+            [this](const std::string& a, const std::string& b) {
+              return base::RendezvousScore(self_, a) >
+                     base::RendezvousScore(self_, b);
+            });
+}
+
+void UpstreamLink::SetCandidates(
+    const std::vector<std::string>& candidates,
+    const std::function<bool(const std::string&)>& prefers) {
+  std::map<std::string, Candidate> kept;
+  for (const std::string& id : candidates) {
+    kept[id] = candidates_[id];
+  }
+  candidates_ = std::move(kept);
+  order_ = candidates;
+  SortByScore();
+  has_preferred_ = std::stable_partition(order_.begin(), order_.end(),
+                                         prefers) != order_.begin();
+  if (candidates_.count(active_) == 0) {
+    active_ = order_.empty() ? std::string() : order_.front();
+  }
+}
+
 void UpstreamLink::Heard(const std::string& candidate,
                          uint64_t revision,
                          base::Duration contact_age,
@@ -75,21 +96,38 @@
   }
   const bool lagged = lagging_ && now - lag_since_ > kLagTolerance;
   if (Healthy(current, now) && !lagged) {
+    ReturnToPreferred(now);
     return;
   }
   for (const std::string& id : order_) {
     Candidate& candidate = candidates_[id];
     const bool ahead = !lagged || candidate.revision_ > current.revision_;
     if (id != active_ && Healthy(candidate, now) && ahead) {
-      active_ = id;
-      lagging_ = false;
-      candidate.resumed_ = false;
-      candidate.next_resume_ = now;
+      Activate(id, now);
       return;
     }
   }
 }
 
+void UpstreamLink::Activate(const std::string& id, base::MonoTime now) {
+  active_ = id;
+  lagging_ = false;
+  next_return_ = now + kReturnInterval;
+  candidates_[id].resumed_ = false;
+  candidates_[id].next_resume_ = now;
+}
+
+void UpstreamLink::ReturnToPreferred(base::MonoTime now) {
+  if (!has_preferred_ || active_ == order_.front() || now < next_return_) {
+    return;
+  }
+  const Candidate& preferred = candidates_[order_.front()];
+  if (Healthy(preferred, now) &&
+      preferred.revision_ >= candidates_[active_].revision_) {
+    Activate(order_.front(), now);
+  }
+}
+
 std::vector<std::string> UpstreamLink::DueResumes(uint64_t own_revision,
                                                   base::MonoTime now) {
   std::vector<std::string> due;
@@ -122,6 +160,14 @@
   return found != candidates_.end() && Healthy(found->second, now);
 }
 
+base::Duration UpstreamLink::ContactAge(base::MonoTime now) const {
+  const auto found = candidates_.find(active_);
+  if (found == candidates_.end() || !found->second.heard_) {
+    return kStaleContact;
+  }
+  return found->second.contact_age_ + (now - found->second.last_heard_);
+}
+
 uint64_t UpstreamLink::HighestRevision() const {
   uint64_t highest = 0;
   for (const auto& [id, candidate] : candidates_) {
--- /dev/null
+++ b/src/http/beast.cc
@@ -0,0 +1,65 @@
+// Conversions between Beast's fields and ours.
+#include "http/beast.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+namespace buckthorngate::http {
+namespace {
+
+// Bytes that stay unacknowledged for longer end the connection.
+constexpr int kUserTimeoutMs = 4000;
+
+std::string_view View(const beast::string_view& text) {
+  return {text.data(), text.size()};
+}
+
+bool IsNamed(const std::string_view list, std::string_view name) {
+  size_t begin = 0;
+  while (begin < list.size()) {
+    size_t end = std::min(list.find(',', begin), list.size());
+    std::string_view token = list.substr(begin, end - begin);
+    while (token.starts_with(' ')) {
+      token.remove_prefix(1);
+    }
+    while (token.ends_with(' ')) {
+      token.remove_suffix(1);
+    }
+    if (EqualsIgnoringCase(token, name)) {
+      return true;
+    }
+    begin = end + 1;
+  }
+  return false;
+}
+
+}  // namespace
+
+void CopyHeaders(const bhttp::fields& from, Headers& to) {
+  const std::string_view connection = View(from[bhttp::field::connection]);
+  constexpr size_t kUsualHeaders = 12;
+  to.Reserve(kUsualHeaders);
+  for (const bhttp::fields::value_type& field : from) {
+    const std::string_view name = View(field.name_string());
+    if (!IsConnectionHeader(name) && !IsNamed(connection, name)) {
+      to.Add(name, View(field.value()));
+    }
+  }
+}
+
+void CopyHeaders(const Headers& from, bhttp::fields& to) {
+  for (const Header& header : from.Items()) {
+    to.insert(header.name_, header.value_);
+  }
+}
+
+void ConfigureSocket(Tcp::socket& socket) {
+  ErrorCode ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>
+      user_timeout(kUserTimeoutMs);
+  socket.set_option(user_timeout, ignored);
+}
+
+}  // namespace buckthorngate::http
--- /dev/null
+++ b/src/http/beast.h
@@ -0,0 +1,30 @@
+// Boost.Beast as this project uses it, and conversions of heads.
+//
+// For source files of src/http only: no other folder sees Beast.
+#ifndef SRC_HTTP_BEAST_H_
+#define SRC_HTTP_BEAST_H_
+
+#include "http/asio.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "http/head.h"
+
+namespace buckthorngate::http {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+// Copies all headers but those that concern one connection only.
+void CopyHeaders(const bhttp::fields& from, Headers& to);
+void CopyHeaders(const Headers& from, bhttp::fields& to);
+
+// Sets what each socket of the path of requests needs: no delay, and an end
+// to connections whose other side has gone silent.
+void ConfigureSocket(Tcp::socket& socket);
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_BEAST_H_
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,319 @@
+// One exchange on a dialled connection.
+#include "http/client.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "http/client_connection.h"
+
+namespace buckthorngate::http {
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
+constexpr int kFirstFinalStatus = 200;
+// Answers to earlier requests that may come first.
+constexpr int kMostSkipped = 4;
+constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
+// A long answer that makes no progress for this long is given up.
+constexpr base::Duration kPieceTimeout = std::chrono::seconds(10);
+// Left out of the idle time that the other side announces.
+constexpr base::Duration kIdleMargin = std::chrono::milliseconds(1500);
+
+bool IsMalformed(const ErrorCode& error) {
+  return error.category() ==
+             make_error_code(bhttp::error::bad_method).category() &&
+         error != bhttp::error::end_of_stream &&
+         error != bhttp::error::partial_message;
+}
+
+base::MonoTime Present() {
+  return std::chrono::time_point_cast<base::Duration>(
+      std::chrono::steady_clock::now());
+}
+
+// "timeout=10, max=5": whole seconds.
+base::Duration IdleTimeOf(std::string_view keep_alive) {
+  constexpr std::string_view kKey = "timeout=";
+  const size_t at = keep_alive.find(kKey);
+  if (at == std::string_view::npos) {
+    return base::Duration::max();
+  }
+  const std::string_view rest = keep_alive.substr(at + kKey.size());
+  const std::optional<uint64_t> seconds =
+      ParseNumber(rest.substr(0, rest.find_first_not_of("0123456789")));
+  const base::Duration idle = std::chrono::seconds(seconds.value_or(0));
+  return std::max(idle - kIdleMargin, base::Duration(0));
+}
+
+}  // namespace
+
+// Sends a streamed body while the answer is awaited. Shared with the
+// coroutine that sends, which may outlast the exchange by a turn of the loop.
+struct Exchange::Sender {
+  explicit Sender(EventLoop& loop) : ended_(loop) {}
+
+  Notifier ended_;
+  bool done_ = false;
+  bool whole_ = false;
+};
+
+Exchange::Exchange(ConnectionPool& pool,
+                   ClientConnectionPtr connection,
+                   CancelSignal& cancel)
+    : pool_(pool), connection_(std::move(connection)), cancel_(cancel) {
+  interrupt_ = std::make_unique<CancelScope>(
+      cancel, [held = connection_] { held->Close(); });
+}
+
+Exchange::~Exchange() {
+  if (!finished_) {
+    connection_->Close();
+  }
+}
+
+void Exchange::Abort() {
+  connection_->Close();
+}
+
+ExchangeFailure Exchange::FailureOf(const std::string& detail,
+                                    bool malformed,
+                                    bool not_sent) const {
+  if (cancel_.Raised()) {
+    return {ResultCode::kCallerGone, not_sent, detail};
+  }
+  if (Present() >= deadline_) {
+    return {ResultCode::kDeadlineExceeded, not_sent, detail};
+  }
+  if (malformed) {
+    return {ResultCode::kAnswerMalformed, false, detail};
+  }
+  return {not_sent ? ResultCode::kConnectFailed : ResultCode::kUpstreamFailed,
+          not_sent, detail};
+}
+
+Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::Run(
+    const RequestHead& request,
+    std::string_view body,
+    base::MonoTime deadline,
+    std::function<bool(const AnswerHead&)> belongs) {
+  method_ = request.method_;
+  deadline_ = deadline;
+  bhttp::request<bhttp::span_body<const char>> message;
+  message.version(kHttp11);
+  message.method_string(request.method_);
+  message.target(request.target_);
+  CopyHeaders(request.headers_, message);
+  message.body() = {body.data(), body.size()};
+  const bool has_length = !body.empty() || request.method_ == "POST" ||
+                          request.method_ == "PUT" ||
+                          request.method_ == "PATCH";
+  if (has_length) {
+    message.content_length(body.size());
+  }
+  connection_->stream_.expires_at(deadline);
+  ErrorCode error;
+  const size_t sent = co_await bhttp::async_write(
+      connection_->stream_, message,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return tl::unexpected(
+        FailureOf(error.message(), /*malformed=*/false, sent == 0));
+  }
+  co_return co_await ReadHead(belongs);
+}
+
+Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::RunStreamed(
+    EventLoop& loop,
+    const RequestHead& request,
+    std::string_view first,
+    BodyReader& rest,
+    base::MonoTime deadline,
+    std::function<bool(const AnswerHead&)> belongs) {
+  method_ = request.method_;
+  deadline_ = deadline;
+  sender_ = std::make_shared<Sender>(loop);
+  bhttp::request<bhttp::buffer_body> message;
+  message.version(kHttp11);
+  message.method_string(request.method_);
+  message.target(request.target_);
+  CopyHeaders(request.headers_, message);
+  const std::optional<uint64_t> length = rest.Length();
+  if (length) {
+    message.content_length(*length);
+  } else {
+    message.chunked(true);
+  }
+  const auto send =
+      [](std::shared_ptr<Sender> sender, ClientConnectionPtr connection,
+         bhttp::request<bhttp::buffer_body> head, std::string piece,
+         BodyReader& reader, base::MonoTime until) -> Task<void> {
+    bhttp::request_serializer<bhttp::buffer_body> serializer(head);
+    BodyState state = BodyState::kMore;
+    ErrorCode error;
+    bool last = false;
+    while (!last) {
+      last = state != BodyState::kMore;
+      head.body().data = piece.empty() ? nullptr : piece.data();
+      head.body().size = piece.size();
+      head.body().more = !last;
+      // Once the connection is broken, the rest is read and dropped, so that
+      // the caller can go on to its answer.
+      if (!error && state != BodyState::kFailed) {
+        connection->stream_.expires_at(until);
+        co_await bhttp::async_write(
+            connection->stream_, serializer,
+            asio::redirect_error(asio::use_awaitable, error));
+      }
+      if (error == bhttp::error::need_buffer) {
+        error = {};
+      }
+      piece.clear();
+      if (!last) {
+        state = co_await reader.Read(piece, kPieceBytes);
+      }
+    }
+    sender->whole_ = state == BodyState::kEnd && !error;
+    sender->done_ = true;
+    if (state == BodyState::kFailed) {
+      // The caller's body is cut; the other side must not take it for whole.
+      connection->Close();
+    }
+    sender->ended_.Notify();
+  };
+  loop.Spawn(send(sender_, connection_, std::move(message), std::string(first),
+                  rest, deadline));
+  co_return co_await ReadHead(belongs);
+}
+
+Task<bool> Exchange::AwaitSender(base::Duration most) {
+  const base::MonoTime until =
+      most == base::Duration::max() ? base::MonoTime::max() : Present() + most;
+  while (sender_ != nullptr && !sender_->done_) {
+    const bool notified = co_await sender_->ended_.Wait(until);
+    if (!notified) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+Task<bool> Exchange::SkipBody() {
+  std::string dropped;
+  BodyState state = BodyState::kMore;
+  while (state == BodyState::kMore && dropped.size() < kMostSkippedBytes) {
+    state = co_await ReadPiece(dropped, kMostSkippedBytes);
+  }
+  co_return state == BodyState::kEnd && connection_->Open();
+}
+
+Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::ReadHead(
+    const std::function<bool(const AnswerHead&)>& belongs) {
+  for (int skipped = 0; skipped < kMostSkipped;) {
+    connection_->parser_.emplace();
+    ClientConnection::Parser& parser = *connection_->parser_;
+    parser.header_limit(kAnswerHeaderBytes);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (method_ == "HEAD") {
+      parser.skip(true);
+    }
+    connection_->stream_.expires_at(deadline_);
+    ErrorCode error;
+    co_await bhttp::async_read_header(
+        connection_->stream_, connection_->buffer_, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return tl::unexpected(
+          FailureOf(error.message(), IsMalformed(error), /*not_sent=*/false));
+    }
+    AnswerHead head;
+    head.status_ = static_cast<int>(parser.get().result_int());
+    if (head.status_ < kFirstFinalStatus) {
+      continue;
+    }
+    CopyHeaders(parser.get(), head.headers_);
+    if (belongs(head)) {
+      co_return head;
+    }
+    ++skipped;
+    const bool skipped_whole = co_await SkipBody();
+    if (!skipped_whole) {
+      break;
+    }
+  }
+  co_return tl::unexpected(
+      ExchangeFailure{ResultCode::kAnswerCrossed, false, ""});
+}
+
+Task<BodyState> Exchange::Read(std::string& piece, size_t most) {
+  const BodyState state = co_await ReadPiece(piece, most);
+  if (state == BodyState::kEnd) {
+    Finish();
+  }
+  co_return state;
+}
+
+Task<BodyState> Exchange::ReadPiece(std::string& piece, size_t most) {
+  ClientConnection::Parser& parser = *connection_->parser_;
+  if (parser.is_done()) {
+    co_return BodyState::kEnd;
+  }
+  const size_t held = piece.size();
+  const size_t room = std::min(most - std::min(most, held), kPieceBytes);
+  piece.resize(held + room);
+  bhttp::buffer_body::value_type& body = parser.get().body();
+  body.data = piece.data() + held;
+  body.size = room;
+  connection_->stream_.expires_at(
+      streaming_ ? std::max(deadline_, Present() + kPieceTimeout) : deadline_);
+  ErrorCode error;
+  co_await bhttp::async_read_some(
+      connection_->stream_, connection_->buffer_, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  piece.resize(piece.size() - body.size);
+  // An end without a length: the connection's orderly end completes it.
+  if (error == asio::error::eof && parser.need_eof()) {
+    ErrorCode ended;
+    parser.put_eof(ended);
+    error = ended;
+  }
+  if (error && error != bhttp::error::need_buffer) {
+    connection_->Close();
+    co_return BodyState::kFailed;
+  }
+  co_return parser.is_done() ? BodyState::kEnd : BodyState::kMore;
+}
+
+std::optional<uint64_t> Exchange::Length() const {
+  const boost::optional<std::uint64_t> length =
+      connection_->parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+bool Exchange::EndsWithConnection() const {
+  return connection_->parser_->need_eof();
+}
+
+void Exchange::Finish() {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  const ClientConnection::Parser& parser = *connection_->parser_;
+  const bool sent = sender_ == nullptr || sender_->whole_;
+  const bool reusable =
+      sent && parser.keep_alive() && !parser.need_eof() && connection_->Open();
+  const base::Duration idle = IdleTimeOf(
+      std::string_view(parser.get()[bhttp::field::keep_alive].data(),
+                       parser.get()[bhttp::field::keep_alive].size()));
+  interrupt_.reset();
+  if (!reusable || connection_->buffer_.size() != 0) {
+    connection_->Close();
+    return;
+  }
+  connection_->stream_.expires_never();
+  pool_.Return(connection_, idle);
+}
+
+}  // namespace buckthorngate::http
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,151 @@
+// HTTP client on the event loop: kept connections and one exchange on each.
+//
+// A connection with an unfinished, failed or odd exchange is closed and never
+// used again. Bytes behind a complete answer belong to no request: the
+// connection that brought them is closed.
+#ifndef SRC_HTTP_CLIENT_H_
+#define SRC_HTTP_CLIENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "base/time.h"
+#include "buckthorngate/result_code.h"
+#include "http/body.h"
+#include "http/cancel.h"
+#include "http/event_loop.h"
+#include "http/head.h"
+
+namespace buckthorngate::http {
+
+class ClientConnection;
+using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
+
+struct ClientOptions {
+  // Connections that were idle for longer are not used again: the other side
+  // may be about to close them.
+  base::Duration most_idle_ = std::chrono::seconds(3);
+  base::Duration connect_timeout_ = std::chrono::milliseconds(300);
+  size_t most_idle_connections_ = 64;  // For each address.
+};
+
+// Idle connections by address. Used on the loop's thread only.
+class ConnectionPool {
+ public:
+  ConnectionPool(EventLoop& loop, ClientOptions options);
+  ~ConnectionPool();
+
+  // An idle connection, or a new one. Errors: kConnectFailed, kCallerGone if
+  // cancelled. The request has not been sent to anybody then.
+  Task<tl::expected<ClientConnectionPtr, ResultCode>> Take(
+      const std::string& address,
+      base::MonoTime deadline,
+      CancelSignal& cancel);
+  // `idle` is how long the other side keeps the connection, if it said so.
+  void Return(ClientConnectionPtr connection, base::Duration idle);
+  // Closes the idle connections to an address.
+  void Forget(const std::string& address);
+
+  uint64_t Connects() const { return connects_; }
+
+ private:
+  ClientConnectionPtr TakeIdle(const std::string& address);
+  void DropOld(std::vector<ClientConnectionPtr>& idle) const;
+
+  EventLoop& loop_;
+  const ClientOptions options_;
+  std::map<std::string, std::vector<ClientConnectionPtr>> idle_;
+  uint64_t connects_ = 0;
+};
+
+// Whether a TCP connection to the address can be established in time.
+Task<bool> AcceptsConnections(EventLoop& loop,
+                              const std::string& address,
+                              base::Duration timeout);
+
+// How an exchange failed, and whether the request may have been received.
+struct ExchangeFailure {
+  ResultCode code_ = ResultCode::kUpstreamFailed;
+  bool not_sent_ = false;
+  // What the library said, for the log.
+  std::string detail_;
+};
+
+// One request and its answer on one connection.
+class Exchange : public BodyReader {
+ public:
+  // All references must outlive the exchange.
+  Exchange(ConnectionPool& pool,
+           ClientConnectionPtr connection,
+           CancelSignal& cancel);
+  // Closes the connection unless the exchange has ended whole.
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  // Sends the request with a whole body, then reads the answer's head. Answers
+  // that `belongs` rejects are answers to earlier requests and are skipped.
+  // Errors: kConnectFailed (not sent), kUpstreamFailed, kAnswerMalformed,
+  // kAnswerCrossed, kDeadlineExceeded, kCallerGone.
+  Task<tl::expected<AnswerHead, ExchangeFailure>> Run(
+      const RequestHead& request,
+      std::string_view body,
+      base::MonoTime deadline,
+      std::function<bool(const AnswerHead&)> belongs);
+  // As Run, with `first` as the beginning of a body whose rest is read from
+  // `rest` while it is sent.
+  Task<tl::expected<AnswerHead, ExchangeFailure>> RunStreamed(
+      EventLoop& loop,
+      const RequestHead& request,
+      std::string_view first,
+      BodyReader& rest,
+      base::MonoTime deadline,
+      std::function<bool(const AnswerHead&)> belongs);
+
+  // The answer's body, after its head. Hands the connection back at the end.
+  Task<BodyState> Read(std::string& piece, size_t most) override;
+  std::optional<uint64_t> Length() const override;
+  // The answer is long: from now on each piece has a time of its own, instead
+  // of the deadline for all of it.
+  void StreamAnswer() { streaming_ = true; }
+  // Whether the answer's end is the end of its connection.
+  bool EndsWithConnection() const;
+
+  // Closes the connection; whatever waits on it fails.
+  void Abort();
+  // Waits until a streamed request's body is no longer read; false if that
+  // takes longer than `most`. At once true for whole bodies.
+  Task<bool> AwaitSender(base::Duration most);
+
+ private:
+  struct Sender;
+
+  Task<tl::expected<AnswerHead, ExchangeFailure>> ReadHead(
+      const std::function<bool(const AnswerHead&)>& belongs);
+  Task<bool> SkipBody();
+  Task<BodyState> ReadPiece(std::string& piece, size_t most);
+  ExchangeFailure FailureOf(const std::string& detail,
+                            bool malformed,
+                            bool not_sent) const;
+  void Finish();
+
+  ConnectionPool& pool_;
+  ClientConnectionPtr connection_;
+  CancelSignal& cancel_;
+  std::unique_ptr<CancelScope> interrupt_;
+  std::shared_ptr<Sender> sender_;
+  std::string method_;
+  base::MonoTime deadline_;
+  bool streaming_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/http/client_connection.h
@@ -0,0 +1,38 @@
+// One dialled connection of the HTTP client.
+#ifndef SRC_HTTP_CLIENT_CONNECTION_H_
+#define SRC_HTTP_CLIENT_CONNECTION_H_
+
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "http/beast.h"
+
+namespace buckthorngate::http {
+
+class ClientConnection {
+ public:
+  using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+  ClientConnection(asio::io_context& context, std::string address)
+      : address_(std::move(address)), stream_(context) {}
+
+  void Close() {
+    ErrorCode ignored;
+    stream_.socket().close(ignored);
+  }
+  bool Open() { return stream_.socket().is_open(); }
+
+  // Whether an idle connection can be used: still open, and no bytes on it.
+  bool Quiet();
+
+  const std::string address_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  base::MonoTime unused_after_;
+};
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/http/connection_pool.cc
@@ -0,0 +1,117 @@
+// Idle connections, and dialling.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "http/address.h"
+#include "http/client.h"
+#include "http/client_connection.h"
+
+namespace buckthorngate::http {
+namespace {
+
+base::MonoTime Present() {
+  return std::chrono::time_point_cast<base::Duration>(
+      std::chrono::steady_clock::now());
+}
+
+Task<ErrorCode> Connect(ClientConnection& connection, base::MonoTime until) {
+  ErrorCode error = asio::error::invalid_argument;
+  const std::optional<Tcp::endpoint> endpoint =
+      ParseAddress(connection.address_);
+  if (endpoint) {
+    connection.stream_.expires_at(until);
+    co_await connection.stream_.async_connect(
+        *endpoint, asio::redirect_error(asio::use_awaitable, error));
+  }
+  co_return error;
+}
+
+}  // namespace
+
+bool ClientConnection::Quiet() {
+  char byte = 0;
+  return Open() && buffer_.size() == 0 &&
+         recv(stream_.socket().native_handle(), &byte, 1,
+              MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+ConnectionPool::ConnectionPool(EventLoop& loop, ClientOptions options)
+    : loop_(loop), options_(options) {}
+ConnectionPool::~ConnectionPool() = default;
+
+void ConnectionPool::DropOld(std::vector<ClientConnectionPtr>& idle) const {
+  const base::MonoTime now = Present();
+  std::erase_if(idle, [now](const ClientConnectionPtr& connection) {
+    return now >= connection->unused_after_;
+  });
+}
+
+ClientConnectionPtr ConnectionPool::TakeIdle(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  std::vector<ClientConnectionPtr>& idle = found->second;
+  DropOld(idle);
+  // The latest returned is the most likely to be alive.
+  while (!idle.empty()) {
+    ClientConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->Quiet()) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+Task<tl::expected<ClientConnectionPtr, ResultCode>> ConnectionPool::Take(
+    const std::string& address,
+    base::MonoTime deadline,
+    CancelSignal& cancel) {
+  ClientConnectionPtr connection = TakeIdle(address);
+  if (connection != nullptr) {
+    co_return connection;
+  }
+  ++connects_;
+  connection = std::make_shared<ClientConnection>(loop_.Context(), address);
+  const CancelScope interrupt(cancel, [connection] { connection->Close(); });
+  const base::MonoTime until =
+      std::min(deadline, Present() + options_.connect_timeout_);
+  const ErrorCode error = co_await Connect(*connection, until);
+  if (cancel.Raised()) {
+    co_return tl::unexpected(ResultCode::kCallerGone);
+  }
+  if (error) {
+    co_return tl::unexpected(ResultCode::kConnectFailed);
+  }
+  ConfigureSocket(connection->stream_.socket());
+  co_return connection;
+}
+
+void ConnectionPool::Return(ClientConnectionPtr connection,
+                            base::Duration idle) {
+  std::vector<ClientConnectionPtr>& held = idle_[connection->address_];
+  DropOld(held);
+  if (held.size() >= options_.most_idle_connections_) {
+    return;
+  }
+  connection->unused_after_ = Present() + std::min(idle, options_.most_idle_);
+  held.push_back(std::move(connection));
+}
+
+void ConnectionPool::Forget(const std::string& address) {
+  idle_.erase(address);
+}
+
+Task<bool> AcceptsConnections(EventLoop& loop,
+                              const std::string& address,
+                              base::Duration timeout) {
+  ClientConnection connection(loop.Context(), address);
+  const ErrorCode error = co_await Connect(connection, Present() + timeout);
+  co_return !error;
+}
+
+}  // namespace buckthorngate::http
--- /dev/null
+++ b/src/http/event_loop.cc
@@ -0,0 +1,81 @@
+// The loop of the path of requests.
+#include "http/event_loop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <exception>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "base/events.h"
+
+namespace buckthorngate::http {
+
+void EventLoop::Start() {
+  thread_ = std::thread([this] {
+    const asio::executor_work_guard<asio::io_context::executor_type> guard(
+        context_.get_executor());
+    context_.run();
+  });
+}
+
+void EventLoop::Stop() {
+  context_.stop();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  asio::post(context_, std::move(task));
+}
+
+void EventLoop::RunAndWait(const std::function<void()>& task) {
+  std::shared_ptr<std::promise<void>> done =
+      std::make_shared<std::promise<void>>();
+  std::future<void> result = done->get_future();
+  Post([task, done] {
+    task();
+    done->set_value();
+  });
+  result.wait();
+}
+
+void EventLoop::Spawn(Task<void> task) {
+  asio::co_spawn(context_, std::move(task),
+                 [](const std::exception_ptr& error) {
+                   if (error == nullptr) {
+                     return;
+                   }
+                   try {
+                     std::rethrow_exception(error);
+                   } catch (const std::exception& exception) {
+                     base::LogEvent(base::EventId::kTaskFailed,
+                                    {{"what", exception.what()}});
+                   }
+                 });
+}
+
+Task<void> Sleep(asio::io_context& context, base::Duration duration) {
+  asio::steady_timer timer(context, duration);
+  ErrorCode error;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+void Notifier::Notify() {
+  notified_ = true;
+  timer_.cancel();
+}
+
+Task<bool> Notifier::Wait(base::MonoTime until) {
+  if (!notified_) {
+    timer_.expires_at(until);
+    ErrorCode error;
+    co_await timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  co_return std::exchange(notified_, false);
+}
+
+}  // namespace buckthorngate::http
--- /dev/null
+++ b/src/http/event_loop.h
@@ -0,0 +1,60 @@
+// The thread that runs the path of requests: one loop for all connections.
+#ifndef SRC_HTTP_EVENT_LOOP_H_
+#define SRC_HTTP_EVENT_LOOP_H_
+
+#include <functional>
+#include <thread>
+
+#include "base/time.h"
+#include "http/asio.h"
+
+namespace buckthorngate::http {
+
+class EventLoop {
+ public:
+  EventLoop() = default;
+  ~EventLoop() { Stop(); }
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  void Start();
+  // Ends the thread; what is still under way is abandoned.
+  void Stop();
+
+  // Safe for concurrent use: runs `task` on the loop's thread.
+  void Post(std::function<void()> task);
+  // As Post, and waits until the task has run. Not from the loop's thread.
+  void RunAndWait(const std::function<void()>& task);
+
+  // Starts a coroutine; on the loop's thread, or before Start.
+  void Spawn(Task<void> task);
+
+  asio::io_context& Context() { return context_; }
+
+ private:
+  // One thread runs the context.
+  asio::io_context context_{1};
+  std::thread thread_;
+};
+
+// Suspends the calling coroutine.
+Task<void> Sleep(asio::io_context& context, base::Duration duration);
+
+// Wakes one waiting coroutine. Used on the loop's thread only.
+class Notifier {
+ public:
+  explicit Notifier(EventLoop& loop) : timer_(loop.Context()) {}
+
+  void Notify();
+  // Returns once Notify was called, at once if it was called before, or at
+  // `until`. False if the time ran out.
+  Task<bool> Wait(base::MonoTime until);
+
+ private:
+  asio::steady_timer timer_;
+  bool notified_ = false;
+};
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_EVENT_LOOP_H_
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,114 @@
+// HTTP server on the event loop: connections of callers and of other daemons.
+//
+// A connection is one coroutine that reads a request, hands it to the handler
+// and sends the answer. Requests that were sent ahead on a connection are
+// answered in order. While a request is handled the connection is watched, so
+// that a caller that leaves is noticed at once.
+#ifndef SRC_HTTP_SERVER_H_
+#define SRC_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "buckthorngate/result_code.h"
+#include "http/body.h"
+#include "http/cancel.h"
+#include "http/event_loop.h"
+#include "http/head.h"
+
+namespace buckthorngate::http {
+
+// Bounds on what the other side may send and how long it may take.
+struct ServerLimits {
+  size_t header_bytes_ = size_t{16} * 1024;
+  uint64_t body_bytes_ = uint64_t{1} << 40;
+  base::Duration header_timeout_ = std::chrono::seconds(10);
+  base::Duration idle_timeout_ = std::chrono::seconds(15);
+};
+
+// One request on a connection. Used on the loop's thread, while the handler
+// runs.
+class ServerCall : public BodyReader {
+ public:
+  virtual const RequestHead& Head() const = 0;
+  virtual bool HasBody() const = 0;
+  // Raised when the other side has closed the connection.
+  virtual CancelSignal& Gone() = 0;
+  // Asks the socket itself, for when the process was stopped for long.
+  virtual bool StillThere() = 0;
+
+  // Each returns false if the answer could not be sent.
+  virtual Task<bool> Answer(const AnswerHead& head, std::string_view body) = 0;
+  // An answer without a body that tells its length all the same (HEAD).
+  virtual Task<bool> AnswerWithoutBody(const AnswerHead& head,
+                                       std::optional<uint64_t> length) = 0;
+  // A streamed answer: Begin, Write for each piece, Finish. If it is left
+  // unfinished, the connection is closed so that it does not look complete.
+  virtual Task<bool> Begin(const AnswerHead& head,
+                           std::optional<uint64_t> length) = 0;
+  virtual Task<bool> Write(std::string_view piece) = 0;
+  virtual Task<bool> Finish() = 0;
+  // Closes the connection; whatever waits on it fails.
+  virtual void Abort() = 0;
+};
+
+class Handler {
+ public:
+  virtual ~Handler() = default;
+  virtual Task<void> Handle(ServerCall& call) = 0;
+};
+
+// Used on the loop's thread, but for construction and Listen.
+class Server {
+ public:
+  // All must outlive the server.
+  Server(EventLoop& loop, Handler& handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // kBadSettings if the address cannot be had. Before the loop starts, or on
+  // its thread.
+  ResultCode Listen(const std::string& address);
+  // Takes no more connections and closes idle ones; answers from now on tell
+  // the other side to close.
+  void Drain();
+  // Closes all connections; requests under way are cancelled.
+  void Close();
+  size_t Connections() const { return connections_.size(); }
+  bool Draining() const { return draining_; }
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  const ServerLimits& Limits() const { return limits_; }
+  size_t OpenCalls() const { return open_calls_; }
+
+  // Told of requests that are malformed or exceed a limit.
+  void OnMalformed(
+      std::function<void(int status, std::string_view what)> told) {
+    on_malformed_ = std::move(told);
+  }
+
+ private:
+  class Connection;
+  friend class Connection;
+
+  Task<void> Accept();
+
+  EventLoop& loop_;
+  Handler& handler_;
+  Tcp::acceptor acceptor_;
+  ServerLimits limits_;
+  bool draining_ = false;
+  size_t open_calls_ = 0;
+  std::set<Connection*> connections_;
+  std::function<void(int, std::string_view)> on_malformed_;
+};
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_SERVER_H_
--- /dev/null
+++ b/src/http/server_connection.h
@@ -0,0 +1,85 @@
+// One connection of the HTTP server.
+#ifndef SRC_HTTP_SERVER_CONNECTION_H_
+#define SRC_HTTP_SERVER_CONNECTION_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http/beast.h"
+#include "http/server.h"
+
+namespace buckthorngate::http {
+
+class Server::Connection : public ServerCall,
+                           public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Server& server, Tcp::socket socket);
+  ~Connection() override;
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  // Serves the connection until it ends, and keeps it until then.
+  static Task<void> Serve(std::shared_ptr<Connection> connection);
+  // Closes the connection if no request is under way.
+  void CloseIfIdle();
+  // Cancels the request that is under way, and closes the connection.
+  void Cancel();
+  // The server goes away; nothing of it may be used any more.
+  void Orphan() { server_ = nullptr; }
+
+  const RequestHead& Head() const override { return head_; }
+  bool HasBody() const override;
+  CancelSignal& Gone() override { return *gone_; }
+  bool StillThere() override;
+  std::optional<uint64_t> Length() const override;
+  Task<BodyState> Read(std::string& piece, size_t most) override;
+  Task<bool> Answer(const AnswerHead& head, std::string_view body) override;
+  Task<bool> AnswerWithoutBody(const AnswerHead& head,
+                               std::optional<uint64_t> length) override;
+  Task<bool> Begin(const AnswerHead& head,
+                   std::optional<uint64_t> length) override;
+  Task<bool> Write(std::string_view piece) override;
+  Task<bool> Finish() override;
+  void Abort() override;
+
+ private:
+  using Parser = bhttp::request_parser<bhttp::buffer_body>;
+  using Stream = bhttp::response<bhttp::buffer_body>;
+
+  Task<void> Run();
+  // Waits for the first byte of a request; false when the connection ends.
+  Task<bool> AwaitRequest();
+  // Reads a head; false if it is malformed, which has been answered.
+  Task<bool> ReadHead();
+  Task<void> HandleOne();
+  Task<void> AnswerMalformed(const ErrorCode& error);
+  Task<void> SendContinue();
+  // Looks out for the caller leaving, until the request is answered.
+  void ArmWatch();
+  void OnWatch();
+  // Whether another request may follow on the connection.
+  bool MayKeep() const;
+  void FillHead(const AnswerHead& head, bhttp::fields& fields) const;
+  Task<void> DiscardRest();
+  // Lets the other side read the last answer before the socket closes.
+  Task<void> Linger();
+
+  Server* server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  RequestHead head_;
+  std::shared_ptr<CancelSignal> gone_;
+  std::optional<Stream> answer_;
+  std::optional<bhttp::response_serializer<bhttp::buffer_body>> serializer_;
+  bool watching_ = false;
+  bool handling_ = false;
+  bool keep_ = true;
+  // An answer has been sent whole.
+  bool answered_ = false;
+};
+
+}  // namespace buckthorngate::http
+
+#endif  // SRC_HTTP_SERVER_CONNECTION_H_
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -1,12 +1,38 @@
 // The upstreams of one host.
 #include "registry/local_endpoints.h"
 
+#include <algorithm>
 #include "registry/endpoint_registry.h"
 
 namespace buckthorngate::registry {
 
-LocalEndpoints::LocalEndpoints(HostIdentity identity)
-    : identity_(std::move(identity)) {}
+LocalEndpoints::LocalEndpoints(HostIdentity identity, base::Duration lease)
+    : identity_(std::move(identity)), lease_(lease) {}
+
+Freshness LocalEndpoints::Judge(const Announcement& announcement) const {
+  const auto found = upstreams_.find(announcement.address_);
+  if (found == upstreams_.end()) {
+    return Freshness::kFresh;
+  }
+  const Local& held = found->second;
+  const bool told = announcement.started_ms_ != 0 && held.started_ms_ != 0;
+  if (told && announcement.started_ms_ != held.started_ms_) {
+    return announcement.started_ms_ < held.started_ms_ ? Freshness::kLate
+                                                       : Freshness::kFresh;
+  }
+  const bool repeated = announcement.instance_ == held.instance_ &&
+                        announcement.sequence_ != 0 &&
+                        announcement.sequence_ <= held.sequence_;
+  return repeated ? Freshness::kLate : Freshness::kFresh;
+}
+
+std::string LocalEndpoints::AddressOf(const std::string& instance) const {
+  const auto found = std::find_if(upstreams_.begin(), upstreams_.end(),
+                                  [&instance](const auto& item) {
+                                    return item.second.instance_ == instance;
+                                  });
+  return found == upstreams_.end() ? std::string() : found->first;
+}
 
 std::string LocalEndpoints::EndpointId(const std::string& address) const {
   return identity_.host_ + "/" + address;
@@ -16,7 +42,8 @@
                               base::MonoTime now) {
   const auto [found, added] = upstreams_.try_emplace(announcement.address_);
   Local& local = found->second;
-  const bool same_instance = local.instance_ == announcement.instance_;
+  const bool same_instance = local.instance_ == announcement.instance_ &&
+                             local.started_ms_ == announcement.started_ms_;
   if (local.left_ && same_instance && !announcement.instance_.empty()) {
     // An announcement that was under way when the upstream left.
     return false;
@@ -25,6 +52,8 @@
   local.renewed_ = now;
   rpc::Endpoint& endpoint = local.endpoint_;
   local.instance_ = announcement.instance_;
+  local.started_ms_ = announcement.started_ms_;
+  local.sequence_ = announcement.sequence_;
   const bool same = !added && same_instance &&
                     endpoint.service() == announcement.service_ &&
                     endpoint.version() == announcement.version_ &&
@@ -89,6 +118,14 @@
   }
 }
 
+void LocalEndpoints::Outrank(uint64_t incarnation) {
+  identity_.incarnation_ = incarnation + 1;
+  for (auto& [address, local] : upstreams_) {
+    local.endpoint_.set_incarnation(identity_.incarnation_);
+  }
+  Reannounce();
+}
+
 void LocalEndpoints::Reannounce() {
   for (auto& [address, local] : upstreams_) {
     local.endpoint_.set_sequence(next_sequence_++);
@@ -99,7 +136,7 @@
 bool LocalEndpoints::Expire(base::MonoTime now) {
   bool changed = false;
   for (auto& [address, local] : upstreams_) {
-    if (now - local.renewed_ > kAnnounceLease) {
+    if (now - local.renewed_ > lease_) {
       changed |= SetState(address, rpc::ENDPOINT_STATE_GONE);
     }
   }
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -15,6 +15,9 @@
 // An upstream that stays silent for this long is no longer announced.
 inline constexpr base::Duration kAnnounceLease = std::chrono::seconds(3);
 
+// Whether an announcement says something new.
+enum class Freshness : uint8_t { kFresh, kLate };
+
 // What an upstream says of itself.
 struct Announcement {
   std::string service_;
@@ -23,6 +26,11 @@
   uint32_t slots_ = 0;
   // Differs at each start of the upstream; a new one ends a drain.
   std::string instance_;
+  // Time of the upstream's start, as it tells it; 0: not told. Announcements
+  // of an earlier start at the same address are late and ignored.
+  int64_t started_ms_ = 0;
+  // Grows with each announcement of one start; 0: not told.
+  uint64_t sequence_ = 0;
 };
 
 // Identity of the daemon that the entries belong to.
@@ -37,7 +45,11 @@
 // The single writer of the host's endpoint entries.
 class LocalEndpoints {
  public:
-  explicit LocalEndpoints(HostIdentity identity);
+  explicit LocalEndpoints(HostIdentity identity,
+                          base::Duration lease = kAnnounceLease);
+
+  // Whether the announcement is newer than what is held of its address.
+  Freshness Judge(const Announcement& announcement) const;
 
   // Adds or renews an upstream; true if its entry changed.
   bool Announce(const Announcement& announcement, base::MonoTime now);
@@ -52,6 +64,9 @@
 
   // Announces each entry anew, with a higher sequence.
   void Reannounce();
+  // Announces each entry anew under an incarnation above `incarnation`, which
+  // an earlier start of this daemon has used with a clock that was ahead.
+  void Outrank(uint64_t incarnation);
   // Removes upstreams whose announcements stopped; true if any.
   bool Expire(base::MonoTime now);
 
@@ -60,19 +75,24 @@
   uint64_t Digest() const;
   uint64_t Version() const { return version_; }
   std::string EndpointId(const std::string& address) const;
+  // The address at which the instance announced itself, or empty.
+  std::string AddressOf(const std::string& instance) const;
 
  private:
   struct Local {
     rpc::Endpoint endpoint_;
     base::MonoTime renewed_;
     std::string instance_;
+    int64_t started_ms_ = 0;
+    uint64_t sequence_ = 0;
     // This instance has left for good; only another one may come.
     bool left_ = false;
   };
 
   bool SetState(const std::string& address, rpc::EndpointState state);
 
-  const HostIdentity identity_;
+  HostIdentity identity_;
+  const base::Duration lease_;
   std::map<std::string, Local> upstreams_;
   // Invariant: larger than the sequence of each entry.
   uint64_t next_sequence_ = 1;
--- a/src/request/call_tree.h
+++ b/src/request/call_tree.h
@@ -20,17 +20,24 @@
 // Safe for concurrent use.
 class CallTree {
  public:
-  // Adds calls that the request `id` caused.
+  // The request begins to run on this host.
+  void Open(const std::string& id) {
+    Shard& shard = ShardOf(id);
+    const std::lock_guard<std::mutex> lock(shard.mutex_);
+    shard.calls_.try_emplace(id, 0);
+  }
+
+  // Adds calls that the request `id` caused, if it runs on this host.
   void Add(const std::string& id, uint32_t calls) {
     Shard& shard = ShardOf(id);
     const std::lock_guard<std::mutex> lock(shard.mutex_);
-    if (shard.calls_.size() >= kMaxRequests) {
-      shard.calls_.clear();
+    const auto found = shard.calls_.find(id);
+    if (found != shard.calls_.end()) {
+      found->second += calls;
     }
-    shard.calls_[id] += calls;
   }
 
-  // Returns and forgets the sum.
+  // Returns and forgets the sum, when the request has ended.
   uint32_t Take(const std::string& id) {
     Shard& shard = ShardOf(id);
     const std::lock_guard<std::mutex> lock(shard.mutex_);
@@ -45,9 +52,6 @@
 
  private:
   static constexpr size_t kShards = 16;
-  // Requests whose answer never passes by; forgotten together.
-  static constexpr size_t kMaxRequests = 4096;
-
   struct Shard {
     std::mutex mutex_;
     std::unordered_map<std::string, uint32_t> calls_;
--- a/src/request/hop_headers.h
+++ b/src/request/hop_headers.h
@@ -27,6 +27,14 @@
 inline constexpr char kEndpointHeader[] = "Bg-Endpoint";
 inline constexpr char kCallerHeader[] = "Bg-Caller";
 inline constexpr char kFingerprintHeader[] = "Bg-Fingerprint";
+// Between daemons only: the service beside which the request began.
+inline constexpr char kCallerServiceHeader[] = "Bg-Caller-Service";
+// Between daemons only: the route's priority, and the milliseconds that are
+// left of its latency objective.
+inline constexpr char kPriorityHeader[] = "Bg-Priority";
+inline constexpr char kObjectiveHeader[] = "Bg-Objective-Ms";
+// Between daemons only, on answers: the upstream has been sent the request.
+inline constexpr char kReachedHeader[] = "Bg-Reached";
 
 // Prefix of all headers that only daemons may set.
 inline constexpr std::string_view kPrefix = "Bg-";
--- a/src/request/mesh_view.cc
+++ b/src/request/mesh_view.cc
@@ -6,6 +6,18 @@
 
 namespace buckthorngate::request {
 
+namespace {
+
+void AddEndpoint(EndpointView endpoint, bool own_zone, VersionView& version) {
+  const auto at = own_zone ? version.endpoints_.begin() +
+                                 static_cast<std::ptrdiff_t>(version.own_zone_)
+                           : version.endpoints_.end();
+  version.endpoints_.insert(at, std::move(endpoint));
+  version.own_zone_ += own_zone ? 1 : 0;
+}
+
+}  // namespace
+
 const VersionView* MeshView::Find(const std::string& service,
                                   const std::string& version) const {
   const auto versions = services_.find(service);
@@ -27,6 +39,7 @@
   std::map<std::pair<std::string, uint64_t>, EndpointStatsPtr> known;
   if (previous != nullptr) {
     for (const auto& [name, version] : *previous) {
+      // Each endpoint stands under kAnyVersion too, with the same statistics.
       for (const EndpointView& endpoint : version.endpoints_) {
         known[{endpoint.endpoint_.id(), endpoint.endpoint_.incarnation()}] =
             endpoint.stats_;
@@ -42,13 +55,12 @@
     if (stats == nullptr) {
       stats = std::make_shared<EndpointStats>(now);
     }
-    VersionView& version = (*view)[endpoint.version()];
     const bool own = endpoint.zone() == own_zone_;
-    const auto at = own ? version.endpoints_.begin() +
-                              static_cast<std::ptrdiff_t>(version.own_zone_)
-                        : version.endpoints_.end();
-    version.endpoints_.insert(at, {std::move(endpoint), stats});
-    version.own_zone_ += own ? 1 : 0;
+    AddEndpoint({endpoint, stats}, own, (*view)[kAnyVersion]);
+    if (!endpoint.version().empty()) {
+      const std::string version = endpoint.version();
+      AddEndpoint({std::move(endpoint), stats}, own, (*view)[version]);
+    }
   }
   return view;
 }
@@ -63,7 +75,7 @@
   view->may_serve_ = may_serve;
   view->revision_ = config.Revision();
   if (routes_ == nullptr || routes_revision_ != config.Revision()) {
-    routes_ = RouteTable::Build(config.Services());
+    routes_ = RouteTable::Build(config);
     routes_revision_ = config.Revision();
   }
   view->routes_ = routes_;
--- a/src/request/mesh_view.h
+++ b/src/request/mesh_view.h
@@ -29,7 +29,10 @@
   size_t own_zone_ = 0;  // The first so many are in the own zone.
 };
 
-// Endpoints of one service by version.
+// Stands for the endpoints of all versions of a service.
+inline constexpr char kAnyVersion[] = "";
+
+// Endpoints of one service by version, and under kAnyVersion.
 using ServiceView = std::unordered_map<std::string, VersionView>;
 
 struct MeshView {
--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -43,8 +43,10 @@
 }
 
 bool WorthRetry(const AttemptOutcome& outcome, const RetryContext& context) {
-  if (!Failed(outcome) || context.attempts_ >= kMaxAttempts ||
-      context.left_ < kLeastTimeForRetry || !context.body_replayable_) {
+  const int turned_away = context.attempts_ - context.reached_;
+  if (!Failed(outcome) || context.reached_ >= context.most_reached_ ||
+      turned_away >= kMaxTurnedAway || context.left_ < kLeastTimeForRetry ||
+      !context.body_replayable_) {
     return false;
   }
   if (outcome.not_run_) {
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -18,6 +18,8 @@
 namespace buckthorngate::request {
 
 inline constexpr int kMaxAttempts = 4;
+// Attempts that daemons turned away before any upstream was asked.
+inline constexpr int kMaxTurnedAway = 4;
 // Tokens that a service's budget starts with, and the most that it holds.
 inline constexpr int64_t kFirstBudgetTokens = 4;
 inline constexpr int64_t kMaxBudgetTokens = 20;
@@ -43,6 +45,8 @@
   // The destination, or the failed connection, makes certain that it did not
   // run.
   bool not_run_ = false;
+  // The upstream was sent the request.
+  bool reached_ = true;
   // The upstream died under the request: it is a suspect.
   bool crashed_ = false;
   // 5xx answers of the upstream count as failures of repeatable requests.
@@ -54,6 +58,9 @@
 // What is known of the request when an attempt has failed.
 struct RetryContext {
   int attempts_ = 0;
+  // Of these, the ones that reached an upstream, and how many may.
+  int reached_ = 0;
+  int most_reached_ = kMaxAttempts;
   bool repeatable_ = false;      // Safe method or declared.
   bool body_replayable_ = true;  // Small enough to have been kept.
   bool below_retry_ = false;     // Part of a call tree that is a retry.
--- a/src/rpc/credentials.cc
+++ b/src/rpc/credentials.cc
@@ -17,7 +17,7 @@
 constexpr int kFirstReconnectMs = 50;
 constexpr int kMaxReconnectMs = 1000;
 // Time for a connection with its handshake; gRPC names it a backoff.
-constexpr int kConnectTimeoutMs = 3000;
+constexpr int kConnectTimeoutMs = 1000;
 constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
 
 std::string ReadAll(const std::string& path) {
--- a/src/rpc/mesh_transport.cc
+++ b/src/rpc/mesh_transport.cc
@@ -297,6 +297,11 @@
   if (address != addresses_.end()) {
     return DialLocked(address->second);
   }
+  const std::string derived =
+      options_.address_of_ ? options_.address_of_(node) : std::string();
+  if (!derived.empty()) {
+    return DialLocked(derived);
+  }
   const auto accepted = accepted_.find(node);
   return accepted == accepted_.end() ? nullptr : accepted->second;
 }
--- a/src/rpc/mesh_transport.h
+++ b/src/rpc/mesh_transport.h
@@ -35,6 +35,8 @@
   std::string listen_;  // IP:port; empty: does not listen.
   std::vector<std::string> local_nodes_;
   TlsOptions tls_;
+  // Address of a node that SetAddress was not told of, or empty. May be null.
+  std::function<std::string(const std::string& node)> address_of_;
 };
 
 // Delivers an envelope to a node of this process.
