--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -201,6 +201,22 @@
     return counts;
   }
 
+  // Whether the members are so many, and all of them are hosts that run.
+  bool Repaired(int voters, int learners) {
+    distribution::SourceNode* const leader = Leader();
+    if (leader == nullptr || Counts() != std::pair(voters, learners)) {
+      return false;
+    }
+    const auto& members = leader->Raft().CurrentMembership().members();
+    return std::all_of(
+        members.begin(), members.end(), [this](const rpc::Member& member) {
+          return std::any_of(nodes_.begin(), nodes_.end(),
+                             [&member](const auto& node) {
+                               return node.second->Raft().Id() == member.id();
+                             });
+        });
+  }
+
   bool IsMember(const std::string& address) {
     distribution::SourceNode* const leader = Leader();
     if (leader == nullptr) {
@@ -280,13 +296,14 @@
     hosts.LoseDisk(lost);
     hosts.Net().Run(std::chrono::milliseconds(500));
     hosts.Start(lost, /*first=*/false);
-    BOOST_TEST(hosts.Await([&] { return hosts.Counts() == std::pair(3, 1); }),
-               "seed " << seed);
+    BOOST_REQUIRE_MESSAGE(
+        hosts.Await([&hosts] { return hosts.Repaired(3, 1); }),
+        "seed " << seed);
     // Another one is lost right after the repair.
     const int second = lost % 3 + 1;
     hosts.LoseDisk(second);
     hosts.Start(second, /*first=*/false);
-    BOOST_TEST(hosts.Await([&] { return hosts.Counts() == std::pair(3, 1); }),
+    BOOST_TEST(hosts.Await([&hosts] { return hosts.Repaired(3, 1); }),
                "seed " << seed);
     BOOST_REQUIRE(hosts.Publish(1, 2));
     BOOST_TEST(hosts.Leader()->State().RoutingDocument() == "2");
