Stop a daemon without cutting the calls of its own endpoint, and at once

Cause: on SIGTERM the endpoint was refused from the first moment, callers' port was closed while requests at the endpoint still made calls through it (no connection, 500), and the servers' threads waited for idle connections until SIGKILL (14 of them). Ruled out: lost connections to control hosts.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -217,6 +217,13 @@
   g_writer = &writer;
 }
 
+void StopLogging() {
+  LogWriter* const writer = g_writer.exchange(nullptr);
+  if (writer != nullptr) {
+    writer->Stop();
+  }
+}
+
 void LogEvent(EventId id, std::initializer_list<Field> fields) {
   LogWriter* const writer = g_writer.load(std::memory_order_acquire);
   if (writer != nullptr &&
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -90,6 +90,9 @@
 // Starts logging to standard output, from a thread of its own. Call once.
 void InitLogging(LogFormat format);
 
+// Writes what waits; later events are not written.
+void StopLogging();
+
 // Writes one line: event number, name, text and the fields. Never waits; lines
 // beyond a bounded rate are dropped and counted.
 void LogEvent(EventId id, std::initializer_list<Field> fields);
--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -45,13 +45,15 @@
       make_drop_line_(std::move(make_drop_line)),
       thread_([this] { Run(); }) {}
 
-LogWriter::~LogWriter() {
+void LogWriter::Stop() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
   }
   changed_.notify_all();
-  thread_.join();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
 }
 
 bool LogWriter::Admit(uint16_t event, MonoTime now) {
--- a/src/base/log_writer.h
+++ b/src/base/log_writer.h
@@ -51,11 +51,13 @@
   using MakeDropLine = std::function<std::string(uint16_t event, uint64_t)>;
 
   LogWriter(Write write, MakeDropLine make_drop_line);
-  // Writes what waits.
-  ~LogWriter();
+  ~LogWriter() { Stop(); }
   LogWriter(const LogWriter&) = delete;
   LogWriter& operator=(const LogWriter&) = delete;
 
+  // Writes what waits and ends the thread.
+  void Stop();
+
   // Whether a line of the event should be made at all.
   bool Admit(uint16_t event, MonoTime now);
   void Put(std::string line);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -388,7 +388,6 @@
   if (source_.loop_ != nullptr) {
     source_.loop_->Stop();
   }
-  LogEvent(EventId::kStopped, {{"host", settings_.host_}});
 }
 
 Daemon::Daemon(Settings settings, request::Dialect dialect)
--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -86,11 +86,12 @@
     Reload(program.settings_file_);
   }
   daemon.Drain();
-  if (adapter != nullptr) {
-    adapter->Stop();
-  }
-  daemon.Stop();
-  return 0;
+  base::LogEvent(base::EventId::kStopped,
+                 {{"host", program.settings_.host_}});
+  base::StopLogging();
+  // What must last is synced and no request is left: ending here closes idle
+  // connections without waiting for each server's threads.
+  std::quick_exit(0);
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -1,6 +1,8 @@
 // The proxy role of a daemon.
 #include "daemon/proxy_role.h"
 
+#include <atomic>
+#include <functional>
 #include <thread>
 #include <utility>
 
@@ -22,8 +24,14 @@
 namespace {
 
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
-// Others learn of a drain well within this time.
-constexpr std::chrono::milliseconds kDrainNotice{2000};
+// Callers have looked for another daemon by then.
+constexpr std::chrono::milliseconds kDrainNotice{2200};
+// Upstreams are announced as leaving this long after callers are.
+constexpr std::chrono::milliseconds kCallersNotice{1200};
+// Other daemons learn of a drain well within this time.
+constexpr std::chrono::milliseconds kPeersNotice{400};
+// Kept for callers' last requests after the upstreams' last ones.
+constexpr std::chrono::milliseconds kLastRequests{1000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::milliseconds kCloseTime{500};
 constexpr std::chrono::milliseconds kClosePoll{5};
@@ -75,6 +83,9 @@
   void AfterFlush(const base::Now& now);
   void PublishView(const base::Now& now);
   void CloseConnections();
+  // Polls on the loop until nothing is busy.
+  void AwaitIdle(const std::function<int64_t()>& busy,
+                 std::chrono::steady_clock::time_point give_up);
   void OnCrash(const std::string& address, const rpc::CrashReport& report);
   AdminHandlers MakeAdminHandlers();
 
@@ -99,6 +110,7 @@
   bool published_may_serve_ = false;
   uint64_t addresses_version_ = 0;
   base::MonoTime next_evidence_;
+  std::atomic<bool> upstreams_draining_{false};
   bool started_ = false;
   bool stopped_ = false;
 };
@@ -263,7 +275,7 @@
                     {"version", announcement.version_},
                     {"slots", std::to_string(info.slots_)}});
   }
-  if (board_.Draining()) {
+  if (upstreams_draining_) {
     loop_.RunAndWait([this] { destination_.DrainAll(); });
   }
   return ResultCode::kOk;
@@ -314,27 +326,39 @@
   return code;
 }
 
-void ProxyRole::Impl::Drain() {
-  const std::chrono::steady_clock::time_point give_up =
-      std::chrono::steady_clock::now() + settings_.drain_time_;
-  board_.Draining() = true;
-  loop_.RunAndWait([this] { destination_.DrainAll(); });
-  node_loop_.RunAndWait(
-      [this](const base::Now&) { node_->Local().DrainAll(); });
-  // Requests that were picked for this host just before are refused as not
-  // run; callers' requests go to other hosts.
-  std::this_thread::sleep_for(kDrainNotice);
-  loop_.RunAndWait([this] { callers_.Drain(); });
-  while (board_.InFlight() > 0 && std::chrono::steady_clock::now() < give_up) {
-    std::this_thread::sleep_for(kDrainPoll);
-  }
+void ProxyRole::Impl::AwaitIdle(
+    const std::function<int64_t()>& busy,
+    std::chrono::steady_clock::time_point give_up) {
   int64_t running = 1;
   while (running > 0 && std::chrono::steady_clock::now() < give_up) {
-    loop_.RunAndWait([&] { running = destination_.InFlight(); });
+    loop_.RunAndWait([&] { running = busy(); });
     if (running > 0) {
       std::this_thread::sleep_for(kDrainPoll);
     }
   }
+}
+
+void ProxyRole::Impl::Drain() {
+  const std::chrono::steady_clock::time_point began =
+      std::chrono::steady_clock::now();
+  const std::chrono::steady_clock::time_point give_up =
+      began + settings_.drain_time_;
+  // First the callers look for another daemon; the upstreams stay useful
+  // meanwhile.
+  board_.Draining() = true;
+  std::this_thread::sleep_for(kCallersNotice);
+  upstreams_draining_ = true;
+  node_loop_.RunAndWait(
+      [this](const base::Now&) { node_->Local().DrainAll(); });
+  std::this_thread::sleep_for(kPeersNotice);
+  loop_.RunAndWait([this] { destination_.DrainAll(); });
+  // What runs at the upstreams may make calls of its own through this daemon,
+  // so it takes callers until that has ended.
+  AwaitIdle([this] { return destination_.InFlight(); },
+            give_up - kLastRequests);
+  std::this_thread::sleep_until(began + kDrainNotice);
+  loop_.RunAndWait([this] { callers_.Drain(); });
+  AwaitIdle([this] { return board_.InFlight().load(); }, give_up);
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().LeaveAll(); });
 }
