Be ready only once endpoints are known

Cause: a daemon that had just started was ready with a configuration and without any endpoint: 503 no-endpoint for two seconds, and calls of the new version's endpoints beside such daemons failed, so a good rollout was taken back. A relay now tells the registry with its answer to a proxy's resume.

--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -166,6 +166,10 @@
 void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
                            const base::Now& now) {
   const rpc::RegistryUpdate& update = envelope.registry();
+  if (!registry_heard_) {
+    registry_heard_ = true;
+    ++view_version_;
+  }
   const uint64_t before = endpoints_.Version();
   if (update.full()) {
     endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_);
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -63,7 +63,10 @@
   void SendCrash(const rpc::CrashReport& report);
 
   // Whether the request path may serve.
-  bool MayServe() const { return floor_known_ && follower_.MayServe(); }
+  bool MayServe() const {
+    return floor_known_ && follower_.MayServe() &&
+           (registry_heard_ || !hosts_.Managed());
+  }
   const config::ConfigState& Config() const { return follower_.State(); }
   const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
   // For the builder of views, which takes the changes.
@@ -120,6 +123,8 @@
   // relay that the leader has confirmed, or from all relays of the zone.
   bool floor_known_ = false;
   std::set<std::string> floors_heard_;
+  // Some relay has told which endpoints there are.
+  bool registry_heard_ = false;
   bool journal_dirty_ = false;
   bool relay_connected_ = false;
   uint32_t last_result_code_ = 0;
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -156,6 +156,10 @@
                    follower_.Deltas(), now, outbox_);
   if (hosts_.Managed()) {
     SendHeartbeat(envelope.from(), now);
+    if (envelope.resume().role() == rpc::NODE_ROLE_PROXY) {
+      // It serves nobody before it knows endpoints.
+      SendRegistry(envelope.from(), "", Warm(now.mono_));
+    }
   }
   if (!quarantine_.Entries().empty()) {
     rpc::QuarantineNotice& notice =
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -97,7 +97,8 @@
                       bool to_relays);
   void SendToProxies(const rpc::Envelope& content);
   void SendToRelaysAndSources(const rpc::Envelope& content);
-  void SendFullRegistry(const std::string& to, const std::string& zone);
+  // A full list lets the receiver drop what is missing from it.
+  void SendRegistry(const std::string& to, const std::string& zone, bool full);
   // Proxies get no update that would only repeat what they hold.
   void ShareEndpoints(const std::vector<rpc::Endpoint>& endpoints,
                       bool beyond_zone);
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -122,11 +122,12 @@
   ShareEndpoints(changed, /*beyond_zone=*/false);
 }
 
-void RelayNode::SendFullRegistry(const std::string& to,
-                                 const std::string& zone) {
+void RelayNode::SendRegistry(const std::string& to,
+                             const std::string& zone,
+                             bool full) {
   rpc::RegistryUpdate& update =
       *outbox_.Add(options_.id_, to).mutable_registry();
-  update.set_full(true);
+  update.set_full(full);
   update.set_zone(zone);
   for (rpc::Endpoint& endpoint : endpoints_.Live(zone)) {
     *update.add_endpoints() = std::move(endpoint);
@@ -147,7 +148,7 @@
     if (!Warm(now.mono_)) {
       return;
     }
-    SendFullRegistry(envelope.from(), zone);
+    SendRegistry(envelope.from(), zone, /*full=*/true);
     return;
   }
   // Not the owner: ask the owner for all of it.
