--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -37,7 +37,8 @@
 
 struct Destination::Upstream {
   explicit Upstream(const UpstreamInfo& info)
-      : info_(info), admission_({info.slots_, kQueuePerSlot, !info.slots_told_}) {}
+      : info_(info),
+        admission_({info.slots_, kQueuePerSlot, !info.slots_told_}) {}
 
   const UpstreamInfo info_;
   AdmissionQueue admission_;
@@ -164,7 +165,8 @@
   if (admission.Draining()) {
     co_return ResultCode::kEndpointDraining;
   }
-  const AdmissionVerdict verdict = admission.Enter({ticket, request.caller_host_, request.priority_,
+  const AdmissionVerdict verdict =
+      admission.Enter({ticket, request.caller_host_, request.priority_,
                        request.objective_, request.deadline_},
                       clock_.Read().mono_);
   if (verdict != AdmissionVerdict::kQueued) {
--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -86,8 +86,7 @@
     Reload(program.settings_file_);
   }
   daemon.Drain();
-  base::LogEvent(base::EventId::kStopped,
-                 {{"host", program.settings_.host_}});
+  base::LogEvent(base::EventId::kStopped, {{"host", program.settings_.host_}});
   base::StopLogging();
   // What must last is synced and no request is left: ending here closes idle
   // connections without waiting for each server's threads.
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -326,9 +326,8 @@
   return code;
 }
 
-void ProxyRole::Impl::AwaitIdle(
-    const std::function<int64_t()>& busy,
-    std::chrono::steady_clock::time_point give_up) {
+void ProxyRole::Impl::AwaitIdle(const std::function<int64_t()>& busy,
+                                std::chrono::steady_clock::time_point give_up) {
   int64_t running = 1;
   while (running > 0 && std::chrono::steady_clock::now() < give_up) {
     loop_.RunAndWait([&] { running = busy(); });
--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -87,8 +87,7 @@
     return AdmissionVerdict::kRefused;
   }
   const double room = options_.queue_per_slot_ * limit_;
-  if (static_cast<double>(waiting_.size()) >= room &&
-      !Displace(request)) {
+  if (static_cast<double>(waiting_.size()) >= room && !Displace(request)) {
     return AdmissionVerdict::kRefused;
   }
   waiting_[request.ticket_] = {request.caller_, request.priority_,
--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -48,7 +48,8 @@
   const int turned_away = context.attempts_ - context.reached_;
   const bool no_room = outcome.code_ == ResultCode::kEndpointOverloaded &&
                        turned_away >= kMaxOverloaded;
-  if (no_room || !Failed(outcome, context.retries_errors_) || context.reached_ >= context.most_reached_ ||
+  if (no_room || !Failed(outcome, context.retries_errors_) ||
+      context.reached_ >= context.most_reached_ ||
       turned_away >= kMaxTurnedAway || context.left_ < kLeastTimeForRetry ||
       !context.body_replayable_) {
     return false;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -29,8 +29,7 @@
                     bool caught_up = true) {
   MemberStatus status;
   status.member_.set_id(membership::NodeId("source", host_id));
-  status.member_.set_address(
-      membership::AddressOfNode(status.member_.id()));
+  status.member_.set_address(membership::AddressOfNode(status.member_.id()));
   status.member_.set_learner(learner);
   status.silent_ = silent;
   status.caught_up_ = caught_up;
@@ -126,9 +125,8 @@
   // `first` as on the very first start; else with an empty disk later on.
   void Start(int host, bool first) {
     const std::string address = AddressOf(host);
-    const bool voter =
-        first &&
-        std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+    const bool voter = first && std::find(seeds_.begin(), seeds_.end(),
+                                          address) != seeds_.end();
     if (ids_.count(host) == 0) {
       ids_[host] = membership::NodeId(
           "source",
@@ -373,9 +371,8 @@
   BOOST_REQUIRE(hosts.Await([&] { return hosts.Leader() != nullptr; }));
   distribution::SourceNode* const leader = hosts.Leader();
   hosts.Net().Isolate(leader->Raft().Id());
-  hosts.Net().Isolate(
-      membership::NodeId("source", membership::AddressOfNode(
-                                       leader->Raft().Id())));
+  hosts.Net().Isolate(membership::NodeId(
+      "source", membership::AddressOfNode(leader->Raft().Id())));
   const uint64_t ticket = leader->ConfirmRead(hosts.Net().Now());
   hosts.Net().Run(std::chrono::seconds(3));
   bool refused = false;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,10 +2,18 @@
 #define BOOST_TEST_MODULE platform
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <string>
 
+#include <httplib.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "platform/dialect.h"
 #include "platform/documents.h"
+#include "platform/platform_adapter.h"
 
 namespace buckthorngate::tests {
 namespace {
@@ -82,7 +90,10 @@
   BOOST_TEST(heartbeat->announcement_.instance_ == "i-1");
   const std::string good = kHeartbeat;
   const std::string bads[] = {
-      "", "{", "7", "\"text\"",
+      "",
+      "{",
+      "7",
+      "\"text\"",
       Replace(good, "\"ready\"", "\"sleepy\""),
       Replace(good, "\"slots\":18", "\"slots\":\"18\""),
       Replace(good, "\"slots\":18", "\"slots\":0"),
@@ -104,5 +115,116 @@
              R"({"state":"rolled_back","target_version":"v2"})");
 }
 
+// Answers each call with the same result.
+class FakeApi : public daemon::ControlApi {
+ public:
+  rpc::PublishReply PublishRouting(rpc::RoutingCommand command) override {
+    base_ = command.base_number();
+    return Reply();
+  }
+  rpc::PublishReply OrderMove(rpc::MoveOrder) override { return Reply(); }
+  daemon::RoutingText ReadRouting() override {
+    return {code_, leader_, 7, "the text"};
+  }
+  daemon::MoveReport ReadMove(const std::string&) override {
+    return {code_, leader_, daemon::MoveProgress::kRunning, "v2"};
+  }
+  ResultCode Announce(const registry::Announcement&) override { return code_; }
+  void Drain(const std::string&) override { ++drains_; }
+  void Leave(const std::string&) override {}
+  bool Ready() override { return code_ == ResultCode::kOk; }
+
+  ResultCode code_ = ResultCode::kOk;
+  std::string leader_;
+  uint64_t base_ = 0;
+  int drains_ = 0;
+
+ private:
+  rpc::PublishReply Reply() const {
+    rpc::PublishReply reply;
+    reply.set_result_code(static_cast<uint32_t>(code_));
+    reply.set_leader(leader_);
+    return reply;
+  }
+};
+
+int FreePort() {
+  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
+  BOOST_REQUIRE(bind(file, generic, size) == 0);
+  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
+  close(file);
+  return ntohs(address.sin_port);
+}
+
+class ServedAdapter {
+ public:
+  ServedAdapter() : port_(FreePort()), client_("127.0.0.1", port_) {
+    daemon::Settings settings;
+    settings.adapter_["control"] = "127.0.0.1:" + std::to_string(port_);
+    adapter_ = std::make_unique<platform::PlatformAdapter>(settings, api_);
+    BOOST_REQUIRE((adapter_->Start() == ResultCode::kOk));
+  }
+  ~ServedAdapter() { adapter_->Stop(); }
+
+  int Publish(ResultCode code) {
+    api_.code_ = code;
+    return client_
+        .Post("/config/put", {{platform::kBaseHeader, "5"}}, kConfiguration,
+              "application/json")
+        ->status;
+  }
+  FakeApi& Api() { return api_; }
+  httplib::Client& Client() { return client_; }
+  int Port() const { return port_; }
+
+ private:
+  FakeApi api_;
+  const int port_;
+  httplib::Client client_;
+  std::unique_ptr<platform::PlatformAdapter> adapter_;
+};
+
+BOOST_AUTO_TEST_CASE(WhatWasNotAcceptedIsNeverAcknowledged) {
+  ServedAdapter served;
+  BOOST_TEST(served.Publish(ResultCode::kOk) == 200);
+  BOOST_TEST(served.Api().base_ == 5u);
+  BOOST_TEST(served.Publish(ResultCode::kBaseNotCurrent) == 412);
+  BOOST_TEST(served.Publish(ResultCode::kNumberStale) == 400);
+  BOOST_TEST(served.Publish(ResultCode::kUnknownService) == 400);
+  BOOST_TEST(served.Publish(ResultCode::kDuplicateRoute) == 400);
+  BOOST_TEST(served.Publish(ResultCode::kOutcomeUnknown) == 503);
+  BOOST_TEST(served.Publish(ResultCode::kNotLeader) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(OthersThanTheLeaderRedirect) {
+  ServedAdapter served;
+  served.Api().code_ = ResultCode::kNotLeader;
+  served.Api().leader_ = "10.0.0.4:7600";
+  const auto answer = served.Client().Get("/config/get");
+  BOOST_TEST(answer->status == 307);
+  BOOST_TEST(answer->get_header_value("Location") ==
+             "http://10.0.0.4:" + std::to_string(served.Port()) +
+                 "/config/get");
+}
+
+BOOST_AUTO_TEST_CASE(ALateHeartbeatIsAcknowledgedAndChangesNothing) {
+  ServedAdapter served;
+  served.Api().code_ = ResultCode::kNumberStale;
+  const std::string draining = Replace(kHeartbeat, "\"ready\"", "\"draining\"");
+  const auto late = served.Client().Post("/instances/i-1/heartbeat", draining,
+                                         "application/json");
+  BOOST_TEST(late->status == 200);
+  BOOST_TEST(served.Api().drains_ == 0);
+  served.Api().code_ = ResultCode::kOk;
+  served.Client().Post("/instances/i-1/heartbeat", draining,
+                       "application/json");
+  BOOST_TEST(served.Api().drains_ == 1);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -118,8 +118,8 @@
   distribution::SourceState restored;
   BOOST_REQUIRE(restored.Restore(state.Save()));
   BOOST_TEST(restored.RoutingDocument() == "text 6");
-  BOOST_TEST((restored.Apply(EntryOf(first, 8)).routing_->code_ ==
-              ResultCode::kOk));
+  BOOST_TEST(
+      (restored.Apply(EntryOf(first, 8)).routing_->code_ == ResultCode::kOk));
 }
 
 BOOST_AUTO_TEST_CASE(DeltasCarryOnlyTheRoutesThatChanged) {
@@ -136,7 +136,8 @@
   BOOST_TEST(delta.changed_routes_size() == 2);
   BOOST_TEST(delta.removed_routes_size() == 0);
   config::ConfigState follower;
-  BOOST_REQUIRE((follower.ApplySnapshot(older.ToSnapshot()) == ResultCode::kOk));
+  BOOST_REQUIRE(
+      (follower.ApplySnapshot(older.ToSnapshot()) == ResultCode::kOk));
   BOOST_REQUIRE((follower.ApplyDelta(delta) == ResultCode::kOk));
   BOOST_TEST(follower.Digest() == newer.Digest());
 }
