--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -32,10 +32,6 @@
   std::unique_ptr<NodeLoop> loop_;
 };
 
-bool IsLoopback(const std::string& address) {
-  return address.starts_with("127.");
-}
-
 }  // namespace
 
 class Daemon::Impl : public ControlApi {
@@ -96,16 +92,11 @@
 }
 
 void Daemon::Impl::AddAlias(const std::string& id, NodeLoop* loop) {
-  const std::string alias =
-      membership::SiblingOf(id, "").empty()
-          ? std::string()
-          : membership::NodeId(id.substr(0, id.find('@')),
-                               membership::AddressOfNode(id));
+  const std::string alias = membership::AliasOf(id);
   if (alias.empty() || alias == id) {
     return;
   }
-  // Who knows this host as a seed knows its address only. Messages of the
-  // consensus and of claims mean the identity that lost its disk.
+  // Messages of the consensus and of claims mean the lost disk's identity.
   transport_->AddNode(alias, [loop](rpc::Envelope envelope) {
     const bool for_identity = envelope.has_raft() || envelope.has_claim() ||
                               envelope.has_claim_transfer_request() ||
@@ -393,7 +384,6 @@
 Daemon::Daemon(Settings settings, request::Dialect dialect)
     : impl_(std::make_unique<Impl>(std::move(settings), std::move(dialect))) {}
 Daemon::~Daemon() = default;
-
 ResultCode Daemon::Start() {
   return impl_->Start();
 }
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -25,12 +25,6 @@
 // A service that turned nothing away for this long has room for second tries
 // of what failed in its application code.
 constexpr base::Duration kCalmTime = std::chrono::seconds(2);
-// When to come back after a refusal; the same time again is added at random,
-// so that callers do not return together.
-constexpr base::Duration kReturnWhenFull = std::chrono::milliseconds(100);
-constexpr base::Duration kReturnWhenUnreachable =
-    std::chrono::milliseconds(150);
-constexpr base::Duration kReturnWhenStarting = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -299,29 +293,6 @@
   return true;
 }
 
-base::Duration Entry::Call::RetryAfter(ResultCode code) const {
-  base::Duration least{0};
-  switch (code) {
-    case ResultCode::kEndpointOverloaded:
-    case ResultCode::kUpstreamShed:
-    case ResultCode::kOverloaded:
-      least = kReturnWhenFull;
-      break;
-    case ResultCode::kBelowFloor:
-    case ResultCode::kNoEndpoint:
-      least = kReturnWhenStarting;
-      break;
-    case ResultCode::kNoRoute:
-    case ResultCode::kKeyMissing:
-    case ResultCode::kKeyReused:
-      return least;
-    default:
-      least = kReturnWhenUnreachable;
-      break;
-  }
-  return least + entry_.random_.Jitter(least);
-}
-
 http::Task<void> Entry::Call::Answer(Attempt& attempt) {
   HopAnswer& answer = attempt.answer_;
   http::Headers& headers = answer.head_.headers_;
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -58,7 +58,8 @@
   refusal.code_ = code;
   refusal.not_run_ = not_run;
   refusal.request_id_ = request_id_;
-  refusal.retry_after_ = not_run ? RetryAfter(code) : base::Duration(0);
+  refusal.retry_after_ =
+      not_run ? ReturnTime(code, entry_.random_) : base::Duration(0);
   http::AnswerHead head = RefusalHead(refusal, dialect_);
   if (dialect_.tells_calls_) {
     head.headers_.Add(request::kCallsHeader, std::to_string(calls_));
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -76,7 +76,6 @@
   bool MayRetry(const request::AttemptOutcome& outcome);
   http::Task<void> Answer(Attempt& attempt);
   void RefreshView();
-  base::Duration RetryAfter(ResultCode code) const;
 
   base::Duration Left() const;
   const std::string& RouteName() const { return match_.route_->name(); }
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -8,15 +8,7 @@
 
 #include "base/events.h"
 #include "base/hash.h"
-#include "blackboard/blackboard.h"
-#include "daemon/admin_server.h"
-#include "daemon/claim_client.h"
-#include "daemon/destination.h"
-#include "daemon/entry.h"
-#include "daemon/node_loop.h"
-#include "daemon/peer_client.h"
-#include "distribution/proxy_node.h"
-#include "http/server.h"
+#include "daemon/proxy_role_impl.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
 
@@ -56,65 +48,6 @@
 
 }  // namespace
 
-class ProxyRole::Impl {
- public:
-  Impl(const Settings& settings,
-       const request::Dialect& dialect,
-       uint64_t incarnation,
-       const base::Clock& clock,
-       rpc::MeshTransport& transport,
-       std::unique_ptr<storage::Journal> journal,
-       std::unique_ptr<distribution::ProxyNode> node);
-  ~Impl() { Stop(); }
-
-  ResultCode Start();
-  void Drain();
-  void Stop();
-  rpc::QueryReply Query(const rpc::QueryRequest& request);
-  ResultCode Announce(const registry::Announcement& announcement);
-  void DrainUpstream(const std::string& address);
-  void RemoveUpstream(const std::string& address);
-  std::string AddressOfInstance(const std::string& instance);
-  bool Ready() {
-    return board_.View().Read()->may_serve_ && !board_.Draining();
-  }
-
- private:
-  void AfterFlush(const base::Now& now);
-  void PublishView(const base::Now& now);
-  void CloseConnections();
-  // Polls on the loop until nothing is busy.
-  void AwaitIdle(const std::function<int64_t()>& busy,
-                 std::chrono::steady_clock::time_point give_up);
-  void OnCrash(const std::string& address, const rpc::CrashReport& report);
-  AdminHandlers MakeAdminHandlers();
-
-  const Settings& settings_;
-  const request::Dialect dialect_;
-  const base::Clock& clock_;
-  rpc::MeshTransport& transport_;
-  const std::unique_ptr<storage::Journal> journal_;
-  const std::unique_ptr<distribution::ProxyNode> node_;
-  NodeLoop node_loop_;
-  blackboard::Blackboard board_;
-  http::EventLoop loop_;
-  ClaimClient claims_;
-  Destination destination_;
-  PeerClient peer_client_;
-  Entry entry_;
-  http::Server callers_;
-  http::Server peers_;
-  AdminServer admin_;
-  request::MeshViewBuilder views_;
-  uint64_t published_version_ = 0;
-  bool published_may_serve_ = false;
-  uint64_t addresses_version_ = 0;
-  base::MonoTime next_evidence_;
-  std::atomic<bool> upstreams_draining_{false};
-  bool started_ = false;
-  bool stopped_ = false;
-};
-
 ProxyRole::Impl::Impl(const Settings& settings,
                       const request::Dialect& dialect,
                       uint64_t incarnation,
@@ -240,78 +173,6 @@
   }
 }
 
-ResultCode ProxyRole::Impl::Announce(
-    const registry::Announcement& announcement) {
-  bool late = false;
-  bool changed = false;
-  UpstreamInfo info;
-  node_loop_.RunAndWait([&](const base::Now& now) {
-    late = node_->Local().Judge(announcement) == registry::Freshness::kLate;
-    if (!late) {
-      changed = node_->Local().Announce(announcement, now.mono_);
-    }
-    info.endpoint_id_ = node_->Local().EndpointId(announcement.address_);
-  });
-  if (late) {
-    base::LogEvent(base::EventId::kAnnouncementIgnored,
-                   {{"instance", announcement.instance_},
-                    {"address", announcement.address_},
-                    {"sequence", std::to_string(announcement.sequence_)}});
-    return ResultCode::kNumberStale;
-  }
-  if (changed) {
-    info.address_ = announcement.address_;
-    info.service_ = announcement.service_;
-    info.instance_ = announcement.instance_;
-    info.slots_ = announcement.slots_;
-    loop_.RunAndWait([this, &info] {
-      destination_.SetUpstream(info);
-      entry_.SetCallerService(info.service_);
-    });
-    base::LogEvent(base::EventId::kEndpointReady,
-                   {{"endpoint", info.endpoint_id_},
-                    {"instance", info.instance_},
-                    {"service", info.service_},
-                    {"version", announcement.version_},
-                    {"slots", std::to_string(info.slots_)}});
-  }
-  if (upstreams_draining_) {
-    loop_.RunAndWait([this] { destination_.DrainAll(); });
-  }
-  return ResultCode::kOk;
-}
-
-void ProxyRole::Impl::DrainUpstream(const std::string& address) {
-  std::string id;
-  bool changed = false;
-  node_loop_.RunAndWait([&](const base::Now&) {
-    id = node_->Local().EndpointId(address);
-    changed = node_->Local().Drain(address);
-  });
-  if (changed) {
-    loop_.RunAndWait([this, &id] { destination_.DrainUpstream(id); });
-    base::LogEvent(base::EventId::kEndpointDraining, {{"endpoint", id}});
-  }
-}
-
-void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
-  std::string id;
-  node_loop_.RunAndWait([&](const base::Now&) {
-    id = node_->Local().EndpointId(address);
-    node_->Local().Leave(address);
-  });
-  loop_.RunAndWait([this, &id] { destination_.RemoveUpstream(id); });
-  base::LogEvent(base::EventId::kEndpointDraining,
-                 {{"endpoint", id}, {"leaves", "true"}});
-}
-
-std::string ProxyRole::Impl::AddressOfInstance(const std::string& instance) {
-  std::string address;
-  node_loop_.RunAndWait(
-      [&](const base::Now&) { address = node_->Local().AddressOf(instance); });
-  return address;
-}
-
 ResultCode ProxyRole::Impl::Start() {
   started_ = true;
   node_loop_.Start();
--- /dev/null
+++ b/src/daemon/proxy_role_impl.h
@@ -0,0 +1,85 @@
+// The parts of the proxy role, for its source files only.
+#ifndef SRC_DAEMON_PROXY_ROLE_IMPL_H_
+#define SRC_DAEMON_PROXY_ROLE_IMPL_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "blackboard/blackboard.h"
+#include "daemon/admin_server.h"
+#include "daemon/claim_client.h"
+#include "daemon/destination.h"
+#include "daemon/entry.h"
+#include "daemon/node_loop.h"
+#include "daemon/peer_client.h"
+#include "daemon/proxy_role.h"
+#include "distribution/proxy_node.h"
+#include "http/server.h"
+#include "storage/journal.h"
+
+namespace buckthorngate::daemon {
+
+class ProxyRole::Impl {
+ public:
+  Impl(const Settings& settings,
+       const request::Dialect& dialect,
+       uint64_t incarnation,
+       const base::Clock& clock,
+       rpc::MeshTransport& transport,
+       std::unique_ptr<storage::Journal> journal,
+       std::unique_ptr<distribution::ProxyNode> node);
+  ~Impl() { Stop(); }
+
+  ResultCode Start();
+  void Drain();
+  void Stop();
+  rpc::QueryReply Query(const rpc::QueryRequest& request);
+  ResultCode Announce(const registry::Announcement& announcement);
+  void DrainUpstream(const std::string& address);
+  void RemoveUpstream(const std::string& address);
+  std::string AddressOfInstance(const std::string& instance);
+  bool Ready() {
+    return board_.View().Read()->may_serve_ && !board_.Draining();
+  }
+
+ private:
+  void AfterFlush(const base::Now& now);
+  void PublishView(const base::Now& now);
+  void CloseConnections();
+  // Polls on the loop until nothing is busy.
+  void AwaitIdle(const std::function<int64_t()>& busy,
+                 std::chrono::steady_clock::time_point give_up);
+  void OnCrash(const std::string& address, const rpc::CrashReport& report);
+  AdminHandlers MakeAdminHandlers();
+
+  const Settings& settings_;
+  const request::Dialect dialect_;
+  const base::Clock& clock_;
+  rpc::MeshTransport& transport_;
+  const std::unique_ptr<storage::Journal> journal_;
+  const std::unique_ptr<distribution::ProxyNode> node_;
+  NodeLoop node_loop_;
+  blackboard::Blackboard board_;
+  http::EventLoop loop_;
+  ClaimClient claims_;
+  Destination destination_;
+  PeerClient peer_client_;
+  Entry entry_;
+  http::Server callers_;
+  http::Server peers_;
+  AdminServer admin_;
+  request::MeshViewBuilder views_;
+  uint64_t published_version_ = 0;
+  bool published_may_serve_ = false;
+  uint64_t addresses_version_ = 0;
+  base::MonoTime next_evidence_;
+  std::atomic<bool> upstreams_draining_{false};
+  bool started_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_PROXY_ROLE_IMPL_H_
--- /dev/null
+++ b/src/daemon/proxy_upstreams.cc
@@ -0,0 +1,79 @@
+// The proxy role: what upstreams of this host say of themselves.
+#include "base/events.h"
+#include "daemon/proxy_role_impl.h"
+
+namespace buckthorngate::daemon {
+
+ResultCode ProxyRole::Impl::Announce(
+    const registry::Announcement& announcement) {
+  bool late = false;
+  bool changed = false;
+  UpstreamInfo info;
+  node_loop_.RunAndWait([&](const base::Now& now) {
+    late = node_->Local().Judge(announcement) == registry::Freshness::kLate;
+    if (!late) {
+      changed = node_->Local().Announce(announcement, now.mono_);
+    }
+    info.endpoint_id_ = node_->Local().EndpointId(announcement.address_);
+  });
+  if (late) {
+    base::LogEvent(base::EventId::kAnnouncementIgnored,
+                   {{"instance", announcement.instance_},
+                    {"address", announcement.address_},
+                    {"sequence", std::to_string(announcement.sequence_)}});
+    return ResultCode::kNumberStale;
+  }
+  if (changed) {
+    info.address_ = announcement.address_;
+    info.service_ = announcement.service_;
+    info.instance_ = announcement.instance_;
+    info.slots_ = announcement.slots_;
+    loop_.RunAndWait([this, &info] {
+      destination_.SetUpstream(info);
+      entry_.SetCallerService(info.service_);
+    });
+    base::LogEvent(base::EventId::kEndpointReady,
+                   {{"endpoint", info.endpoint_id_},
+                    {"instance", info.instance_},
+                    {"service", info.service_},
+                    {"version", announcement.version_},
+                    {"slots", std::to_string(info.slots_)}});
+  }
+  if (upstreams_draining_) {
+    loop_.RunAndWait([this] { destination_.DrainAll(); });
+  }
+  return ResultCode::kOk;
+}
+
+void ProxyRole::Impl::DrainUpstream(const std::string& address) {
+  std::string id;
+  bool changed = false;
+  node_loop_.RunAndWait([&](const base::Now&) {
+    id = node_->Local().EndpointId(address);
+    changed = node_->Local().Drain(address);
+  });
+  if (changed) {
+    loop_.RunAndWait([this, &id] { destination_.DrainUpstream(id); });
+    base::LogEvent(base::EventId::kEndpointDraining, {{"endpoint", id}});
+  }
+}
+
+void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
+  std::string id;
+  node_loop_.RunAndWait([&](const base::Now&) {
+    id = node_->Local().EndpointId(address);
+    node_->Local().Leave(address);
+  });
+  loop_.RunAndWait([this, &id] { destination_.RemoveUpstream(id); });
+  base::LogEvent(base::EventId::kEndpointDraining,
+                 {{"endpoint", id}, {"leaves", "true"}});
+}
+
+std::string ProxyRole::Impl::AddressOfInstance(const std::string& instance) {
+  std::string address;
+  node_loop_.RunAndWait(
+      [&](const base::Now&) { address = node_->Local().AddressOf(instance); });
+  return address;
+}
+
+}  // namespace buckthorngate::daemon
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -212,6 +212,10 @@
   return digits && std::stoi(port) <= kMaxPort;
 }
 
+bool IsLoopback(const std::string& address) {
+  return address.starts_with("127.");
+}
+
 std::string HostOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -80,6 +80,7 @@
 
 // "IP:port" with a numeric IPv4 address.
 bool IsIpAddress(const std::string& address);
+bool IsLoopback(const std::string& address);
 std::string HostOf(const std::string& address);
 int PortOf(const std::string& address);
 
--- a/src/membership/node_id.cc
+++ b/src/membership/node_id.cc
@@ -31,6 +31,13 @@
                                       : NodeId(role, id.substr(at + 1));
 }
 
+std::string AliasOf(std::string_view id) {
+  const size_t at = id.find(kAt);
+  return at == std::string_view::npos
+             ? std::string()
+             : NodeId(id.substr(0, at), AddressOfNode(id));
+}
+
 std::string FreshHostId(std::string_view address, uint64_t salt) {
   char digits[kHex];
   const std::to_chars_result end =
--- a/src/membership/node_id.h
+++ b/src/membership/node_id.h
@@ -25,6 +25,10 @@
 // The same host's node of another role: a source's relay.
 std::string SiblingOf(std::string_view id, std::string_view role);
 
+// The node as one knows it who has its address only: without the suffix.
+// Empty if `id` carries no address.
+std::string AliasOf(std::string_view id);
+
 // `host_id` of a control host that starts without state and is not a first
 // member. `salt` is random.
 std::string FreshHostId(std::string_view address, uint64_t salt);
--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,370 @@
+// The HTTP server and client on the event loop, against raw sockets: framing,
+// pipelining, limits, callers that leave, upstreams that misbehave.
+#define BOOST_TEST_MODULE http
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+constexpr int kReadTimeoutMs = 3000;
+
+sockaddr_in Loopback(int port) {
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  return address;
+}
+
+int ListenAnywhere(int& port) {
+  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof(address);
+  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
+  BOOST_REQUIRE(bind(file, generic, size) == 0);
+  BOOST_REQUIRE(listen(file, 8) == 0);
+  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
+  port = ntohs(address.sin_port);
+  return file;
+}
+
+class RawSocket {
+ public:
+  explicit RawSocket(int port)
+      : file_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const sockaddr_in address = Loopback(port);
+    BOOST_REQUIRE(connect(file_, reinterpret_cast<const sockaddr*>(&address),
+                          sizeof(address)) == 0);
+    const timeval timeout = {kReadTimeoutMs / 1000, 0};
+    setsockopt(file_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  }
+  ~RawSocket() { Close(); }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+
+  void Send(const std::string& bytes) {
+    (void)send(file_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void Close() {
+    if (file_ >= 0) {
+      close(file_);
+      file_ = -1;
+    }
+  }
+  // Reads until the text has come, or the connection ends.
+  std::string ReadUntil(const std::string& text) {
+    char buffer[4096];
+    while (received_.find(text) == std::string::npos) {
+      const ssize_t got = recv(file_, buffer, sizeof(buffer), 0);
+      if (got <= 0) {
+        break;
+      }
+      received_.append(buffer, static_cast<size_t>(got));
+    }
+    return received_;
+  }
+  std::string ReadAll() { return ReadUntil("\r\n\r\nno such text"); }
+
+ private:
+  int file_;
+  std::string received_;
+};
+
+// Echoes the target; "/slow" waits until its caller has left.
+class EchoHandler : public http::Handler {
+ public:
+  explicit EchoHandler(http::EventLoop& loop) : loop_(loop) {}
+
+  http::Task<void> Handle(http::ServerCall& call) override {
+    ++calls_;
+    std::string body;
+    const http::BodyState state = co_await http::ReadUpTo(call, body, 1 << 20);
+    if (state != http::BodyState::kEnd) {
+      co_return;
+    }
+    if (call.Head().target_ == "/slow") {
+      http::Notifier gone(loop_);
+      const http::CancelScope scope(call.Gone(), [&gone] { gone.Notify(); });
+      co_await gone.Wait(std::chrono::time_point_cast<base::Duration>(
+          std::chrono::steady_clock::now() + std::chrono::seconds(3)));
+      left_ += call.Gone().Raised() ? 1 : 0;
+    }
+    http::AnswerHead head;
+    head.status_ = 200;
+    const std::string answer = "<" + call.Head().target_ + body + ">";
+    co_await call.Answer(head, answer);
+  }
+
+  std::atomic<int> calls_{0};
+  std::atomic<int> left_{0};
+
+ private:
+  http::EventLoop& loop_;
+};
+
+class ServedEcho {
+ public:
+  ServedEcho() : handler_(loop_), server_(loop_, handler_) {
+    const int file = ListenAnywhere(port_);
+    close(file);
+    BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
+                   ResultCode::kOk));
+    loop_.Start();
+  }
+  ~ServedEcho() {
+    size_t open = 1;
+    while (open > 0) {
+      loop_.RunAndWait([&] {
+        server_.Close();
+        open = server_.Connections();
+      });
+    }
+    loop_.Stop();
+  }
+  std::string Exchange(const std::string& bytes) {
+    RawSocket caller(port_);
+    caller.Send(bytes);
+    return caller.ReadAll();
+  }
+  EchoHandler& Handler() { return handler_; }
+  int Port() const { return port_; }
+
+ private:
+  http::EventLoop loop_;
+  EchoHandler handler_;
+  http::Server server_;
+  int port_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAllAnsweredInOrder) {
+  ServedEcho served;
+  const std::string answers = served.Exchange(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const size_t first = answers.find("</1>");
+  const size_t second = answers.find("</2>");
+  const size_t third = answers.find("</3>");
+  BOOST_REQUIRE(third != std::string::npos);
+  BOOST_TEST(first < second);
+  BOOST_TEST(second < third);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestsAreRefusedAndNotHandled) {
+  std::string many;
+  for (int i = 0; i < 10'000; ++i) {
+    many += "X-H-" + std::to_string(i) + ": v\r\n";
+  }
+  struct Bad {
+    std::string bytes_;
+    std::string status_;
+  };
+  const std::string chunk = "5\r\nhello\r\n0\r\n\r\n";
+  const Bad bads[] = {
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n" +
+           chunk,
+       "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 5\r\n\r\n" +
+           chunk,
+       "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+       "Content-Length: 6\r\n\r\nhello!",
+       "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -4\r\n\r\nhell", "400"},
+      {"GET /a HTTP/1.1\r\nHost : h\r\n\r\n", "400"},
+      {"GET /a HTTP/1.1\r\nHost: h\r\n" + many + "\r\n", "431"},
+      {"bad\r\n\r\n", "400"},
+  };
+  for (const Bad& bad : bads) {
+    ServedEcho served;
+    const std::string answer = served.Exchange(bad.bytes_);
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 " + bad.status_,
+               bad.bytes_.substr(0, 120) << " gave " << answer.substr(0, 40));
+    BOOST_TEST(served.Handler().calls_ == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodiesAndContinueAreRead) {
+  ServedEcho served;
+  const std::string answer = served.Exchange(
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Expect: 100-continue\r\nConnection: close\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n");
+  BOOST_TEST(answer.find("100 Continue") != std::string::npos);
+  BOOST_TEST(answer.find("</chello>") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesIsNoticedAtOnce) {
+  ServedEcho served;
+  RawSocket caller(served.Port());
+  caller.Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  caller.Close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(served.Handler().left_ == 1);
+}
+
+// An upstream that answers each connection's requests with set bytes.
+class ScriptedUpstream {
+ public:
+  explicit ScriptedUpstream(std::vector<std::string> answers)
+      : answers_(std::move(answers)), listener_(ListenAnywhere(port_)) {
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ScriptedUpstream() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  void Serve() {
+    while (true) {
+      const int file = accept(listener_, nullptr, nullptr);
+      if (file < 0) {
+        return;
+      }
+      char buffer[4096];
+      while (next_ < answers_.size() &&
+             recv(file, buffer, sizeof(buffer), 0) > 0) {
+        const std::string& answer = answers_[next_++];
+        (void)send(file, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (answer.find("Connection: close") != std::string::npos) {
+          break;
+        }
+      }
+      close(file);
+    }
+  }
+
+  const std::vector<std::string> answers_;
+  int port_ = 0;
+  const int listener_;
+  size_t next_ = 0;
+  std::thread thread_;
+};
+
+struct Result {
+  ResultCode code_ = ResultCode::kOk;
+  std::string body_;
+};
+
+// One exchange for an answer with the id `number`. A function of its own: a
+// coroutine outlives the closure of a lambda.
+http::Task<void> RunExchange(http::ConnectionPool& pool,
+                             const std::string& address,
+                             int number,
+                             Result& result) {
+  http::CancelSignal cancel;
+  const base::MonoTime deadline = std::chrono::time_point_cast<base::Duration>(
+                                      std::chrono::steady_clock::now()) +
+                                  std::chrono::seconds(2);
+  const auto connection = co_await pool.Take(address, deadline, cancel);
+  if (!connection) {
+    result.code_ = connection.error();
+    co_return;
+  }
+  http::Exchange exchange(pool, *connection, cancel);
+  http::RequestHead request;
+  request.method_ = "GET";
+  request.target_ = "/";
+  const std::string id = std::to_string(number);
+  const std::function<bool(const http::AnswerHead&)> belongs =
+      [id](const http::AnswerHead& head) {
+        return head.headers_.Find("X-Id") == id;
+      };
+  const auto head = co_await exchange.Run(request, "", deadline, belongs);
+  if (!head) {
+    result.code_ = head.error().code_;
+    co_return;
+  }
+  const http::BodyState state =
+      co_await http::ReadUpTo(exchange, result.body_, 1 << 20);
+  if (state != http::BodyState::kEnd) {
+    result.code_ = ResultCode::kUpstreamFailed;
+  }
+}
+
+http::Task<void> RunAll(http::ConnectionPool& pool,
+                        const std::string& address,
+                        std::vector<Result>& results,
+                        std::promise<void>& done) {
+  for (size_t i = 0; i < results.size(); ++i) {
+    co_await RunExchange(pool, address, static_cast<int>(i) + 1, results[i]);
+  }
+  done.set_value();
+}
+
+std::vector<Result> RunExchanges(const std::string& address, size_t count) {
+  http::EventLoop loop;
+  http::ConnectionPool pool(loop, {});
+  std::vector<Result> results(count);
+  std::promise<void> done;
+  loop.Spawn(RunAll(pool, address, results, done));
+  loop.Start();
+  done.get_future().wait();
+  loop.Stop();
+  return results;
+}
+
+std::string MakeAnswer(int id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + std::to_string(id) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+BOOST_AUTO_TEST_CASE(AnExtraAnswerGoesToNobody) {
+  // The first answer comes twice; the second request must get its own.
+  ScriptedUpstream upstream(
+      {MakeAnswer(1, "one") + MakeAnswer(1, "again"), MakeAnswer(2, "two")});
+  const std::vector<Result> results = RunExchanges(upstream.Address(), 2);
+  BOOST_TEST(results[0].body_ == "one");
+  BOOST_TEST(results[1].body_ == "two");
+}
+
+BOOST_AUTO_TEST_CASE(ALateAnswerToAnEarlierRequestIsSkipped) {
+  ScriptedUpstream upstream(
+      {MakeAnswer(1, "one"), MakeAnswer(1, "late") + MakeAnswer(2, "two")});
+  const std::vector<Result> results = RunExchanges(upstream.Address(), 2);
+  BOOST_TEST(results[1].body_ == "two");
+}
+
+BOOST_AUTO_TEST_CASE(CutAndOddAnswersAreFailures) {
+  ScriptedUpstream cut(
+      {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n"
+       "Connection: close\r\n\r\nhalf"});
+  BOOST_TEST(
+      (RunExchanges(cut.Address(), 1)[0].code_ == ResultCode::kUpstreamFailed));
+  ScriptedUpstream odd({"these are no answer\r\nConnection: close\r\n\r\n"});
+  BOOST_TEST((RunExchanges(odd.Address(), 1)[0].code_ ==
+              ResultCode::kAnswerMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
+  ScriptedUpstream upstream(
+      {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"});
+  const Result result = RunExchanges(upstream.Address(), 1)[0];
+  BOOST_TEST((result.code_ == ResultCode::kOk));
+  BOOST_TEST(result.body_ == "all of it");
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
