--- a/src/config/routing.cc
+++ b/src/config/routing.cc
@@ -47,7 +47,7 @@
                                             routing.header().services().end());
   std::set<std::string> keys;
   for (const rpc::Route& route : routing.routes()) {
-    const Refusal refusal = CheckRoute(route, services);
+    Refusal refusal = CheckRoute(route, services);
     if (refusal.code_ != ResultCode::kOk) {
       return refusal;
     }
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -136,7 +136,7 @@
   const std::shared_ptr<http::Notifier> changed =
       std::make_shared<http::Notifier>(entry_.loop_);
   // Runs apart from the call: the loser ends after it.
-  const auto spawn = [this, changed](AttemptPtr attempt) {
+  const auto spawn = [this, changed](const AttemptPtr& attempt) {
     const auto run =
         [](Hop& hop, AttemptPtr tried,
            std::shared_ptr<http::Notifier> done) -> http::Task<void> {
--- a/src/daemon/hop_codec.cc
+++ b/src/daemon/hop_codec.cc
@@ -24,7 +24,7 @@
 }
 
 std::string TakeText(Headers& headers, std::string_view name) {
-  const std::string value(headers.Find(name));
+  std::string value(headers.Find(name));
   headers.Erase(name);
   return value;
 }
