Say the present and what is malformed in one place; remove what nothing calls

base::MonoNow serves three copies of one function, http::IsMalformed two. Exchange::Abort, Exchange::EndsWithConnection and the pool's count of dials had no caller.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -116,11 +116,6 @@
 // Programs and tests that do not start logging write nothing.
 std::atomic<LogWriter*> g_writer{nullptr};
 
-MonoTime Present() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 const char* LevelName(Level level) {
   switch (level) {
     case Level::kInfo:
@@ -227,7 +222,7 @@
 void LogEvent(EventId id, std::initializer_list<Field> fields) {
   LogWriter* const writer = g_writer.load(std::memory_order_acquire);
   if (writer != nullptr &&
-      writer->Admit(static_cast<uint16_t>(id), Present())) {
+      writer->Admit(static_cast<uint16_t>(id), MonoNow())) {
     writer->Put(FormatLine(DescribeEvent(id), fields));
   }
 }
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -30,14 +30,18 @@
   virtual Now Read() const = 0;
 };
 
+// The present on the steady clock, for adapters that have no Clock at hand.
+inline MonoTime MonoNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
 // The machine's clocks.
 class SystemClock : public Clock {
  public:
   Now Read() const override {
-    return {std::chrono::time_point_cast<Duration>(
-                std::chrono::steady_clock::now()),
-            std::chrono::time_point_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now())};
+    return {MonoNow(), std::chrono::time_point_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now())};
   }
 };
 
--- a/src/http/beast.cc
+++ b/src/http/beast.cc
@@ -54,6 +54,13 @@
   }
 }
 
+bool IsMalformed(const ErrorCode& error) {
+  return error.category() ==
+             make_error_code(bhttp::error::bad_method).category() &&
+         error != bhttp::error::end_of_stream &&
+         error != bhttp::error::partial_message;
+}
+
 void ConfigureSocket(Tcp::socket& socket) {
   ErrorCode ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
--- a/src/http/beast.h
+++ b/src/http/beast.h
@@ -21,6 +21,9 @@
 void CopyHeaders(const bhttp::fields& from, Headers& to);
 void CopyHeaders(const Headers& from, bhttp::fields& to);
 
+// Whether the error is the other side's bytes, not the connection's end.
+bool IsMalformed(const ErrorCode& error);
+
 // Sets what each socket of the path of requests needs: no delay, and an end
 // to connections whose other side has gone silent.
 void ConfigureSocket(Tcp::socket& socket);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -21,18 +21,6 @@
 // Left out of the idle time that the other side announces.
 constexpr base::Duration kIdleMargin = std::chrono::milliseconds(1500);
 
-bool IsMalformed(const ErrorCode& error) {
-  return error.category() ==
-             make_error_code(bhttp::error::bad_method).category() &&
-         error != bhttp::error::end_of_stream &&
-         error != bhttp::error::partial_message;
-}
-
-base::MonoTime Present() {
-  return std::chrono::time_point_cast<base::Duration>(
-      std::chrono::steady_clock::now());
-}
-
 // "timeout=10, max=5": whole seconds.
 base::Duration IdleTimeOf(std::string_view keep_alive) {
   constexpr std::string_view kKey = "timeout=";
@@ -73,17 +61,13 @@
   }
 }
 
-void Exchange::Abort() {
-  connection_->Close();
-}
-
 ExchangeFailure Exchange::FailureOf(const std::string& detail,
                                     bool malformed,
                                     bool not_sent) const {
   if (cancel_.Raised()) {
     return {ResultCode::kCallerGone, not_sent, detail};
   }
-  if (Present() >= deadline_) {
+  if (base::MonoNow() >= deadline_) {
     return {ResultCode::kDeadlineExceeded, not_sent, detail};
   }
   if (malformed) {
@@ -188,8 +172,9 @@
 }
 
 Task<bool> Exchange::AwaitSender(base::Duration most) {
-  const base::MonoTime until =
-      most == base::Duration::max() ? base::MonoTime::max() : Present() + most;
+  const base::MonoTime until = most == base::Duration::max()
+                                   ? base::MonoTime::max()
+                                   : base::MonoNow() + most;
   while (sender_ != nullptr && !sender_->done_) {
     const bool notified = co_await sender_->ended_.Wait(until);
     if (!notified) {
@@ -266,7 +251,8 @@
   body.data = piece.data() + held;
   body.size = room;
   connection_->stream_.expires_at(
-      streaming_ ? std::max(deadline_, Present() + kPieceTimeout) : deadline_);
+      streaming_ ? std::max(deadline_, base::MonoNow() + kPieceTimeout)
+                 : deadline_);
   ErrorCode error;
   co_await bhttp::async_read_some(
       connection_->stream_, connection_->buffer_, parser,
@@ -291,10 +277,6 @@
   return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
-bool Exchange::EndsWithConnection() const {
-  return connection_->parser_->need_eof();
-}
-
 void Exchange::Finish() {
   if (finished_) {
     return;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,8 +52,6 @@
   // Closes the idle connections to an address.
   void Forget(const std::string& address);
 
-  uint64_t Connects() const { return connects_; }
-
  private:
   ClientConnectionPtr TakeIdle(const std::string& address);
   void DropOld(std::vector<ClientConnectionPtr>& idle) const;
@@ -61,7 +59,6 @@
   EventLoop& loop_;
   const ClientOptions options_;
   std::map<std::string, std::vector<ClientConnectionPtr>> idle_;
-  uint64_t connects_ = 0;
 };
 
 // Whether a TCP connection to the address can be established in time.
@@ -114,11 +111,7 @@
   // The answer is long: from now on each piece has a time of its own, instead
   // of the deadline for all of it.
   void StreamAnswer() { streaming_ = true; }
-  // Whether the answer's end is the end of its connection.
-  bool EndsWithConnection() const;
 
-  // Closes the connection; whatever waits on it fails.
-  void Abort();
   // Waits until a streamed request's body is no longer read; false if that
   // takes longer than `most`. At once true for whole bodies.
   Task<bool> AwaitSender(base::Duration most);
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -11,11 +11,6 @@
 namespace buckthorngate::http {
 namespace {
 
-base::MonoTime Present() {
-  return std::chrono::time_point_cast<base::Duration>(
-      std::chrono::steady_clock::now());
-}
-
 Task<ErrorCode> Connect(ClientConnection& connection, base::MonoTime until) {
   ErrorCode error = asio::error::invalid_argument;
   const std::optional<Tcp::endpoint> endpoint =
@@ -43,7 +38,7 @@
 ConnectionPool::~ConnectionPool() = default;
 
 void ConnectionPool::DropOld(std::vector<ClientConnectionPtr>& idle) const {
-  const base::MonoTime now = Present();
+  const base::MonoTime now = base::MonoNow();
   std::erase_if(idle, [now](const ClientConnectionPtr& connection) {
     return now >= connection->unused_after_;
   });
@@ -75,11 +70,10 @@
   if (connection != nullptr) {
     co_return connection;
   }
-  ++connects_;
   connection = std::make_shared<ClientConnection>(loop_.Context(), address);
   const CancelScope interrupt(cancel, [connection] { connection->Close(); });
   const base::MonoTime until =
-      std::min(deadline, Present() + options_.connect_timeout_);
+      std::min(deadline, base::MonoNow() + options_.connect_timeout_);
   const ErrorCode error = co_await Connect(*connection, until);
   if (cancel.Raised()) {
     co_return tl::unexpected(ResultCode::kCallerGone);
@@ -98,7 +92,8 @@
   if (held.size() >= options_.most_idle_connections_) {
     return;
   }
-  connection->unused_after_ = Present() + std::min(idle, options_.most_idle_);
+  connection->unused_after_ =
+      base::MonoNow() + std::min(idle, options_.most_idle_);
   held.push_back(std::move(connection));
 }
 
@@ -110,7 +105,8 @@
                               const std::string& address,
                               base::Duration timeout) {
   ClientConnection connection(loop.Context(), address);
-  const ErrorCode error = co_await Connect(connection, Present() + timeout);
+  const ErrorCode error =
+      co_await Connect(connection, base::MonoNow() + timeout);
   co_return !error;
 }
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -34,14 +34,6 @@
   return kBadRequest;
 }
 
-// Whether the error is the caller's bytes, not the connection's end.
-bool IsMalformed(const ErrorCode& error) {
-  return error.category() ==
-             make_error_code(bhttp::error::bad_method).category() &&
-         error != bhttp::error::end_of_stream &&
-         error != bhttp::error::partial_message;
-}
-
 }  // namespace
 
 Server::Connection::Connection(Server& server, Tcp::socket socket)
