Keep to the new version once a move is done; let versions with room help out; spill later

Also: the old version's endpoints stood idle while the new one's queued at the whole share; an ordered move now ends half a second after the whole share, so that nothing is sent to endpoints that are about to be stopped; work leaves its zone at 0.9 of the slots (0.7 before), large answers only when they would wait.

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -28,42 +28,39 @@
 
 }  // namespace
 
-const request::VersionView* Entry::Call::FindEndpoints(
-    std::string& version) const {
+request::VersionChoice Entry::Call::ChooseVersions() const {
   if (service_state_ == nullptr) {
-    version = request::kAnyVersion;
-    return view_->Find(service_name_, version);
+    return {request::kAnyVersion, ""};
   }
-  const rpc::Move& move = service_state_->move();
-  const bool braked = service_->brake_.Closed(move.step());
-  version = request::PickVersion(*service_state_, request_id_, braked);
-  const request::VersionView* endpoints = view_->Find(service_name_, version);
-  if (endpoints == nullptr && service_state_->has_move() &&
-      version == move.to()) {
-    // The new version has no endpoints here; the old one serves.
-    version = move.from();
-    endpoints = view_->Find(service_name_, version);
-  }
-  return endpoints;
+  const bool braked = service_->brake_.Closed(service_state_->move().step());
+  return request::ChooseVersions(*service_state_, request_id_, braked);
 }
 
 Entry::Call::AttemptPtr Entry::Call::Begin(ResultCode& code) {
-  std::string version;
-  const request::VersionView* endpoints = FindEndpoints(version);
-  const base::MonoTime now = entry_.clock_.Read().mono_;
-  const request::EndpointView* endpoint =
-      endpoints == nullptr
+  const request::VersionChoice versions = ChooseVersions();
+  const request::VersionView* first =
+      view_->Find(service_name_, versions.first_);
+  const request::VersionView* fallback =
+      versions.fallback_.empty()
           ? nullptr
-          : request::PickEndpoint(*endpoints, tried_, now, entry_.random_);
+          : view_->Find(service_name_, versions.fallback_);
+  const base::MonoTime now = entry_.clock_.Read().mono_;
+  const request::PickedEndpoint picked = request::PickOfTwo(
+      first, fallback, {tried_, match_.route_->large()}, now, entry_.random_);
+  const request::EndpointView* endpoint = picked.endpoint_;
   if (endpoint == nullptr) {
-    const bool full = endpoints != nullptr && request::AnyFull(*endpoints, now);
-    code = full ? ResultCode::kEndpointOverloaded : ResultCode::kNoEndpoint;
+    const auto full = [now](const request::VersionView* endpoints) {
+      return endpoints != nullptr && request::AnyFull(*endpoints, now);
+    };
+    code = full(first) || full(fallback) ? ResultCode::kEndpointOverloaded
+                                         : ResultCode::kNoEndpoint;
     return nullptr;
   }
   AttemptPtr attempt = std::make_shared<Attempt>();
   attempt->view_ = view_;
   attempt->endpoint_ = endpoint;
-  attempt->version_ = version;
+  attempt->version_ =
+      picked.of_fallback_ ? versions.fallback_ : versions.first_;
   attempt->began_ = now;
   tried_.push_back(endpoint->endpoint_.id());
   last_endpoint_ = endpoint->endpoint_.id();
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -11,6 +11,7 @@
 #include "request/endpoint_picker.h"
 #include "request/mesh_view.h"
 #include "request/retry.h"
+#include "request/version_choice.h"
 
 namespace buckthorngate::daemon {
 
@@ -60,7 +61,7 @@
   http::Task<void> RunAttempts();
   // Picks an endpoint; null if there is none left.
   AttemptPtr Begin(ResultCode& code);
-  const request::VersionView* FindEndpoints(std::string& version) const;
+  request::VersionChoice ChooseVersions() const;
   HopRequest MakeHopRequest(const Attempt& attempt) const;
   Hop& HopTo(const Attempt& attempt) const;
   http::Task<void> RunHop(AttemptPtr attempt);
--- a/src/request/endpoint_picker.cc
+++ b/src/request/endpoint_picker.cc
@@ -1,19 +1,17 @@
-// Version and endpoint choice.
+// Endpoint choice.
 #include "request/endpoint_picker.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "base/hash.h"
-#include "config/publication.h"
-
 namespace buckthorngate::request {
 namespace {
 
-constexpr uint64_t kPermille = 1000;
 // Latency assumed for an endpoint that has not been called yet.
 constexpr double kUnknownLatencyUs = 1000.0;
 constexpr double kMinWarmUp = 0.1;
+// With this load all slots are taken.
+constexpr double kFullLoad = 1.0;
 
 double WarmUpFactor(const EndpointStats& stats, base::MonoTime now) {
   const double age = static_cast<double>((now - stats.Created()).count());
@@ -89,26 +87,6 @@
 
 }  // namespace
 
-std::string PickVersion(const rpc::ServiceState& service,
-                        std::string_view request_id,
-                        bool braked) {
-  const rpc::Move& move = service.move();
-  const bool moving = service.has_move() && move.share_permille() > 0 &&
-                      (move.phase() == rpc::MOVE_PHASE_CANARY ||
-                       move.phase() == rpc::MOVE_PHASE_RAMPING ||
-                       move.phase() == rpc::MOVE_PHASE_DONE);
-  if (!moving) {
-    return config::VersionInForce(service);
-  }
-  if (braked) {
-    return move.from();
-  }
-  // The service's name in the seed decorrelates the services of one request.
-  const uint64_t draw =
-      base::Hash(request_id, base::Hash(service.service().name())) % kPermille;
-  return draw < move.share_permille() ? move.to() : move.from();
-}
-
 bool AnyFull(const VersionView& version, base::MonoTime now) {
   return std::any_of(version.endpoints_.begin(), version.endpoints_.end(),
                      [now](const EndpointView& endpoint) {
@@ -117,24 +95,49 @@
 }
 
 const EndpointView* PickEndpoint(const VersionView& version,
-                                 const std::vector<std::string>& tried,
+                                 const PickOptions& options,
                                  base::MonoTime now,
                                  base::Random& random) {
+  const std::vector<std::string>& tried = options.tried_;
+  const double spill_load =
+      options.large_answer_ ? kLargeSpillLoad : kSpillLoad;
+  const double spill_gain =
+      options.large_answer_ ? kLargeSpillGain : kSpillGain;
   const size_t own = version.own_zone_;
   const size_t all = version.endpoints_.size();
   const EndpointView* near =
       PickAmong(version, 0, own, tried, false, now, random);
-  if (near != nullptr && Load(*near, now) < kSpillLoad) {
+  if (near != nullptr && Load(*near, now) < spill_load) {
     return near;
   }
   const EndpointView* far =
       PickAmong(version, own, all, tried, false, now, random);
   if (near != nullptr && far != nullptr) {
-    return Load(*far, now) + kSpillGain < Load(*near, now) ? far : near;
+    return Load(*far, now) + spill_gain < Load(*near, now) ? far : near;
   }
   const EndpointView* any = near != nullptr ? near : far;
   return any != nullptr ? any
                         : PickAmong(version, 0, all, tried, true, now, random);
 }
 
+PickedEndpoint PickOfTwo(const VersionView* first,
+                         const VersionView* fallback,
+                         const PickOptions& options,
+                         base::MonoTime now,
+                         base::Random& random) {
+  const auto pick = [&](const VersionView* version) {
+    return version == nullptr ? nullptr
+                              : PickEndpoint(*version, options, now, random);
+  };
+  const EndpointView* chosen = pick(first);
+  if (chosen != nullptr && Load(*chosen, now) <= kFullLoad) {
+    return {chosen, false};
+  }
+  const EndpointView* other = pick(fallback);
+  const bool better =
+      other != nullptr && (chosen == nullptr ||
+                           Load(*other, now) + kSpillGain < Load(*chosen, now));
+  return better ? PickedEndpoint{other, true} : PickedEndpoint{chosen, false};
+}
+
 }  // namespace buckthorngate::request
--- a/src/request/endpoint_picker.h
+++ b/src/request/endpoint_picker.h
@@ -1,4 +1,4 @@
-// Picks a version by the move's share and an endpoint by power of two choices.
+// Picks an endpoint by power of two choices.
 #ifndef SRC_REQUEST_ENDPOINT_PICKER_H_
 #define SRC_REQUEST_ENDPOINT_PICKER_H_
 
@@ -16,25 +16,42 @@
 inline constexpr base::Duration kWarmUp = std::chrono::seconds(10);
 // Work leaves the own zone when the endpoint there is this full, and one of
 // another zone is emptier by this much.
-inline constexpr double kSpillLoad = 0.7;
+inline constexpr double kSpillLoad = 0.9;
 inline constexpr double kSpillGain = 0.15;
-
-// The version that serves this request: steady for one request id, so that a
-// retry goes to the same version. `braked` keeps the move's target out.
-std::string PickVersion(const rpc::ServiceState& service,
-                        std::string_view request_id,
-                        bool braked);
+// Large answers leave it only for an endpoint at which they need not wait,
+// from one with as many waiting as it can serve in one turn: bytes between
+// zones cost more there than a short wait.
+inline constexpr double kLargeSpillLoad = 1.5;
+inline constexpr double kLargeSpillGain = 0.5;
 
 // Whether an endpoint was left out because it has just turned work away.
 bool AnyFull(const VersionView& version, base::MonoTime now);
 
+struct PickOptions {
+  std::vector<std::string> tried_;  // Ids of endpoints to leave out.
+  bool large_answer_ = false;
+};
+
 // Returns null if there is no endpoint that was not tried and has room.
 // Ejected endpoints are a last resort.
 const EndpointView* PickEndpoint(const VersionView& version,
-                                 const std::vector<std::string>& tried,
+                                 const PickOptions& options,
                                  base::MonoTime now,
                                  base::Random& random);
 
+struct PickedEndpoint {
+  const EndpointView* endpoint_ = nullptr;  // Null if there is none.
+  bool of_fallback_ = false;
+};
+
+// Picks of `first`; of `fallback` if that has room where `first` has none.
+// Both may be null.
+PickedEndpoint PickOfTwo(const VersionView* first,
+                         const VersionView* fallback,
+                         const PickOptions& options,
+                         base::MonoTime now,
+                         base::Random& random);
+
 }  // namespace buckthorngate::request
 
 #endif  // SRC_REQUEST_ENDPOINT_PICKER_H_
--- a/src/rollout/move_controller.cc
+++ b/src/rollout/move_controller.cc
@@ -112,7 +112,7 @@
       }
     }
     const std::optional<rpc::MoveStep> step =
-        Decide(move, tracked, presence, now, wall);
+        Decide(*service, tracked, presence, now, wall);
     if (step) {
       steps.push_back(*step);
     }
@@ -121,7 +121,7 @@
 }
 
 std::optional<rpc::MoveStep> MoveController::Decide(
-    const rpc::Move& move,
+    const rpc::ServiceState& service,
     Tracked& tracked,
     const EndpointPresence& presence,
     base::MonoTime now,
@@ -129,8 +129,10 @@
   if (tracked.proposed_ && now - *tracked.proposed_ < kProposalTimeout) {
     return std::nullopt;
   }
+  const rpc::Move& move = service.move();
   MoveView view;
   view.move_ = &move;
+  view.done_is_final_ = service.service().ordered();
   view.routes_ = &tracked.routes_;
   view.now_ = wall;
   view.in_step_ = now - tracked.step_began_;
--- a/src/rollout/move_controller.h
+++ b/src/rollout/move_controller.h
@@ -79,7 +79,7 @@
                  const std::vector<rpc::RouteEvidence>& window);
 
   // The next step of one move, if it is time for one.
-  std::optional<rpc::MoveStep> Decide(const rpc::Move& move,
+  std::optional<rpc::MoveStep> Decide(const rpc::ServiceState& service,
                                       Tracked& tracked,
                                       const EndpointPresence& presence,
                                       base::MonoTime now,
--- a/src/rollout/move_policy.h
+++ b/src/rollout/move_policy.h
@@ -34,6 +34,9 @@
   base::Duration in_step_{0};  // Time since the current step was logged.
   bool new_endpoints_ = false;
   bool old_endpoints_ = false;
+  // Whoever ordered the move stops the old endpoints as soon as it is done, so
+  // that there is no way back from there.
+  bool done_is_final_ = false;
   // Proxies that braked the new version at the current step.
   uint32_t brakes_ = 0;
   base::Duration since_brake_{0};
--- a/src/rollout/sequential_policy.cc
+++ b/src/rollout/sequential_policy.cc
@@ -140,11 +140,23 @@
   return std::nullopt;
 }
 
-MoveDecision Advance(uint32_t share, std::string reason) {
+// Until all proxies have seen the whole share, the old endpoints get requests.
+constexpr base::Duration kSettleTime = std::chrono::milliseconds(500);
+
+MoveDecision Finish(std::string reason) {
+  MoveDecision decision;
+  decision.share_permille_ = kWholeShare;
+  decision.phase_ = rpc::MOVE_PHASE_DONE;
+  decision.reason_ = std::move(reason);
+  decision.watch_open_ = false;
+  return decision;
+}
+
+MoveDecision Advance(const MoveView& view, uint32_t share, std::string reason) {
   MoveDecision decision;
   decision.share_permille_ = share;
   decision.reason_ = std::move(reason);
-  if (share >= kWholeShare) {
+  if (share >= kWholeShare && !view.done_is_final_) {
     decision.phase_ = rpc::MOVE_PHASE_DONE;
   } else if (share <= kCanaryPermille) {
     decision.phase_ = rpc::MOVE_PHASE_CANARY;
@@ -185,6 +197,9 @@
       return std::nullopt;
     }
   }
+  if (move.share_permille() >= kWholeShare && view.in_step_ >= kSettleTime) {
+    return Finish("all requests go to the new version");
+  }
   const Pace pace = PaceOf(move.policy());
   if (move.share_permille() != 0 && view.in_step_ < pace.min_step_) {
     hold_reason = "minimum time of a step";
@@ -199,14 +214,14 @@
   const Proof proof = ProofOf(view, kSafeThreshold * pace.proof_);
   const bool first = move.share_permille() == 0;
   if (first) {
-    return Advance(NextShare(move, false, pace.growth_), "first share");
+    return Advance(view, NextShare(move, false, pace.growth_), "first share");
   }
   if (proof == Proof::kProven) {
-    return Advance(NextShare(move, true, pace.growth_),
+    return Advance(view, NextShare(move, true, pace.growth_),
                    "evidence of harmlessness on each route");
   }
   if (time_decides) {
-    return Advance(NextShare(move, false, pace.growth_),
+    return Advance(view, NextShare(move, false, pace.growth_),
                    "time decides: too little traffic to prove anything");
   }
   hold_reason =
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -15,6 +15,7 @@
 #include "request/quarantine.h"
 #include "request/retry.h"
 #include "request/route_table.h"
+#include "request/version_choice.h"
 #include "rollout/brake.h"
 #include "test_mesh.h"
 
@@ -82,13 +83,15 @@
   int new_calls = 0;
   for (int i = 0; i < 20'000; ++i) {
     const std::string id = "request-" + std::to_string(i);
-    const std::string version = request::PickVersion(state, id, false);
-    BOOST_REQUIRE(version == request::PickVersion(state, id, false));
+    const std::string version =
+        request::ChooseVersions(state, id, false).first_;
+    BOOST_REQUIRE(version == request::ChooseVersions(state, id, false).first_);
     new_calls += version == "v2" ? 1 : 0;
   }
   BOOST_TEST(new_calls > 850);
   BOOST_TEST(new_calls < 1150);
-  BOOST_TEST(request::PickVersion(MovingService(1000), "x", true) == "v1");
+  BOOST_TEST(request::ChooseVersions(MovingService(1000), "x", true).first_ ==
+             "v1");
 }
 
 request::VersionView MakeEndpoints(int own, int other) {
@@ -129,13 +132,13 @@
   view.endpoints_[0].stats_->Eject(AtMs(60'000));
   for (int i = 0; i < 50; ++i) {
     const auto* picked =
-        request::PickEndpoint(view, {"1"}, AtMs(60'010), random);
+        request::PickEndpoint(view, {{"1"}}, AtMs(60'010), random);
     BOOST_REQUIRE(picked->endpoint_.id() == "2");
   }
   // The last resort, and nothing at all.
-  BOOST_TEST(request::PickEndpoint(view, {"1", "2"}, AtMs(60'010), random)
+  BOOST_TEST(request::PickEndpoint(view, {{"1", "2"}}, AtMs(60'010), random)
                  ->endpoint_.id() == "0");
-  BOOST_TEST(request::PickEndpoint(view, {"0", "1", "2"}, AtMs(60'010),
+  BOOST_TEST(request::PickEndpoint(view, {{"0", "1", "2"}}, AtMs(60'010),
                                    random) == nullptr);
 }
 
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "request/endpoint_picker.h"
+#include "request/version_choice.h"
 #include "rollout/evidence.h"
 #include "rollout/harm_test.h"
 #include "test_mesh.h"
@@ -100,9 +100,10 @@
     }
     std::map<std::string, rpc::RouteEvidence> sums;
     for (int i = 0; i < kCallsPerWindow; ++i) {
-      const std::string version = request::PickVersion(
-          *service, std::to_string(mesh_.Net().Rng().Below(1'000'000'000)),
-          false);
+      const std::string id =
+          std::to_string(mesh_.Net().Rng().Below(1'000'000'000));
+      const std::string version =
+          request::ChooseVersions(*service, id, false).first_;
       rpc::RouteEvidence& sum = sums[version];
       sum.set_service("a");
       sum.set_version(version);
--- /dev/null
+++ b/tests/version_test.cc
@@ -0,0 +1,172 @@
+// Which version serves while traffic moves, and how an ordered move ends.
+#define BOOST_TEST_MODULE version
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "request/endpoint_picker.h"
+#include "request/version_choice.h"
+#include "rollout/move_policy.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+base::MonoTime AtMs(int64_t ms) {
+  return base::MonoTime(std::chrono::milliseconds(1'000'000 + ms));
+}
+
+rpc::ServiceState Moving(rpc::MovePhase phase, uint32_t share) {
+  rpc::ServiceState state;
+  state.mutable_service()->set_name("a");
+  state.mutable_service()->set_version("v1");
+  state.mutable_service()->set_ordered(true);
+  rpc::Move& move = *state.mutable_move();
+  move.set_from("v1");
+  move.set_to("v2");
+  move.set_phase(phase);
+  move.set_share_permille(share);
+  return state;
+}
+
+// Pattern: after a move was done, answers were lost; the proxies' brakes sent
+// all requests to the old version, whose endpoints had been stopped, and half
+// of the requests of three minutes found no endpoint.
+BOOST_AUTO_TEST_CASE(ABrakeAfterAFinalMoveLeavesTheNewVersionInPlace) {
+  const rpc::ServiceState done = Moving(rpc::MOVE_PHASE_DONE, 1000);
+  BOOST_TEST(request::ChooseVersions(done, "r", /*braked=*/true).first_ ==
+             "v2");
+  rpc::ServiceState watched = done;
+  watched.mutable_move()->set_watch_open(true);
+  const request::VersionChoice back =
+      request::ChooseVersions(watched, "r", /*braked=*/true);
+  BOOST_TEST(back.first_ == "v1");
+  BOOST_TEST(back.fallback_ == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(OnlyATrustedVersionTakesWhatTheOldOneHasNoRoomFor) {
+  for (const uint32_t share : {10u, 150u, 450u}) {
+    for (int i = 0; i < 200; ++i) {
+      const request::VersionChoice choice =
+          request::ChooseVersions(Moving(rpc::MOVE_PHASE_RAMPING, share),
+                                  std::to_string(i), /*braked=*/false);
+      BOOST_TEST((choice.first_ == "v2" || choice.fallback_.empty()));
+    }
+  }
+  bool helps = false;
+  for (int i = 0; i < 200; ++i) {
+    const request::VersionChoice choice =
+        request::ChooseVersions(Moving(rpc::MOVE_PHASE_RAMPING, 500),
+                                std::to_string(i), /*braked=*/false);
+    helps = helps || (choice.first_ == "v1" && choice.fallback_ == "v2");
+    BOOST_TEST(request::ChooseVersions(Moving(rpc::MOVE_PHASE_RAMPING, 500),
+                                       std::to_string(i), /*braked=*/true)
+                   .fallback_.empty());
+  }
+  BOOST_TEST(helps);
+}
+
+request::VersionView Endpoints(int count) {
+  request::VersionView view;
+  for (int i = 0; i < count; ++i) {
+    request::EndpointView endpoint;
+    endpoint.endpoint_.set_id(std::to_string(i));
+    endpoint.endpoint_.set_slots(2);
+    endpoint.stats_ = std::make_shared<request::EndpointStats>(AtMs(0));
+    view.endpoints_.push_back(endpoint);
+  }
+  view.own_zone_ = static_cast<size_t>(count);
+  return view;
+}
+
+// Pattern: at the whole share the new version's endpoints queued and refused
+// while the old ones had nearly nothing to do.
+BOOST_AUTO_TEST_CASE(AVersionWithRoomHelpsOneWithout) {
+  base::Random random(1);
+  const request::VersionView full = Endpoints(1);
+  const request::VersionView idle = Endpoints(1);
+  const auto pick = [&](const request::VersionView* fallback) {
+    return request::PickOfTwo(&full, fallback, {}, AtMs(60'000), random);
+  };
+  BOOST_TEST(!pick(&idle).of_fallback_);
+  for (int i = 0; i < 2; ++i) {
+    full.endpoints_[0].stats_->Begin();
+  }
+  BOOST_TEST(pick(&idle).of_fallback_);
+  BOOST_TEST(!pick(nullptr).of_fallback_);
+  BOOST_TEST(request::PickOfTwo(nullptr, &idle, {}, AtMs(60'000), random)
+                 .of_fallback_);
+  BOOST_TEST(request::PickOfTwo(nullptr, nullptr, {}, AtMs(60'000), random)
+                 .endpoint_ == nullptr);
+}
+
+// Pattern: a download of 280 KB between zones for each request that found its
+// own zone's endpoint two thirds full.
+BOOST_AUTO_TEST_CASE(LargeAnswersStayInTheirZoneWhileTheyCanBeServedThere) {
+  base::Random random(1);
+  request::VersionView view = Endpoints(2);
+  view.own_zone_ = 1;
+  for (int i = 0; i < 2; ++i) {
+    view.endpoints_[0].stats_->Begin();
+  }
+  const auto far = [&](bool large) {
+    return request::PickEndpoint(view, {{}, large}, AtMs(60'000), random)
+               ->endpoint_.id() == "1";
+  };
+  BOOST_TEST(far(false));
+  BOOST_TEST(far(true));
+  view.endpoints_[0].stats_->End(base::Duration(0), true, AtMs(60'000));
+  BOOST_TEST(far(false));
+  BOOST_TEST(!far(true));
+}
+
+class OrderedMove {
+ public:
+  OrderedMove() {
+    move_.set_service("a");
+    move_.set_from("v1");
+    move_.set_to("v2");
+    move_.set_phase(rpc::MOVE_PHASE_RAMPING);
+    move_.set_share_permille(1000);
+    move_.set_policy(rpc::MOVE_POLICY_FAST);
+    move_.set_deadline_ms(base::ToUnixMs(wall_ + std::chrono::seconds(10)));
+  }
+
+  std::optional<rollout::MoveDecision> Decide(base::Duration in_step) {
+    rollout::MoveView view;
+    view.move_ = &move_;
+    view.routes_ = &routes_;
+    view.now_ = wall_;
+    view.in_step_ = in_step;
+    view.new_endpoints_ = true;
+    view.old_endpoints_ = true;
+    view.done_is_final_ = true;
+    std::string reason;
+    return rollout::MakeMovePolicy(rollout::PolicyKind::kSequential)
+        ->Decide(view, reason);
+  }
+
+  rpc::Move move_;
+
+ private:
+  const base::WallTime wall_{std::chrono::hours(500'000)};
+  std::map<std::string, rollout::RouteView> routes_;
+};
+
+BOOST_AUTO_TEST_CASE(AnOrderedMoveEndsAfterTheOldEndpointsAreOutOfUse) {
+  OrderedMove ordered;
+  BOOST_TEST(!ordered.Decide(std::chrono::milliseconds(100)).has_value());
+  const auto done = ordered.Decide(std::chrono::milliseconds(600));
+  BOOST_REQUIRE(done.has_value());
+  BOOST_TEST(done->phase_ == rpc::MOVE_PHASE_DONE);
+  BOOST_TEST(!done->watch_open_);
+  ordered.move_.set_share_permille(450);
+  const auto whole = ordered.Decide(std::chrono::seconds(8));
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_TEST(whole->share_permille_ == 1000u);
+  BOOST_TEST(whole->phase_ == rpc::MOVE_PHASE_RAMPING);
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
