Give up on daemons that can't be reached; leave sluggish endpoints a trickle

A request that timed out taught nothing about the endpoint's latency, so a slow one in the own zone kept its work until it was 0.9 full. Now a daemon that says nothing for 120 ms while a request waits is probed with a connection; if that fails, what may be repeated goes elsewhere. Ruled out: a time-out for each try (slow work can't be told from a cut link).

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -95,6 +95,8 @@
      "An exchange with an upstream ended without its answer."},
     {kRequestAdmitted, Level::kInfo, "request-admitted",
      "A request got or did not get a slot of this host's endpoint."},
+    {kPeerUnreachable, Level::kWarning, "peer-unreachable",
+     "A daemon takes no connections; what may be repeated goes elsewhere."},
     {kSettingsReloaded, Level::kInfo, "settings-reloaded",
      "The settings file was read again."},
     {kLogLinesDropped, Level::kWarning, "log-lines-dropped",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -55,6 +55,7 @@
   kEndpointEjected = 506,
   kUpstreamFailed = 507,
   kRequestAdmitted = 508,
+  kPeerUnreachable = 509,
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
   kTaskFailed = 522,
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -102,6 +102,7 @@
   request.below_retry_ = below_retry_ || retrying_;
   request.nested_ = nested_;
   request.priority_ = match_.route_->priority();
+  request.repeatable_ = Repeatable() && !streamed_ && !below_retry_;
   request.deadline_ = deadline_;
   request.objective_ = objective_;
   request.still_wanted_ = [call = &call_] { return call->StillThere(); };
@@ -251,6 +252,14 @@
   }
 }
 
+bool Entry::Call::Repeatable() const {
+  const rpc::Route& route = *match_.route_;
+  // What a route of the mesh allows goes before what the method means.
+  const bool safe_method = !OfMesh() && !route.at_most_once() &&
+                           request::IsSafeMethod(call_.Head().method_);
+  return route.repeatable() || safe_method;
+}
+
 bool Entry::Call::MayRetry(const AttemptOutcome& outcome) {
   const rpc::Route& route = *match_.route_;
   request::RetryContext context;
@@ -259,10 +268,7 @@
   if (route.max_attempts() != 0) {
     context.most_reached_ = static_cast<int>(route.max_attempts());
   }
-  // What a route of the mesh allows goes before what the method means.
-  const bool safe_method = !OfMesh() && !route.at_most_once() &&
-                           request::IsSafeMethod(call_.Head().method_);
-  context.repeatable_ = route.repeatable() || safe_method;
+  context.repeatable_ = Repeatable();
   context.body_replayable_ = !streamed_;
   context.below_retry_ = below_retry_;
   context.suspect_ =
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -32,8 +32,10 @@
     const request::EndpointView* endpoint_ = nullptr;
     std::string version_;
     base::MonoTime began_;
-    HopRequest request_;
+    // In this order: the request refers to the signal, and the answer to what
+    // the request keeps.
     http::CancelSignal cancel_;
+    HopRequest request_;
     HopAnswer answer_;
     bool done_ = false;
   };
@@ -78,6 +80,8 @@
   http::Task<void> Answer(Attempt& attempt);
   void RefreshView();
 
+  // Whether the route or the method allows more than one run.
+  bool Repeatable() const;
   base::Duration Left() const;
   const std::string& RouteName() const { return match_.route_->name(); }
   uint32_t Rank() const {
--- a/src/daemon/hop.h
+++ b/src/daemon/hop.h
@@ -44,12 +44,16 @@
   // A call of a request that holds a slot at the caller's host meanwhile.
   bool nested_ = false;
   uint32_t priority_ = 0;
+  // May be sent to another endpoint though this one may have run it.
+  bool repeatable_ = false;
   base::MonoTime deadline_;
   // Until then an answer is worth its full credit.
   base::MonoTime objective_;
   http::CancelSignal* cancel_ = nullptr;
   // Asks the caller's socket, for when the process was stopped for long.
   std::function<bool()> still_wanted_;
+  // What the hop keeps until the answer's body is read.
+  std::shared_ptr<void> kept_;
 };
 
 struct HopAnswer {
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -12,7 +12,8 @@
 
 // Shorter than a daemon's server keeps idle connections.
 constexpr base::Duration kPeerIdle = std::chrono::seconds(8);
-constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(300);
+// Many round trips between zones; the request goes elsewhere then.
+constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(100);
 // Time for the destination's own word that the deadline has passed.
 constexpr base::Duration kDeadlineGrace = std::chrono::milliseconds(20);
 
@@ -21,7 +22,8 @@
 PeerClient::PeerClient(const base::Clock& clock, http::EventLoop& loop)
     : clock_(clock),
       loop_(loop),
-      connections_(loop, {kPeerIdle, kConnectTimeout}) {}
+      connections_(loop, {kPeerIdle, kConnectTimeout}),
+      watch_(clock, loop) {}
 
 http::Task<HopAnswer> PeerClient::Run(HopRequest& request) {
   tl::expected<http::ClientConnectionPtr, ResultCode> connection =
@@ -30,9 +32,13 @@
   if (!connection) {
     co_return FailedHop(connection.error(), /*not_run=*/true);
   }
+  const std::shared_ptr<PeerWatch::Pending> pending =
+      std::make_shared<PeerWatch::Pending>(
+          watch_, request.peer_address_, *request.cancel_, request.repeatable_);
+  request.kept_ = pending;
   const std::shared_ptr<http::Exchange> exchange =
       std::make_shared<http::Exchange>(connections_, *connection,
-                                       *request.cancel_);
+                                       pending->Cancel());
   const http::RequestHead head = EncodeHopRequest(request, clock_.Read().mono_);
   const std::string attempt = request.attempt_id_;
   const auto belongs = [attempt](const http::AnswerHead& answer) {
@@ -46,8 +52,12 @@
     began = co_await exchange->RunStreamed(loop_, head, request.body_,
                                            *request.rest_, until, belongs);
   }
+  pending->End(/*answered=*/began.has_value());
   if (!began) {
     HopAnswer failed = FailedHop(began.error().code_, began.error().not_sent_);
+    if (pending->GivenUp()) {
+      failed.code_ = ResultCode::kConnectFailed;
+    }
     failed.upload_ = exchange;
     // What a destination makes of the request is unknown.
     failed.reached_ = !failed.not_run_;
--- a/src/daemon/peer_client.h
+++ b/src/daemon/peer_client.h
@@ -3,6 +3,7 @@
 #define SRC_DAEMON_PEER_CLIENT_H_
 
 #include "daemon/hop.h"
+#include "daemon/peer_watch.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 
@@ -20,6 +21,7 @@
   const base::Clock& clock_;
   http::EventLoop& loop_;
   http::ConnectionPool connections_;
+  PeerWatch watch_;
 };
 
 }  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/peer_watch.cc
@@ -0,0 +1,83 @@
+// Watch of daemons that requests wait for.
+#include "daemon/peer_watch.h"
+
+#include <utility>
+
+#include "base/events.h"
+#include "http/client.h"
+
+namespace buckthorngate::daemon {
+namespace {
+
+// Often enough for a silence of kPeerSilence, seldom enough to cost nothing.
+constexpr base::Duration kTick = std::chrono::milliseconds(50);
+// Several times a round trip between zones.
+constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(60);
+
+}  // namespace
+
+PeerWatch::PeerWatch(const base::Clock& clock, http::EventLoop& loop)
+    : clock_(clock), loop_(loop) {}
+
+PeerWatch::Pending::Pending(PeerWatch& watch,
+                            std::string peer,
+                            http::CancelSignal& caller,
+                            bool may_give_up)
+    : watch_(watch),
+      peer_(std::move(peer)),
+      may_give_up_(may_give_up),
+      id_(watch.next_id_++),
+      link_(caller, [this] { cancel_.Raise(); }) {
+  watch_.silent_.Begin(id_, peer_, watch_.clock_.Read().mono_);
+  watch_.pending_[id_] = this;
+  if (!std::exchange(watch_.running_, true)) {
+    watch_.loop_.Spawn(watch_.Run());
+  }
+}
+
+PeerWatch::Pending::~Pending() {
+  End(/*answered=*/false);
+}
+
+void PeerWatch::Pending::End(bool answered) {
+  if (std::exchange(waiting_, false)) {
+    watch_.pending_.erase(id_);
+    watch_.silent_.End(id_, peer_, answered, watch_.clock_.Read().mono_);
+  }
+}
+
+http::Task<void> PeerWatch::Run() {
+  while (!silent_.Idle()) {
+    co_await http::Sleep(loop_.Context(), kTick);
+    for (const std::string& peer : silent_.ToProbe(clock_.Read().mono_)) {
+      // Not probed twice at once: the probe tells the outcome.
+      silent_.Heard(peer, clock_.Read().mono_);
+      loop_.Spawn(Probe(peer));
+    }
+  }
+  running_ = false;
+}
+
+http::Task<void> PeerWatch::Probe(std::string peer) {
+  const bool reachable =
+      co_await http::AcceptsConnections(loop_, peer, kProbeTimeout);
+  if (!reachable) {
+    GiveUp(peer);
+  }
+}
+
+void PeerWatch::GiveUp(const std::string& peer) {
+  size_t given_up = 0;
+  for (const uint64_t id : silent_.WaitingFor(peer)) {
+    Pending& pending = *pending_.at(id);
+    if (pending.may_give_up_) {
+      ++given_up;
+      pending.given_up_ = true;
+      pending.cancel_.Raise();
+    }
+  }
+  base::LogEvent(base::EventId::kPeerUnreachable,
+                 {{"peer", peer}, {"given_up", std::to_string(given_up)}});
+}
+
+}  // namespace buckthorngate::daemon
--- /dev/null
+++ b/src/daemon/peer_watch.h
@@ -0,0 +1,71 @@
+// Watches the daemons that requests wait for, and gives up on those that
+// cannot be reached any more.
+#ifndef SRC_DAEMON_PEER_WATCH_H_
+#define SRC_DAEMON_PEER_WATCH_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+#include "http/cancel.h"
+#include "http/event_loop.h"
+#include "request/silent_peers.h"
+
+namespace buckthorngate::daemon {
+
+// Used on the loop's thread only.
+class PeerWatch {
+ public:
+  // Both must outlive the watch.
+  PeerWatch(const base::Clock& clock, http::EventLoop& loop);
+
+  // One request that waits for a peer. Outlives the watch safely.
+  class Pending {
+   public:
+    Pending(PeerWatch& watch,
+            std::string peer,
+            http::CancelSignal& caller,
+            bool may_give_up);
+    ~Pending();
+    Pending(const Pending&) = delete;
+    Pending& operator=(const Pending&) = delete;
+
+    // The peer has answered or failed: it is no longer waited for.
+    void End(bool answered);
+    // Raised when the caller leaves, or when the peer is given up.
+    http::CancelSignal& Cancel() { return cancel_; }
+    bool GivenUp() const { return given_up_; }
+
+   private:
+    friend class PeerWatch;
+
+    PeerWatch& watch_;
+    const std::string peer_;
+    const bool may_give_up_;
+    const uint64_t id_;
+    bool waiting_ = true;
+    bool given_up_ = false;
+    http::CancelSignal cancel_;
+    const http::CancelScope link_;
+  };
+
+ private:
+  // Runs while any request waits.
+  http::Task<void> Run();
+  http::Task<void> Probe(std::string peer);
+  void GiveUp(const std::string& peer);
+
+  const base::Clock& clock_;
+  http::EventLoop& loop_;
+  request::SilentPeers silent_;
+  // Invariant: exactly the requests that silent_ knows.
+  std::map<uint64_t, Pending*> pending_;
+  uint64_t next_id_ = 1;
+  bool running_ = false;
+};
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_PEER_WATCH_H_
--- a/src/request/endpoint_stats.cc
+++ b/src/request/endpoint_stats.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr double kDecaySeconds = 5.0;
+constexpr double kLeastWeight = 0.1;
+// A few slow answers in a row show, a single one in a hundred does not.
+constexpr double kRiseWeight = 0.25;
 constexpr int64_t kFirstEjectionUs = 200'000;
 constexpr int64_t kMaxEjectionUs = 5'000'000;
 constexpr uint32_t kMaxDoublings = 5;
@@ -20,24 +23,27 @@
                         bool failed,
                         base::MonoTime now) {
   in_flight_.fetch_sub(1, std::memory_order_relaxed);
-  if (failed) {
+  if (failed && latency <= Latency()) {
     return;
   }
-  failures_in_row_.store(0, std::memory_order_relaxed);
+  if (!failed) {
+    failures_in_row_.store(0, std::memory_order_relaxed);
+  }
   const int64_t now_us = now.time_since_epoch().count();
   const int64_t last_us =
       updated_us_.exchange(now_us, std::memory_order_relaxed);
   const int64_t old_us = latency_us_.load(std::memory_order_relaxed);
   const int64_t seen_us = latency.count();
-  if (seen_us >= old_us) {
+  if (old_us == 0) {
     latency_us_.store(seen_us, std::memory_order_relaxed);
     return;
   }
   const double elapsed =
       static_cast<double>(std::max<int64_t>(now_us - last_us, 0)) / 1e6;
   // At least a small weight, so that a busy endpoint forgets as well.
-  const double weight =
-      std::max(0.05, 1.0 - std::exp(-elapsed / kDecaySeconds));
+  const double forgets =
+      std::max(kLeastWeight, 1.0 - std::exp(-elapsed / kDecaySeconds));
+  const double weight = seen_us > old_us ? kRiseWeight : forgets;
   const double blended = static_cast<double>(old_us) +
                          weight * static_cast<double>(seen_us - old_us);
   latency_us_.store(static_cast<int64_t>(blended), std::memory_order_relaxed);
--- a/src/request/endpoint_stats.h
+++ b/src/request/endpoint_stats.h
@@ -28,7 +28,8 @@
   explicit EndpointStats(base::MonoTime created) : created_(created) {}
 
   void Begin() { in_flight_.fetch_add(1, std::memory_order_relaxed); }
-  // Ends a call; failures that say nothing of latency count by `failed`.
+  // Ends a call. A failure says nothing of the latency unless it took longer
+  // than answers do.
   void End(base::Duration latency, bool failed, base::MonoTime now);
   // The endpoint could not be reached or refused: it is left out for a time
   // that doubles with each failure in a row.
@@ -61,10 +62,15 @@
   int32_t InFlight() const {
     return in_flight_.load(std::memory_order_relaxed);
   }
-  // Peak-sensitive latency estimate: rises at once, decays with time.
+  // Moving average of the latency; rises faster than it falls.
   base::Duration Latency() const {
     return base::Duration(latency_us_.load(std::memory_order_relaxed));
   }
+  // How long ago the latency was last learned.
+  base::Duration LatencyAge(base::MonoTime now) const {
+    return now.time_since_epoch() -
+           base::Duration(updated_us_.load(std::memory_order_relaxed));
+  }
   bool Ejected(base::MonoTime now) const {
     return now.time_since_epoch().count() <
            ejected_until_us_.load(std::memory_order_relaxed);
--- /dev/null
+++ b/src/request/silent_peers.cc
@@ -0,0 +1,61 @@
+// Daemons that have stopped answering.
+#include "request/silent_peers.h"
+
+#include <algorithm>
+
+namespace buckthorngate::request {
+
+void SilentPeers::Begin(uint64_t request,
+                        const std::string& peer,
+                        base::MonoTime now) {
+  peers_[peer].waiting_[request] = now;
+}
+
+void SilentPeers::End(uint64_t request,
+                      const std::string& peer,
+                      bool answered,
+                      base::MonoTime now) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) {
+    return;
+  }
+  found->second.waiting_.erase(request);
+  if (found->second.waiting_.empty()) {
+    peers_.erase(found);
+  } else if (answered) {
+    Heard(peer, now);
+  }
+}
+
+void SilentPeers::Heard(const std::string& peer, base::MonoTime now) {
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    found->second.heard_ = now;
+  }
+}
+
+std::vector<std::string> SilentPeers::ToProbe(base::MonoTime now) const {
+  std::vector<std::string> silent;
+  for (const auto& [address, peer] : peers_) {
+    const auto oldest = std::min_element(
+        peer.waiting_.begin(), peer.waiting_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (now - std::max(oldest->second, peer.heard_) >= kPeerSilence) {
+      silent.push_back(address);
+    }
+  }
+  return silent;
+}
+
+std::vector<uint64_t> SilentPeers::WaitingFor(const std::string& peer) const {
+  std::vector<uint64_t> requests;
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    for (const auto& [request, began] : found->second.waiting_) {
+      requests.push_back(request);
+    }
+  }
+  return requests;
+}
+
+}  // namespace buckthorngate::request
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -173,6 +173,23 @@
   }
 }
 
+// Pattern: one endpoint in five works six times slower than the others.
+ModelOptions OneSlowEndpoint(double load) {
+  ModelOptions options = TwoServices(load);
+  options.services_[0].endpoints_[3].speed_ = 0.17;
+  return options;
+}
+
+// The others have room for all; it is tried now and then only.
+BOOST_AUTO_TEST_CASE(ASluggishEndpointGetsATrickle) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const std::vector<KindReport> reports =
+        OverloadModel(OneSlowEndpoint(0.7), seed).Run();
+    Show("sluggish", reports);
+    BOOST_TEST(reports[0].InTimeShare() > 0.95, "seed " << seed);
+  }
+}
+
 // Pattern: an upstream that was slow for long was judged hopeless for each
 // request, and nothing could show that it had recovered.
 BOOST_AUTO_TEST_CASE(AnIdleUpstreamIsTriedHoweverSlowItWas) {
