Report a move as done when it is; give a new leader time; no brake at the whole share

Cause: a good version was done but reported 1.2 to 3.7 s later, because the report waited for a proxy that was cut off; then because one proxy braked it at the whole share, where nothing is left to compare with (answers were lost at all endpoints); a step that repeated the whole share would have begun the settling time anew.

--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -33,6 +33,10 @@
 
 inline constexpr base::Duration kElectionTimeout =
     std::chrono::milliseconds(600);
+// A leader that no majority answers for this long steps down. Longer than an
+// election, so that a cluster that has just started, whose connections are
+// still being made, doesn't elect twice.
+inline constexpr base::Duration kQuorumTimeout = 2 * kElectionTimeout;
 inline constexpr base::Duration kHeartbeatInterval =
     std::chrono::milliseconds(100);
 inline constexpr size_t kMaxEntriesPerMessage = 256;
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -148,7 +148,7 @@
 
 void RaftCore::CheckQuorum(const base::Now& now) {
   const bool removed = !IsMember(id_) && membership_index_ <= commit_;
-  if (removed || now.mono_ - MajorityContact(now) > kElectionTimeout) {
+  if (removed || now.mono_ - MajorityContact(now) > kQuorumTimeout) {
     BecomeFollower(hard_state_.term(), "");
     ResetElectionTimer(now);
   }
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -242,7 +242,8 @@
   record.cold_ = now - attempt.endpoint_->stats_->Created() < request::kWarmUp;
   entry_.board_.Evidence().Record(record);
   const bool is_new = attempt.version_ == move.to();
-  if (service_->brake_.Note(move.step(), is_new, failed)) {
+  if (request::MayBrake(*service_state_) &&
+      service_->brake_.Note(move.step(), is_new, failed)) {
     rpc::BrakeNotice notice;
     notice.set_service(record.service_);
     notice.set_version(attempt.version_);
--- a/src/daemon/source_commands.cc
+++ b/src/daemon/source_commands.cc
@@ -87,7 +87,7 @@
   if (report.code_ != ResultCode::kOk) {
     return report;
   }
-  loop_.RunAndWait([this, &service, &report](const base::Now& now) {
+  loop_.RunAndWait([this, &service, &report](const base::Now&) {
     const config::ServicePtr state = node_.State().Config().Find(service);
     if (state == nullptr || !state->has_move()) {
       return;
@@ -98,8 +98,9 @@
         move.phase() == rpc::MOVE_PHASE_WITHDRAWN) {
       report.progress_ = MoveProgress::kTakenBack;
     } else {
-      report.progress_ = node_.MoveSettled(move, now) ? MoveProgress::kDone
-                                                      : MoveProgress::kRunning;
+      report.progress_ = move.phase() == rpc::MOVE_PHASE_DONE
+                             ? MoveProgress::kDone
+                             : MoveProgress::kRunning;
     }
   });
   return report;
--- a/src/distribution/source_control.cc
+++ b/src/distribution/source_control.cc
@@ -12,8 +12,6 @@
 using base::LogEvent;
 
 constexpr uint32_t kDefaultAuditLimit = 100;
-// Calls to the old version that began just before the move was done.
-constexpr std::chrono::milliseconds kMoveSettleTime{1200};
 
 rpc::PublishReply MakeReply(ResultCode code,
                             uint64_t revision,
@@ -131,14 +129,6 @@
   });
 }
 
-bool SourceNode::MoveSettled(const rpc::Move& move,
-                             const base::Now& now) const {
-  const auto since = settled_since_.find(move.service());
-  return move.phase() == rpc::MOVE_PHASE_DONE &&
-         since != settled_since_.end() &&
-         now.mono_ - since->second >= kMoveSettleTime;
-}
-
 std::vector<PublishResult> SourceNode::TakePublishResults() {
   return std::exchange(results_, {});
 }
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -15,7 +15,6 @@
 
 constexpr base::Duration kHeartbeatToRelays = std::chrono::milliseconds(500);
 constexpr base::Duration kZoneTimeout = std::chrono::seconds(6);
-constexpr base::Duration kSettleWithoutAcks = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -218,30 +217,9 @@
     RepairMembership(now);
     AskToJoin(now);
   }
-  NoteSettledMoves(now);
   SendHeartbeats(now);
 }
 
-void SourceNode::NoteSettledMoves(const base::Now& now) {
-  const uint64_t in_force = RevisionInForce();
-  for (const auto& [name, service] : state_.Config().Services()) {
-    if (service->move().phase() != rpc::MOVE_PHASE_DONE) {
-      settled_since_.erase(name);
-      done_moves_.erase(name);
-      continue;
-    }
-    const DoneMove& done =
-        done_moves_
-            .try_emplace(name, DoneMove{state_.Config().Revision(), now.mono_})
-            .first->second;
-    // A proxy that is cut off must not keep the move open for ever.
-    if (in_force >= done.revision_ ||
-        now.mono_ - done.seen_ > kSettleWithoutAcks) {
-      settled_since_.try_emplace(name, now.mono_);
-    }
-  }
-}
-
 void SourceNode::WatchLeadership() {
   const bool leads = raft_->IsLeader();
   if (leads == leading_) {
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -73,10 +73,6 @@
   uint64_t ConfirmRead(const base::Now& now);
   std::vector<PublishResult> TakePublishResults();
 
-  // Whether the move is done and in force at every connected proxy for long
-  // enough that no call to the old version is under way.
-  bool MoveSettled(const rpc::Move& move, const base::Now& now) const;
-
   rpc::PublishReply ChangeMember(const rpc::MemberRequest& request,
                                  const base::Now& now);
   rpc::QueryReply Query(const rpc::QueryRequest& request,
@@ -92,10 +88,6 @@
     uint64_t ticket_ = 0;
     uint64_t term_ = 0;
   };
-  struct DoneMove {
-    uint64_t revision_ = 0;
-    base::MonoTime seen_;
-  };
   struct Read {
     uint64_t ticket_ = 0;
     base::MonoTime came_;
@@ -148,7 +140,6 @@
   void RepairMembership(const base::Now& now);
   std::vector<membership::MemberStatus> MemberStatuses(
       const base::Now& now) const;
-  void NoteSettledMoves(const base::Now& now);
   void NoteInForce();
   void MaybeCompact();
   std::string AddressOf(const std::string& member) const;
@@ -176,10 +167,6 @@
   std::map<uint64_t, Pending> pending_;
   std::vector<Read> reads_;
   std::vector<PublishResult> results_;
-  // When each done move was first in force at every connected proxy.
-  std::map<std::string, base::MonoTime> settled_since_;
-  // Revision and time at which this source first saw each move done.
-  std::map<std::string, DoneMove> done_moves_;
   ControlHosts hosts_;
   membership::MembershipPlanner planner_;
   base::MonoTime next_heartbeat_;
--- a/src/request/version_choice.cc
+++ b/src/request/version_choice.cc
@@ -7,7 +7,7 @@
 namespace buckthorngate::request {
 namespace {
 
-constexpr uint64_t kPermille = 1000;
+constexpr uint32_t kPermille = 1000;
 
 bool DrawsTarget(const rpc::ServiceState& service,
                  std::string_view request_id) {
@@ -54,4 +54,9 @@
   }
 }
 
+bool MayBrake(const rpc::ServiceState& service) {
+  return service.has_move() && (service.move().share_permille() < kPermille ||
+                                !service.service().ordered());
+}
+
 }  // namespace buckthorngate::request
--- a/src/rollout/sequential_policy.cc
+++ b/src/rollout/sequential_policy.cc
@@ -140,8 +140,11 @@
   return std::nullopt;
 }
 
-// Until all proxies have seen the whole share, the old endpoints get requests.
-constexpr base::Duration kSettleTime = std::chrono::milliseconds(500);
+// At the whole share, until proxies have heard of it and the old endpoints
+// have answered what they were sent before.
+constexpr base::Duration kSettleTime = std::chrono::milliseconds(1200);
+// Whoever asks for the outcome by the deadline gets it by then.
+constexpr base::Duration kReportTime = std::chrono::milliseconds(700);
 
 MoveDecision Finish(std::string reason) {
   MoveDecision decision;
@@ -197,15 +200,19 @@
       return std::nullopt;
     }
   }
-  if (move.share_permille() >= kWholeShare && view.in_step_ >= kSettleTime) {
-    return Finish("all requests go to the new version");
+  const base::Duration left = base::FromUnixMs(move.deadline_ms()) - view.now_;
+  if (move.share_permille() >= kWholeShare) {
+    if (view.in_step_ >= kSettleTime || left <= kReportTime) {
+      return Finish("all requests go to the new version");
+    }
+    hold_reason = "requests to the old version end";
+    return std::nullopt;
   }
   const Pace pace = PaceOf(move.policy());
   if (move.share_permille() != 0 && view.in_step_ < pace.min_step_) {
     hold_reason = "minimum time of a step";
     return std::nullopt;
   }
-  const base::Duration left = base::FromUnixMs(move.deadline_ms()) - view.now_;
   const int steps = StepsLeft(move.share_permille(), pace.growth_);
   const base::Duration slot = std::chrono::duration_cast<base::Duration>(
                                   left * (1.0 - kDeadlineReserve)) /
--- a/src/rpc/credentials.cc
+++ b/src/rpc/credentials.cc
@@ -15,7 +15,9 @@
 constexpr int kKeepaliveMs = 5000;
 constexpr int kKeepaliveTimeoutMs = 3000;
 constexpr int kFirstReconnectMs = 50;
-constexpr int kMaxReconnectMs = 1000;
+// Short, so that a restart of everything isn't prolonged by it; a refused
+// attempt costs one packet.
+constexpr int kMaxReconnectMs = 300;
 // Time for a connection with its handshake; gRPC names it a backoff.
 constexpr int kConnectTimeoutMs = 1000;
 constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
