Say an admission's standing once; the platform's fuzz targets leave fuzz/; a move's whole share apart

No behaviour changes. The pair of rank and lateness stood three times in the admission queue, and each waiter looked through all others to see whether it yields: the first rank in time is now found once for each release. The policy's whole-share case is a function of its own, its times stand with the others. The documents' fuzz targets named the platform outside of platform/ and the tests; they are in tests/platform_fuzz now, run as before.

--- a/fuzz/fuzz_targets.cc
+++ b/fuzz/fuzz_targets.cc
@@ -8,7 +8,6 @@
 #include "config/service_file.h"
 #include "daemon/hop_codec.h"
 #include "daemon/settings.h"
-#include "platform/documents.h"
 #include "request/route_table.h"
 #include "storage/file_journal.h"
 #include "test_mesh.h"
@@ -87,31 +86,6 @@
   return mesh->Proxy("proxy-1").Config().Revision() >= before;
 }
 
-// What is taken from an operator names its routes and their targets.
-bool OperatorDocument(std::string_view input) {
-  const auto order = platform::DecodeOrder(input);
-  if (order && (order->service().empty() || order->to().empty())) {
-    return false;
-  }
-  const auto routing = platform::DecodeConfiguration(input);
-  if (!routing) {
-    return !routing.error().place_.empty();
-  }
-  for (const rpc::Route& route : routing->routes()) {
-    if (route.targets_size() == 0 || route.timeout_ms() == 0) {
-      return false;
-    }
-  }
-  return routing->document() == input;
-}
-
-// A heartbeat that is taken names an endpoint that can be used.
-bool UpstreamHeartbeat(std::string_view input) {
-  const auto heartbeat = platform::DecodeHeartbeat(input, "i-1");
-  return !heartbeat || (!heartbeat->announcement_.service_.empty() &&
-                        heartbeat->announcement_.slots_ > 0);
-}
-
 // A head from a peer: its lines are names and values, split at the first colon.
 bool PeerRequestHead(std::string_view input) {
   http::RequestHead head;
@@ -130,25 +104,6 @@
                       request->deadline_ >= now && request->objective_ >= now);
 }
 
-std::vector<std::string> OperatorSeeds() {
-  return {
-      R"({"version":7,"limits":{"max_header_bytes":16384,)"
-      R"("max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15.5},)"
-      R"("listeners":[{"host":"h","rules":[{"name":"r",)"
-      R"("route_type":"unsafe","target_latency_s":0.5,"priority":1,)"
-      R"("match":{"path_prefix":"/a/"},"action":{"traffic_split":[)"
-      R"({"service":"x","weight":90},{"service":"y","weight":10}],)"
-      R"("timeout_s":1.2,"max_attempts":2}}]}],"clusters":[{"name":"x"},)"
-      R"({"name":"y"}]})",
-      R"({"service":"x","target_version":"v2","duration_s":12})"};
-}
-
-std::vector<std::string> HeartbeatSeeds() {
-  return {R"({"service":"x","address":"10.0.0.9:8080","zone":"z",)"
-          R"("version":"v1","slots":18,"state":"ready","cold_remaining_s":0,)"
-          R"("sequence":4,"born":1700000000000})"};
-}
-
 std::vector<std::string> HeadSeeds() {
   return {
       "Bg-Attempt:a/1\nBg-Endpoint:h/1.2.3.4:5\nBg-Deadline-Ms:900\n"
@@ -215,8 +170,6 @@
       {"journal_file", JournalFile, JournalSeeds},
       {"request_target", RequestTarget, TargetSeeds},
       {"peer_message", PeerMessage, MessageSeeds},
-      {"operator_document", OperatorDocument, OperatorSeeds},
-      {"upstream_heartbeat", UpstreamHeartbeat, HeartbeatSeeds},
       {"peer_request_head", PeerRequestHead, HeadSeeds},
   };
   return targets;
--- a/fuzz/run_fuzzers.cc
+++ b/fuzz/run_fuzzers.cc
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "fuzz_targets.h"
+#include "platform_fuzz.h"
 
 namespace {
 
@@ -45,7 +46,12 @@
   google::protobuf::SetLogHandler(nullptr);
   const int inputs = argc > 1 ? std::atoi(argv[1]) : 20'000;
   int failed = 0;
-  for (const auto& target : buckthorngate::fuzz::FuzzTargets()) {
+  std::vector<buckthorngate::fuzz::FuzzTarget> targets =
+      buckthorngate::fuzz::FuzzTargets();
+  for (const auto& target : buckthorngate::tests::PlatformFuzzTargets()) {
+    targets.push_back(target);
+  }
+  for (const auto& target : targets) {
     Random random(1);
     std::vector<std::string> pool = target.seeds_();
     for (int i = 0; i < inputs; ++i) {
--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -73,25 +73,29 @@
   ++running_by_caller_[request.caller_];
 }
 
+AdmissionQueue::Standing AdmissionQueue::StandingOf(
+    const AdmissionRequest& request,
+    base::MonoTime now) const {
+  return {request.Rank(), IsLate(request, now)};
+}
+
 bool AdmissionQueue::Before(const AdmissionRequest& a,
                             const AdmissionRequest& b,
                             base::MonoTime now) const {
   const auto key = [this, now](const AdmissionRequest& request) {
-    return std::make_tuple(request.Rank(), IsLate(request, now),
-                           RunningOf(request.caller_), request.objective_);
+    return std::make_tuple(StandingOf(request, now), RunningOf(request.caller_),
+                           request.objective_);
   };
   return key(a) < key(b);
 }
 
 base::Duration AdmissionQueue::ExpectedWait(const AdmissionRequest& request,
                                             base::MonoTime now) const {
-  const auto rank = [this, now](const AdmissionRequest& waiter) {
-    return std::make_pair(waiter.Rank(), IsLate(waiter, now));
-  };
+  const Standing standing = StandingOf(request, now);
   // A slot becomes free each so often; each request ahead takes one.
   base::Duration work = usual_;
   for (const auto& [ticket, waiter] : waiting_) {
-    if (rank(waiter) <= rank(request)) {
+    if (StandingOf(waiter, now) <= standing) {
       work += UsualOf(waiter.kind_);
     }
   }
@@ -122,12 +126,11 @@
     return false;
   }
   const AdmissionRequest& waiter = last->second;
-  const auto rank = [this, now](const AdmissionRequest& one) {
-    return std::make_pair(one.Rank(), IsLate(one, now));
-  };
-  const bool sooner = rank(request) == rank(waiter) &&
+  const Standing standing = StandingOf(request, now);
+  const Standing last_standing = StandingOf(waiter, now);
+  const bool sooner = standing == last_standing &&
                       waiter.objective_ > request.objective_ + kClearlySooner;
-  if (rank(request) >= rank(waiter) && !sooner) {
+  if (standing >= last_standing && !sooner) {
     return false;
   }
   displaced_.push_back(last->first);
@@ -148,7 +151,8 @@
     Admit(request);
     return AdmissionVerdict::kAdmitted;
   }
-  if (WaitsTooLong(request, now) || YieldsToOthers(request, now)) {
+  if (WaitsTooLong(request, now) ||
+      YieldsTo(FirstRankInTime(now), request, now)) {
     return AdmissionVerdict::kRefused;
   }
   const double room = options_.queue_per_slot_ * limit_ *
@@ -214,22 +218,30 @@
   return best->first;
 }
 
-bool AdmissionQueue::YieldsToOthers(const AdmissionRequest& waiter,
-                                    base::MonoTime now) const {
-  if (waiter.nested_ || !IsLate(waiter, now)) {
-    return false;
+std::optional<uint32_t> AdmissionQueue::FirstRankInTime(
+    base::MonoTime now) const {
+  std::optional<uint32_t> first;
+  for (const auto& [ticket, waiter] : waiting_) {
+    if (!IsLate(waiter, now)) {
+      first = std::min(first.value_or(waiter.Rank()), waiter.Rank());
+    }
   }
-  return std::any_of(
-      waiting_.begin(), waiting_.end(), [this, &waiter, now](const auto& item) {
-        return item.second.Rank() <= waiter.Rank() && !IsLate(item.second, now);
-      });
+  return first;
+}
+
+bool AdmissionQueue::YieldsTo(std::optional<uint32_t> in_time,
+                              const AdmissionRequest& request,
+                              base::MonoTime now) const {
+  return !request.nested_ && in_time && *in_time <= request.Rank() &&
+         IsLate(request, now);
 }
 
 void AdmissionQueue::RefuseHopeless(base::MonoTime now,
                                     std::vector<Released>& released) {
+  const std::optional<uint32_t> in_time = FirstRankInTime(now);
   std::vector<uint64_t> hopeless;
   for (const auto& [ticket, waiter] : waiting_) {
-    if (!CanFinish(waiter, now) || YieldsToOthers(waiter, now)) {
+    if (!CanFinish(waiter, now) || YieldsTo(in_time, waiter, now)) {
       hopeless.push_back(ticket);
     }
   }
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -10,8 +10,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -96,6 +98,11 @@
   bool CanFinish(const AdmissionRequest& request, base::MonoTime now) const;
   bool IsLate(const AdmissionRequest& request, base::MonoTime now) const;
   bool HasRoom() const;
+  // What sets requests apart first: their rank, then whether they can still
+  // meet their objective. Less goes first.
+  using Standing = std::pair<uint32_t, bool>;
+  Standing StandingOf(const AdmissionRequest& request,
+                      base::MonoTime now) const;
   // Whether `a` goes before `b`.
   bool Before(const AdmissionRequest& a,
               const AdmissionRequest& b,
@@ -105,9 +112,14 @@
   // Time until a new request would begin.
   base::Duration ExpectedWait(const AdmissionRequest& request,
                               base::MonoTime now) const;
+  // The most urgent rank among waiters that can meet their objective.
+  std::optional<uint32_t> FirstRankInTime(base::MonoTime now) const;
   // Whether the request has missed its objective while others wait that can
-  // meet theirs: it is told at once instead of waiting behind them.
-  bool YieldsToOthers(const AdmissionRequest& waiter, base::MonoTime now) const;
+  // meet theirs, the first of them at `in_time`: it is told at once instead of
+  // waiting behind them.
+  bool YieldsTo(std::optional<uint32_t> in_time,
+                const AdmissionRequest& request,
+                base::MonoTime now) const;
   void RefuseHopeless(base::MonoTime now, std::vector<Released>& released);
   // Refuses the waiter that goes last if the request clearly goes before it.
   bool Displace(const AdmissionRequest& request, base::MonoTime now);
--- a/src/request/endpoint_picker.cc
+++ b/src/request/endpoint_picker.cc
@@ -2,7 +2,6 @@
 #include "request/endpoint_picker.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace buckthorngate::request {
 namespace {
--- a/src/rollout/sequential_policy.cc
+++ b/src/rollout/sequential_policy.cc
@@ -24,6 +24,12 @@
 // time decides. Versions that are bad under load only show it at large shares.
 constexpr double kStepExposure = 0.01;
 
+// At the whole share, until proxies have heard of it and the old endpoints
+// have answered what they were sent before.
+constexpr base::Duration kSettleTime = std::chrono::milliseconds(1200);
+// Whoever asks for the outcome by the deadline gets it by then.
+constexpr base::Duration kReportTime = std::chrono::milliseconds(700);
+
 struct Pace {
   base::Duration min_step_;
   // Multiplies the evidence that a step needs.
@@ -144,17 +150,18 @@
   return std::nullopt;
 }
 
-// At the whole share, until proxies have heard of it and the old endpoints
-// have answered what they were sent before.
-constexpr base::Duration kSettleTime = std::chrono::milliseconds(1200);
-// Whoever asks for the outcome by the deadline gets it by then.
-constexpr base::Duration kReportTime = std::chrono::milliseconds(700);
-
-MoveDecision Finish(std::string reason) {
+// All requests go to the new version already; what is left is to say so.
+std::optional<MoveDecision> DecideWholeShare(const MoveView& view,
+                                             base::Duration left,
+                                             std::string& hold_reason) {
+  if (view.in_step_ < kSettleTime && left > kReportTime) {
+    hold_reason = "requests to the old version end";
+    return std::nullopt;
+  }
   MoveDecision decision;
   decision.share_permille_ = kWholeShare;
   decision.phase_ = rpc::MOVE_PHASE_DONE;
-  decision.reason_ = std::move(reason);
+  decision.reason_ = "all requests go to the new version";
   decision.watch_open_ = false;
   return decision;
 }
@@ -222,11 +229,7 @@
   }
   const base::Duration left = base::FromUnixMs(move.deadline_ms()) - view.now_;
   if (move.share_permille() >= kWholeShare) {
-    if (view.in_step_ >= kSettleTime || left <= kReportTime) {
-      return Finish("all requests go to the new version");
-    }
-    hold_reason = "requests to the old version end";
-    return std::nullopt;
+    return DecideWholeShare(view, left, hold_reason);
   }
   const Pace pace = PaceOf(move.policy());
   if (move.share_permille() != 0 && view.in_step_ < pace.min_step_) {
