--- a/benchmark/process_suite.cc
+++ b/benchmark/process_suite.cc
@@ -192,7 +192,7 @@
           mesh_.Proxies()[static_cast<size_t>(round) % 3];
       const std::string control = "control-" + std::to_string(round % 3 + 1);
       std::this_thread::sleep_for(std::chrono::milliseconds(700));
-      mesh_.Signal(proxy, SIGSTOP);
+      mesh_.Freeze(proxy);
       std::this_thread::sleep_for(std::chrono::milliseconds(600));
       mesh_.Signal(proxy, SIGCONT);
       std::this_thread::sleep_for(std::chrono::milliseconds(700));
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -161,6 +161,12 @@
   kill(processes_.at(host), signal);
 }
 
+void ProcessMesh::Freeze(const std::string& host) {
+  Signal(host, SIGSTOP);
+  int status = 0;
+  waitpid(processes_.at(host), &status, WUNTRACED);
+}
+
 void ProcessMesh::Wait(const std::string& host) {
   waitpid(processes_.at(host), nullptr, 0);
   processes_.erase(host);
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -44,6 +44,9 @@
   void StartAll();
   void Start(const std::string& host);
   void Signal(const std::string& host, int signal);
+  // SIGSTOP, and waits until the process has stopped: the signal alone returns
+  // while its threads may still serve a call. SIGCONT ends it.
+  void Freeze(const std::string& host);
   // Waits for the process to end.
   void Wait(const std::string& host);
   void Kill(const std::string& host);
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -402,7 +402,7 @@
   ProcessMesh& mesh = served.Mesh();
   const int before = CallNumber(mesh.Call("proxy-1-2", "GET", "/shop/x").body_);
   // The destination's daemon is frozen while calls arrive.
-  mesh.Signal("proxy-1-1", SIGSTOP);
+  mesh.Freeze("proxy-1-1");
   constexpr int kLateCalls = 5;
   for (int i = 0; i < kLateCalls; ++i) {
     const HttpAnswer late =
