Wait for peers behind full links; give up only those that answer no probe

Cause: PeerWatch took a daemon for unreachable if it had said nothing for 120 ms and a connection to it was not established within 60 ms. On a link of 14 Mbit/s that is nearly full packets wait longer than that. The request was cancelled, its work dropped, and it was sent to the next endpoint, whose link was as full: the give-ups made the load that caused them. Class of fault: an answer that takes long is taken for a host that is gone.

Now a silent peer is probed every 250 ms and is unreachable only if a probe is not answered within 0.6 s and nothing else came from it meanwhile: packets may wait half a second on a link that works. The time of an own stall is not held against peers.

--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -23,7 +23,8 @@
     : clock_(clock),
       loop_(loop),
       connections_(loop, {kPeerIdle, kConnectTimeout}),
-      watch_(clock, loop) {}
+      probe_(loop),
+      watch_(clock, loop, probe_) {}
 
 http::Task<HopAnswer> PeerClient::Run(HopRequest& request) {
   tl::expected<http::ClientConnectionPtr, ResultCode> connection =
--- a/src/daemon/peer_client.h
+++ b/src/daemon/peer_client.h
@@ -21,6 +21,7 @@
   const base::Clock& clock_;
   http::EventLoop& loop_;
   http::ConnectionPool connections_;
+  ConnectionProbe probe_;
   PeerWatch watch_;
 };
 
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -11,13 +11,21 @@
 
 // Often enough for a silence of kPeerSilence, seldom enough to cost nothing.
 constexpr base::Duration kTick = std::chrono::milliseconds(50);
-// Several times a round trip between zones.
-constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(60);
+// A tick that comes later than this says that the process was stopped or had no
+// processor time.
+constexpr base::Duration kLateTick = std::chrono::milliseconds(200);
 
 }  // namespace
 
-PeerWatch::PeerWatch(const base::Clock& clock, http::EventLoop& loop)
-    : clock_(clock), loop_(loop) {}
+http::Task<bool> ConnectionProbe::Reach(const std::string& peer,
+                                        base::Duration timeout) {
+  return http::AcceptsConnections(loop_, peer, timeout);
+}
+
+PeerWatch::PeerWatch(const base::Clock& clock,
+                     http::EventLoop& loop,
+                     PeerProbe& probe)
+    : clock_(clock), loop_(loop), probe_(probe) {}
 
 PeerWatch::Pending::Pending(PeerWatch& watch,
                             std::string peer,
@@ -47,11 +55,15 @@
 }
 
 http::Task<void> PeerWatch::Run() {
+  base::MonoTime last = clock_.Read().mono_;
   while (!silent_.Idle()) {
     co_await http::Sleep(loop_.Context(), kTick);
-    for (const std::string& peer : silent_.ToProbe(clock_.Read().mono_)) {
-      // Not probed twice at once: the probe tells the outcome.
-      silent_.Heard(peer, clock_.Read().mono_);
+    const base::MonoTime now = clock_.Read().mono_;
+    if (now - last > kLateTick) {
+      silent_.Forgive(now);
+    }
+    last = now;
+    for (const std::string& peer : silent_.TakeProbes(now)) {
       loop_.Spawn(Probe(peer));
     }
   }
@@ -59,9 +71,11 @@
 }
 
 http::Task<void> PeerWatch::Probe(std::string peer) {
-  const bool reachable =
-      co_await http::AcceptsConnections(loop_, peer, kProbeTimeout);
-  if (!reachable) {
+  const base::MonoTime began = clock_.Read().mono_;
+  const bool reached = co_await probe_.Reach(peer, request::kProbePatience);
+  if (reached) {
+    silent_.Heard(peer, clock_.Read().mono_);
+  } else if (silent_.Unreachable(peer, began)) {
     GiveUp(peer);
   }
 }
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -1,5 +1,8 @@
 // Watches the daemons that requests wait for, and gives up on those that
 // cannot be reached any more.
+//
+// A request is never given up because its answer takes long: its endpoint may
+// be at work, or the answer on its way over a full link.
 #ifndef SRC_DAEMON_PEER_WATCH_H_
 #define SRC_DAEMON_PEER_WATCH_H_
 
@@ -15,11 +18,32 @@
 
 namespace buckthorngate::daemon {
 
+// Asks whether a daemon can be reached.
+class PeerProbe {
+ public:
+  virtual ~PeerProbe() = default;
+  // True once the peer has answered; false after `timeout`.
+  virtual http::Task<bool> Reach(const std::string& peer,
+                                 base::Duration timeout) = 0;
+};
+
+// Probes by a connection of its own.
+class ConnectionProbe : public PeerProbe {
+ public:
+  // The loop must outlive the probe.
+  explicit ConnectionProbe(http::EventLoop& loop) : loop_(loop) {}
+  http::Task<bool> Reach(const std::string& peer,
+                         base::Duration timeout) override;
+
+ private:
+  http::EventLoop& loop_;
+};
+
 // Used on the loop's thread only.
 class PeerWatch {
  public:
-  // Both must outlive the watch.
-  PeerWatch(const base::Clock& clock, http::EventLoop& loop);
+  // All must outlive the watch.
+  PeerWatch(const base::Clock& clock, http::EventLoop& loop, PeerProbe& probe);
 
   // One request that waits for a peer. Outlives the watch safely.
   class Pending {
@@ -59,6 +83,7 @@
 
   const base::Clock& clock_;
   http::EventLoop& loop_;
+  PeerProbe& probe_;
   request::SilentPeers silent_;
   // Invariant: exactly the requests that silent_ knows.
   std::map<uint64_t, Pending*> pending_;
--- a/src/request/silent_peers.cc
+++ b/src/request/silent_peers.cc
@@ -31,22 +31,38 @@
   const auto found = peers_.find(peer);
   if (found != peers_.end()) {
     found->second.heard_ = now;
+    found->second.probed_ = base::MonoTime();
   }
 }
 
-std::vector<std::string> SilentPeers::ToProbe(base::MonoTime now) const {
+void SilentPeers::Forgive(base::MonoTime now) {
+  for (auto& [address, peer] : peers_) {
+    peer.heard_ = now;
+  }
+}
+
+std::vector<std::string> SilentPeers::TakeProbes(base::MonoTime now) {
   std::vector<std::string> silent;
-  for (const auto& [address, peer] : peers_) {
+  for (auto& [address, peer] : peers_) {
     const auto oldest = std::min_element(
         peer.waiting_.begin(), peer.waiting_.end(),
         [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (now - std::max(oldest->second, peer.heard_) >= kPeerSilence) {
+    const base::MonoTime since = std::max(oldest->second, peer.heard_);
+    const bool probed = now - peer.probed_ < kProbeInterval;
+    if (now - since >= kPeerSilence && !probed) {
+      peer.probed_ = now;
       silent.push_back(address);
     }
   }
   return silent;
 }
 
+bool SilentPeers::Unreachable(const std::string& peer,
+                              base::MonoTime since) const {
+  const auto found = peers_.find(peer);
+  return found != peers_.end() && found->second.heard_ < since;
+}
+
 std::vector<uint64_t> SilentPeers::WaitingFor(const std::string& peer) const {
   std::vector<uint64_t> requests;
   const auto found = peers_.find(peer);
--- a/src/request/silent_peers.h
+++ b/src/request/silent_peers.h
@@ -2,7 +2,10 @@
 // them.
 //
 // A request that may be repeated need not wait for its deadline when its
-// destination is cut off or has lost power: nothing tells that but silence.
+// destination is cut off or has lost power. Silence alone does not tell that:
+// work takes time, and packets wait on a link that is full. So a silent peer is
+// probed, and it is unreachable only if no probe is answered within a time that
+// covers every queue on the way.
 #ifndef SRC_REQUEST_SILENT_PEERS_H_
 #define SRC_REQUEST_SILENT_PEERS_H_
 
@@ -18,6 +21,10 @@
 // Requests that take longer are common, but not at all connections to a daemon
 // at the same time.
 inline constexpr base::Duration kPeerSilence = std::chrono::milliseconds(120);
+// A silent peer is probed this often, since a packet of a probe may be lost.
+inline constexpr base::Duration kProbeInterval = std::chrono::milliseconds(250);
+// A link on which packets wait for half a second still works.
+inline constexpr base::Duration kProbePatience = std::chrono::milliseconds(600);
 
 // Not safe for concurrent use.
 class SilentPeers {
@@ -32,9 +39,16 @@
   // The peer has shown that it is reachable.
   void Heard(const std::string& peer, base::MonoTime now);
 
+  // Takes no notice of the time before `now`, in which this process did not
+  // look: what peers said meanwhile may not have been read yet.
+  void Forgive(base::MonoTime now);
+
   // Peers that have said nothing for kPeerSilence while a request waited all
-  // that time: to be probed.
-  std::vector<std::string> ToProbe(base::MonoTime now) const;
+  // that time, and were not probed within kProbeInterval: to be probed now.
+  std::vector<std::string> TakeProbes(base::MonoTime now);
+  // Whether the peer has said nothing since `since`, when a probe began that
+  // has failed after kProbePatience.
+  bool Unreachable(const std::string& peer, base::MonoTime since) const;
   std::vector<uint64_t> WaitingFor(const std::string& peer) const;
   bool Idle() const { return peers_.empty(); }
 
@@ -43,6 +57,7 @@
     // When each waiting request began. Invariant: not empty.
     std::map<uint64_t, base::MonoTime> waiting_;
     base::MonoTime heard_;
+    base::MonoTime probed_;
   };
 
   std::map<std::string, Peer> peers_;
