--- a/src/storage/file_journal.cc
+++ b/src/storage/file_journal.cc
@@ -2,8 +2,9 @@
 // payload, payload; integers little-endian.
 //
 // The length check (length xor a constant) tells a torn length field from a
-// huge one. A crash can only damage what was appended since the last sync, so
-// damage is a torn tail unless a whole record can be decoded behind it.
+// huge one, and the first record of a batch from further ones. A batch begins
+// only once those before it are synced. A crash can damage any part of the last
+// batch, so damage is a torn tail unless a later batch begins behind it.
 #include "storage/file_journal.h"
 
 #include <fcntl.h>
@@ -21,7 +22,8 @@
 namespace buckthorngate::storage {
 namespace {
 
-constexpr uint32_t kLengthCheck = 0x5a17b6c3;
+constexpr uint32_t kFirstLengthCheck = 0x5a17b6c3;
+constexpr uint32_t kFurtherLengthCheck = 0x2e90d47b;
 constexpr size_t kHeaderBytes = 16;
 
 void PutLittleEndian(uint64_t value, int bytes, std::string& out) {
@@ -38,15 +40,20 @@
   return value;
 }
 
+uint32_t LengthCheckOf(BatchPlace place) {
+  return place == BatchPlace::kFirst ? kFirstLengthCheck : kFurtherLengthCheck;
+}
+
 // Decodes the record at the start of `bytes`; returns its size in the file.
 std::optional<size_t> DecodeRecord(std::string_view bytes,
+                                   BatchPlace place,
                                    rpc::JournalRecord& record) {
   if (bytes.size() < kHeaderBytes) {
     return std::nullopt;
   }
   const uint64_t length = GetLittleEndian(bytes.substr(0, 4));
   const uint64_t check = GetLittleEndian(bytes.substr(4, 4));
-  if ((length ^ kLengthCheck) != check || length > kMaxRecordBytes ||
+  if ((length ^ LengthCheckOf(place)) != check || length > kMaxRecordBytes ||
       bytes.size() - kHeaderBytes < length) {
     return std::nullopt;
   }
@@ -60,10 +67,10 @@
   return kHeaderBytes + length;
 }
 
-bool AnyRecordIn(std::string_view bytes) {
+bool AnyBatchBeginsIn(std::string_view bytes) {
   rpc::JournalRecord record;
   for (size_t at = 1; at + kHeaderBytes <= bytes.size(); ++at) {
-    if (DecodeRecord(bytes.substr(at), record)) {
+    if (DecodeRecord(bytes.substr(at), BatchPlace::kFirst, record)) {
       return true;
     }
   }
@@ -72,10 +79,12 @@
 
 }  // namespace
 
-void EncodeRecord(const rpc::JournalRecord& record, std::string& bytes) {
+void EncodeRecord(const rpc::JournalRecord& record,
+                  BatchPlace place,
+                  std::string& bytes) {
   const std::string payload = record.SerializeAsString();
   PutLittleEndian(payload.size(), 4, bytes);
-  PutLittleEndian(payload.size() ^ kLengthCheck, 4, bytes);
+  PutLittleEndian(payload.size() ^ LengthCheckOf(place), 4, bytes);
   PutLittleEndian(base::Hash(payload), 8, bytes);
   bytes += payload;
 }
@@ -85,9 +94,12 @@
   while (decoded.valid_bytes_ < bytes.size()) {
     const std::string_view rest = bytes.substr(decoded.valid_bytes_);
     rpc::JournalRecord record;
-    const std::optional<size_t> size = DecodeRecord(rest, record);
+    std::optional<size_t> size = DecodeRecord(rest, BatchPlace::kFirst, record);
+    if (!size) {
+      size = DecodeRecord(rest, BatchPlace::kFurther, record);
+    }
     if (!size) {
-      if (AnyRecordIn(rest)) {
+      if (AnyBatchBeginsIn(rest)) {
         return tl::unexpected(ResultCode::kStorageCorrupt);
       }
       return decoded;
@@ -147,7 +159,9 @@
   if (file_ < 0) {
     return ResultCode::kStorageFailed;
   }
-  EncodeRecord(record, pending_);
+  EncodeRecord(record,
+               pending_.empty() ? BatchPlace::kFirst : BatchPlace::kFurther,
+               pending_);
   return ResultCode::kOk;
 }
 
@@ -177,8 +191,9 @@
     return ResultCode::kStorageFailed;
   }
   std::string bytes;
+  // Synced as a whole before its name is in use: no part of it can be torn.
   for (const rpc::JournalRecord& record : records) {
-    EncodeRecord(record, bytes);
+    EncodeRecord(record, BatchPlace::kFirst, bytes);
   }
   const std::string temporary = path_ + ".new";
   const int file =
--- a/src/storage/file_journal.h
+++ b/src/storage/file_journal.h
@@ -19,12 +19,18 @@
   size_t valid_bytes_ = 0;
 };
 
-// Decodes a file's contents. A damaged end (the crash cut the last append) is
-// left out; damage followed by a whole record is kStorageCorrupt.
+// Records that are written at once form a batch.
+enum class BatchPlace : uint8_t { kFirst, kFurther };
+
+// Decodes a file's contents. Damage in the last batch (its sync was cut off)
+// ends what is decoded; damage followed by the start of another batch is
+// kStorageCorrupt.
 tl::expected<DecodedJournal, ResultCode> DecodeJournal(std::string_view bytes);
 
 // Appends the encoding of `record` to `bytes`.
-void EncodeRecord(const rpc::JournalRecord& record, std::string& bytes);
+void EncodeRecord(const rpc::JournalRecord& record,
+                  BatchPlace place,
+                  std::string& bytes);
 
 // Not safe for concurrent use.
 class FileJournal : public Journal {
