Consensus: a learner votes, so that its own promotion can't end the quorum

Callers saw: after a lost disk and a loss of power, kill or cut in halves of the other hosts at a certain moment no leader was elected any more: each read and each change was refused for good, all that was acknowledged was out of reach. Cause: a lost voter is replaced by promoting the learner (four voters, majority three) and removing the lost one. If the others stop, or lose touch, while the learner lacks the entry that promotes it, the holder of that entry needs three votes of four: the lost voter has none, and the learner refused because it held itself for a learner. Hosts without the entry have a shorter log and get no vote from its holder. Class: a voter judged by the voter's own, older membership instead of the candidate's. Now: who is asked answers by term, earlier vote and log alone; the candidate counts the vote if its own membership makes it one. A learner has always synced its votes, and a lost disk comes back under another identity, so no vote is forgotten. Ruled out: a shorter log, lost records (every host held what was acknowledged).

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -196,8 +196,10 @@
   }
   const bool free =
       hard_state_.voted_for().empty() || hard_state_.voted_for() == from;
-  const bool grant = message.term() == hard_state_.term() && free &&
-                     IsVoter(id_) && LogIsUpToDate(message);
+  // A learner votes too: the candidate may hold the entry that promotes it,
+  // and counts its vote only then.
+  const bool grant =
+      message.term() == hard_state_.term() && free && LogIsUpToDate(message);
   if (grant) {
     hard_state_.set_voted_for(from);
     hard_state_changed_ = true;
