--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -254,6 +254,7 @@
   const ResultCode not_executed = NotExecuted(*began);
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*began), without_body);
+  LogIfCut(request, answer);
   if (not_executed != ResultCode::kOk) {
     answer.code_ = not_executed;
     answer.not_run_ = true;
@@ -281,6 +282,7 @@
     co_return;
   }
   HopRequest& request = *decoded;
+  call.SetId(request.request_id_);
   request.cancel_ = &call.Gone();
   request.still_wanted_ = [&call] { return call.StillThere(); };
   if (call.HasBody()) {
--- a/src/daemon/destination_upstream.h
+++ b/src/daemon/destination_upstream.h
@@ -99,6 +99,7 @@
     co_return state;
   }
   std::optional<uint64_t> Length() const override { return body_->Length(); }
+  std::string_view Failure() const override { return body_->Failure(); }
 
  private:
   const std::shared_ptr<http::BodyReader> body_;
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -94,6 +94,7 @@
   if (request_id_.empty()) {
     request_id_ = entry_.NextId();
   }
+  call_.SetId(request_id_);
   below_retry_ = head.headers_.Has(request::kBelowRetryHeader);
   nested_ = entry_.board_.Calls().IsBelow(request_id_);
   if (!view_->may_serve_) {
--- a/src/daemon/hop.cc
+++ b/src/daemon/hop.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "base/events.h"
+
 namespace buckthorngate::daemon {
 namespace {
 
@@ -39,6 +41,21 @@
   co_return answer;
 }
 
+void LogIfCut(const HopRequest& request, const HopAnswer& answer) {
+  if (answer.code_ != ResultCode::kUpstreamFailed) {
+    return;
+  }
+  const std::optional<uint64_t> length = answer.upload_->Length();
+  base::LogEvent(base::EventId::kAnswerCut,
+                 {{"request", request.request_id_},
+                  {"attempt", request.attempt_id_},
+                  {"endpoint", request.endpoint_id_},
+                  {"status", std::to_string(answer.head_.status_)},
+                  {"got", std::to_string(answer.body_.size())},
+                  {"of", length ? std::to_string(*length) : "unknown"},
+                  {"detail", std::string(answer.upload_->Failure())}});
+}
+
 http::Task<bool> SendAnswer(http::ServerCall& call, HopAnswer& answer) {
   const bool without_body =
       call.Head().method_ == "HEAD" || http::NeverHasBody(answer.head_.status_);
@@ -61,6 +78,10 @@
       state = co_await answer.rest_->Read(answer.body_, http::kPieceBytes);
     }
   }
+  if (state == http::BodyState::kFailed) {
+    const std::string why(answer.rest_->Failure());
+    call.NoteBodyFailure(why);
+  }
   if (!sent || state != http::BodyState::kEnd) {
     // Left unfinished: the connection closes, so the answer is seen to be cut.
     co_return false;
--- a/src/daemon/hop.h
+++ b/src/daemon/hop.h
@@ -94,6 +94,9 @@
                                     http::AnswerHead head,
                                     bool without_body);
 
+// One line for an answer whose body broke off while it was collected.
+void LogIfCut(const HopRequest& request, const HopAnswer& answer);
+
 // Sends the answer of a hop to the other side of `call`; false if it could not
 // be sent whole.
 http::Task<bool> SendAnswer(http::ServerCall& call, HopAnswer& answer);
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -71,6 +71,7 @@
   const bool without_body = request.head_.method_ == "HEAD";
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*began), without_body);
+  LogIfCut(request, answer);
   if (answer.code_ == ResultCode::kOk) {
     DecodeHopAnswer(answer);
   }
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -8,6 +8,7 @@
 
 #include "base/events.h"
 #include "base/hash.h"
+#include "daemon/cut_log.h"
 #include "daemon/proxy_role_impl.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
@@ -99,6 +100,9 @@
         base::EventId::kCallerMalformed,
         {{"status", std::to_string(status)}, {"what", std::string(what)}});
   });
+  callers_.OnCut([](const http::CutCall& call) { LogCutCall("entry", call); });
+  peers_.OnCut(
+      [](const http::CutCall& call) { LogCutCall("destination", call); });
   node_loop_.SetAfterFlush([this](const base::Now& now) { AfterFlush(now); });
   transport_.AddNode(settings.host_, [this](rpc::Envelope envelope) {
     node_loop_.Post(std::move(envelope));
--- a/src/http/body.h
+++ b/src/http/body.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "http/asio.h"
 
@@ -29,6 +30,9 @@
 
   // Announced length; nothing for chunks or a body that ends by closing.
   virtual std::optional<uint64_t> Length() const = 0;
+
+  // Why Read gave kFailed, for the log; empty if nothing is known.
+  virtual std::string_view Failure() const { return {}; }
 };
 
 // Reads until the end or until `body` holds `most` bytes (kMore).
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -265,12 +265,25 @@
     error = ended;
   }
   if (error && error != bhttp::error::need_buffer) {
+    NoteFailure(error);
     connection_->Close();
     co_return BodyState::kFailed;
   }
   co_return parser.is_done() ? BodyState::kEnd : BodyState::kMore;
 }
 
+void Exchange::NoteFailure(const ErrorCode& error) {
+  ResultCode code = ResultCode::kUpstreamFailed;
+  if (cancel_.Raised()) {
+    code = ResultCode::kCallerGone;
+  } else if (error == beast::error::timeout) {
+    code = ResultCode::kDeadlineExceeded;
+  } else if (IsMalformed(error)) {
+    code = ResultCode::kAnswerMalformed;
+  }
+  failure_ = std::string(Describe(code).name_) + ": " + error.message();
+}
+
 std::optional<uint64_t> Exchange::Length() const {
   const boost::optional<std::uint64_t> length =
       connection_->parser_->content_length();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -108,6 +108,7 @@
   // The answer's body, after its head. Hands the connection back at the end.
   Task<BodyState> Read(std::string& piece, size_t most) override;
   std::optional<uint64_t> Length() const override;
+  std::string_view Failure() const override { return failure_; }
   // The answer is long: from now on each piece has a time of its own, instead
   // of the deadline for all of it.
   void StreamAnswer() { streaming_ = true; }
@@ -126,6 +127,8 @@
   ExchangeFailure FailureOf(const std::string& detail,
                             bool malformed,
                             bool not_sent) const;
+  // Keeps what broke the answer's body off.
+  void NoteFailure(const ErrorCode& error);
   void Finish();
 
   ConnectionPool& pool_;
@@ -137,6 +140,7 @@
   base::MonoTime deadline_;
   bool streaming_ = false;
   bool finished_ = false;
+  std::string failure_;
 };
 
 }  // namespace buckthorngate::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,6 +19,7 @@
 #include "buckthorngate/result_code.h"
 #include "http/body.h"
 #include "http/cancel.h"
+#include "http/cut_call.h"
 #include "http/event_loop.h"
 #include "http/head.h"
 
@@ -30,6 +31,8 @@
   uint64_t body_bytes_ = uint64_t{1} << 40;
   base::Duration header_timeout_ = std::chrono::seconds(10);
   base::Duration idle_timeout_ = std::chrono::seconds(15);
+  // A caller that takes nothing of its answer for this long is given up.
+  base::Duration write_timeout_ = std::chrono::seconds(10);
 };
 
 // One request on a connection. Used on the loop's thread, while the handler
@@ -37,6 +40,8 @@
 class ServerCall : public BodyReader {
  public:
   virtual const RequestHead& Head() const = 0;
+  // Names the request in what is told of it.
+  virtual void SetId(std::string_view id) = 0;
   virtual bool HasBody() const = 0;
   // Raised when the other side has closed the connection.
   virtual CancelSignal& Gone() = 0;
@@ -54,6 +59,8 @@
                            std::optional<uint64_t> length) = 0;
   virtual Task<bool> Write(std::string_view piece) = 0;
   virtual Task<bool> Finish() = 0;
+  // Tells why a streamed answer is left unfinished.
+  virtual void NoteBodyFailure(std::string_view why) = 0;
   // Closes the connection; whatever waits on it fails.
   virtual void Abort() = 0;
 };
@@ -93,6 +100,12 @@
     on_malformed_ = std::move(told);
   }
 
+  // Told of each request that was read whole, or whose answer had begun, and
+  // that ends without a whole answer.
+  void OnCut(std::function<void(const CutCall& call)> told) {
+    on_cut_ = std::move(told);
+  }
+
  private:
   class Connection;
   friend class Connection;
@@ -107,6 +120,7 @@
   size_t open_calls_ = 0;
   std::set<Connection*> connections_;
   std::function<void(int, std::string_view)> on_malformed_;
+  std::function<void(const CutCall&)> on_cut_;
 };
 
 }  // namespace buckthorngate::http
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -4,12 +4,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <exception>
+#include <system_error>
 #include <utility>
 
 namespace buckthorngate::http {
 namespace {
 
-constexpr unsigned kHttp11 = 11;
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
@@ -21,8 +22,6 @@
 constexpr size_t kDiscardBytes = size_t{256} * 1024;
 constexpr base::Duration kDiscardTime = std::chrono::milliseconds(500);
 constexpr base::Duration kLingerTime = std::chrono::seconds(1);
-// A caller that takes nothing of its answer for this long is given up.
-constexpr base::Duration kWriteTimeout = std::chrono::seconds(10);
 
 int StatusOfError(const ErrorCode& error) {
   if (error == bhttp::error::header_limit) {
@@ -34,6 +33,16 @@
   return kBadRequest;
 }
 
+std::string TextOf(const std::exception_ptr& failure) {
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& exception) {
+    return exception.what();
+  } catch (...) {
+    return "unknown exception";
+  }
+}
+
 }  // namespace
 
 Server::Connection::Connection(Server& server, Tcp::socket socket)
@@ -58,6 +67,9 @@
 void Server::Connection::Cancel() {
   const std::shared_ptr<Connection> self = shared_from_this();
   if (handling_) {
+    // Told now: the request may not get to its end any more.
+    NoteCut(CutCause::kServerClosed, "");
+    ReportCut();
     const std::shared_ptr<CancelSignal> gone = gone_;
     gone->Raise();
   }
@@ -165,20 +177,37 @@
 Task<void> Server::Connection::HandleOne() {
   handling_ = true;
   answered_ = false;
+  cut_ = CutCall();
+  cut_known_ = false;
+  cut_reported_ = false;
+  read_at_.reset();
   ++server_->open_calls_;
   gone_ = std::make_shared<CancelSignal>();
   stream_.expires_never();
   if (parser_->is_done()) {
-    ArmWatch();
+    NoteReadWhole();
   }
   keep_ = keep_ && parser_->keep_alive();
-  co_await server_->handler_.Handle(*this);
+  std::exception_ptr failure;
+  try {
+    co_await server_->handler_.Handle(*this);
+  } catch (...) {
+    failure = std::current_exception();
+  }
   handling_ = false;
   if (server_ == nullptr) {
     keep_ = false;
     co_return;
   }
   --server_->open_calls_;
+  if (failure != nullptr) {
+    NoteCut(CutCause::kHandlerFailed, TextOf(failure));
+  }
+  ReportCut();
+  if (failure != nullptr) {
+    Abort();
+    std::rethrow_exception(failure);
+  }
   if (!answered_) {
     Abort();
     co_return;
@@ -208,6 +237,36 @@
   }
 }
 
+void Server::Connection::NoteReadWhole() {
+  read_at_ = base::MonoNow();
+  ArmWatch();
+}
+
+void Server::Connection::NoteCut(CutCause cause, std::string detail) {
+  if (answered_ || cut_known_) {
+    return;
+  }
+  cut_known_ = true;
+  cut_.cause_ = cause;
+  cut_.detail_ = std::move(detail);
+}
+
+void Server::Connection::ReportCut() {
+  const bool cut = !answered_ || cut_known_;
+  const bool began = read_at_ || cut_.stage_ != AnswerStage::kWaiting;
+  if (!cut || !began || cut_reported_ || server_ == nullptr) {
+    return;
+  }
+  cut_reported_ = true;
+  cut_.answered_after_ = answered_;
+  if (read_at_) {
+    cut_.since_read_ = base::MonoNow() - *read_at_;
+  }
+  if (server_->on_cut_) {
+    server_->on_cut_(cut_);
+  }
+}
+
 void Server::Connection::ArmWatch() {
   if (watching_) {
     return;
@@ -220,8 +279,17 @@
 
 void Server::Connection::OnWatch() {
   watching_ = false;
-  if (handling_ && !StillThere()) {
+  if (!handling_) {
+    return;
+  }
+  // A socket that this side closed says nothing of the caller.
+  const bool open = stream_.socket().is_open();
+  const std::string how = HowItLeft();
+  if (!how.empty()) {
     keep_ = false;
+    if (open) {
+      NoteCut(CutCause::kCallerLeft, how);
+    }
     // Held, since an interrupt may end the request.
     const std::shared_ptr<CancelSignal> gone = gone_;
     gone->Raise();
@@ -229,13 +297,20 @@
 }
 
 bool Server::Connection::StillThere() {
+  return HowItLeft().empty();
+}
+
+std::string Server::Connection::HowItLeft() {
   if (!stream_.socket().is_open()) {
-    return false;
+    return "closed here";
   }
   char byte = 0;
   const ssize_t got =
       recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
+    return "";
+  }
+  return got == 0 ? "closed" : std::generic_category().message(errno);
 }
 
 bool Server::Connection::HasBody() const {
@@ -272,110 +347,8 @@
   if (!parser_->is_done()) {
     co_return BodyState::kMore;
   }
-  ArmWatch();
+  NoteReadWhole();
   co_return BodyState::kEnd;
 }
 
-bool Server::Connection::MayKeep() const {
-  return keep_ && server_ != nullptr && !server_->draining_;
-}
-
-void Server::Connection::FillHead(const AnswerHead& head,
-                                  bhttp::fields& fields) const {
-  CopyHeaders(head.headers_, fields);
-}
-
-Task<bool> Server::Connection::Answer(const AnswerHead& head,
-                                      std::string_view body) {
-  bhttp::response<bhttp::span_body<const char>> message;
-  message.version(kHttp11);
-  message.result(static_cast<unsigned>(head.status_));
-  FillHead(head, message);
-  keep_ = MayKeep();
-  message.keep_alive(keep_);
-  message.body() = {body.data(), body.size()};
-  if (!NeverHasBody(head.status_)) {
-    message.content_length(body.size());
-  }
-  stream_.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await bhttp::async_write(stream_, message,
-                              asio::redirect_error(asio::use_awaitable, error));
-  answered_ = !error;
-  co_return answered_;
-}
-
-Task<bool> Server::Connection::AnswerWithoutBody(
-    const AnswerHead& head,
-    std::optional<uint64_t> length) {
-  bhttp::response<bhttp::empty_body> message;
-  message.version(kHttp11);
-  message.result(static_cast<unsigned>(head.status_));
-  FillHead(head, message);
-  keep_ = MayKeep();
-  message.keep_alive(keep_);
-  if (length) {
-    message.content_length(*length);
-  }
-  stream_.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await bhttp::async_write(stream_, message,
-                              asio::redirect_error(asio::use_awaitable, error));
-  answered_ = !error;
-  co_return answered_;
-}
-
-Task<bool> Server::Connection::Begin(const AnswerHead& head,
-                                     std::optional<uint64_t> length) {
-  answer_.emplace();
-  answer_->version(kHttp11);
-  answer_->result(static_cast<unsigned>(head.status_));
-  FillHead(head, *answer_);
-  keep_ = MayKeep();
-  answer_->keep_alive(keep_);
-  if (length) {
-    answer_->content_length(*length);
-  } else {
-    answer_->chunked(true);
-  }
-  answer_->body().data = nullptr;
-  answer_->body().more = true;
-  serializer_.emplace(*answer_);
-  stream_.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await bhttp::async_write_header(
-      stream_, *serializer_, asio::redirect_error(asio::use_awaitable, error));
-  co_return !error;
-}
-
-Task<bool> Server::Connection::Write(std::string_view piece) {
-  if (piece.empty()) {
-    co_return true;
-  }
-  bhttp::buffer_body::value_type& body = answer_->body();
-  body.data = const_cast<char*>(piece.data());
-  body.size = piece.size();
-  body.more = true;
-  stream_.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await bhttp::async_write(stream_, *serializer_,
-                              asio::redirect_error(asio::use_awaitable, error));
-  co_return !error || error == bhttp::error::need_buffer;
-}
-
-Task<bool> Server::Connection::Finish() {
-  bhttp::buffer_body::value_type& body = answer_->body();
-  body.data = nullptr;
-  body.size = 0;
-  body.more = false;
-  stream_.expires_after(kWriteTimeout);
-  ErrorCode error;
-  co_await bhttp::async_write(stream_, *serializer_,
-                              asio::redirect_error(asio::use_awaitable, error));
-  answered_ = !error;
-  serializer_.reset();
-  answer_.reset();
-  co_return answered_;
-}
-
 }  // namespace buckthorngate::http
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "http/beast.h"
+#include "http/cut_call.h"
 #include "http/server.h"
 
 namespace buckthorngate::http {
@@ -29,6 +31,7 @@
   void Orphan() { server_ = nullptr; }
 
   const RequestHead& Head() const override { return head_; }
+  void SetId(std::string_view id) override { cut_.id_ = id; }
   bool HasBody() const override;
   CancelSignal& Gone() override { return *gone_; }
   bool StillThere() override;
@@ -41,6 +44,7 @@
                    std::optional<uint64_t> length) override;
   Task<bool> Write(std::string_view piece) override;
   Task<bool> Finish() override;
+  void NoteBodyFailure(std::string_view why) override;
   void Abort() override;
 
  private:
@@ -58,8 +62,19 @@
   // Looks out for the caller leaving, until the request is answered.
   void ArmWatch();
   void OnWatch();
+  // Empty while the caller is there, else what tells that it is not.
+  std::string HowItLeft();
+  void NoteReadWhole();
+  // Keeps the first cause why the request will have no whole answer.
+  void NoteCut(CutCause cause, std::string detail);
+  void NoteWriteError(const ErrorCode& error);
+  // The socket took `sent` bytes of an answer, `head` of them its head.
+  void NoteSent(size_t sent, size_t head);
+  // Once for a request that has no whole answer.
+  void ReportCut();
   // Whether another request may follow on the connection.
   bool MayKeep() const;
+  base::Duration WriteTimeout() const;
   void FillHead(const AnswerHead& head, bhttp::fields& fields) const;
   Task<void> DiscardRest();
   // Lets the other side read the last answer before the socket closes.
@@ -78,6 +93,13 @@
   bool keep_ = true;
   // An answer has been sent whole.
   bool answered_ = false;
+  // Kept up to date for the case that the request is cut. Its cause is set
+  // only while `answered_` is false.
+  CutCall cut_;
+  bool cut_known_ = false;
+  bool cut_reported_ = false;
+  // When the request was read whole.
+  std::optional<base::MonoTime> read_at_;
 };
 
 }  // namespace buckthorngate::http
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -11,7 +11,9 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -67,6 +69,12 @@
       file_ = -1;
     }
   }
+  // Closes so that the other side is told of a reset.
+  void Reset() {
+    const linger at_once = {1, 0};
+    setsockopt(file_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    Close();
+  }
   // Reads until the text has come, or the connection ends.
   std::string ReadUntil(const std::string& text) {
     char buffer[4096];
@@ -221,6 +229,229 @@
   BOOST_TEST(served.Handler().left_ == 1);
 }
 
+// Ends requests in each way that leaves a caller without a whole answer. The
+// target says which.
+class CuttingHandler : public http::Handler {
+ public:
+  explicit CuttingHandler(http::EventLoop& loop) : loop_(loop) {}
+
+  http::Task<void> Handle(http::ServerCall& call) override {
+    call.SetId("id" + call.Head().target_);
+    const std::string what = call.Head().target_;
+    http::AnswerHead head;
+    head.status_ = 200;
+    if (what == "/whole") {
+      co_await call.Answer(head, "whole");
+    } else if (what == "/throws") {
+      throw std::runtime_error("thrown here");
+    } else if (what == "/waits") {
+      co_await Wait(call);
+    } else if (what == "/answers-late") {
+      co_await Wait(call);
+      co_await call.Answer(head, "late");
+    } else if (what == "/breaks-off") {
+      co_await call.Begin(head, kAnnounced);
+      co_await call.Write(kPart);
+      call.NoteBodyFailure("the source ended");
+    } else if (what == "/floods") {
+      const std::string piece(http::kPieceBytes, 'x');
+      bool sent = co_await call.Begin(head, kFlood);
+      while (sent) {
+        sent = co_await call.Write(piece);
+      }
+    } else if (what == "/floods-at-once") {
+      const std::string body(kFlood, 'x');
+      co_await call.Answer(head, body);
+    }
+  }
+
+  static constexpr uint64_t kAnnounced = 10;
+  static constexpr std::string_view kPart = "part";
+  // More than the sockets' buffers hold.
+  static constexpr uint64_t kFlood = uint64_t{64} << 20;
+
+ private:
+  http::Task<void> Wait(http::ServerCall& call) {
+    http::Notifier gone(loop_);
+    const http::CancelScope scope(call.Gone(), [&gone] { gone.Notify(); });
+    const base::MonoTime until = base::MonoNow() + std::chrono::seconds(3);
+    co_await gone.Wait(until);
+  }
+
+  http::EventLoop& loop_;
+};
+
+class CutRecorder {
+ public:
+  CutRecorder() : handler_(loop_), server_(loop_, handler_) {
+    const int file = ListenAnywhere(port_);
+    close(file);
+    BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
+                   ResultCode::kOk));
+    http::ServerLimits limits;
+    limits.write_timeout_ = std::chrono::milliseconds(300);
+    server_.SetLimits(limits);
+    server_.OnCut([this](const http::CutCall& call) { cuts_.push_back(call); });
+    loop_.Start();
+  }
+  ~CutRecorder() {
+    Close();
+    loop_.Stop();
+  }
+  void Close() {
+    size_t open = 1;
+    while (open > 0) {
+      loop_.RunAndWait([&] {
+        server_.Close();
+        open = server_.Connections();
+      });
+    }
+  }
+  // Those that were told by the time that there are `count`, or 3 s have gone.
+  std::vector<http::CutCall> Await(size_t count) {
+    std::vector<http::CutCall> cuts;
+    const base::MonoTime until = base::MonoNow() + std::chrono::seconds(3);
+    while (cuts.size() < count && base::MonoNow() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      loop_.RunAndWait([&] { cuts = cuts_; });
+    }
+    return cuts;
+  }
+  // The one cut of a request for `target`, whose caller then does `then`.
+  http::CutCall CutOf(const std::string& target,
+                      const std::function<void(RawSocket&)>& then) {
+    RawSocket caller(port_);
+    caller.Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    then(caller);
+    const std::vector<http::CutCall> cuts = Await(1);
+    BOOST_REQUIRE(cuts.size() == 1u);
+    BOOST_TEST(cuts[0].id_ == "id" + target);
+    return cuts[0];
+  }
+  int Port() const { return port_; }
+  size_t OpenCalls() {
+    size_t open = 0;
+    loop_.RunAndWait([&] { open = server_.OpenCalls(); });
+    return open;
+  }
+
+ private:
+  http::EventLoop loop_;
+  CuttingHandler handler_;
+  http::Server server_;
+  std::vector<http::CutCall> cuts_;
+  int port_ = 0;
+};
+
+void DoNothing(RawSocket&) {}
+
+// Pattern: a request ended without an answer, and nothing told why.
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesWhileItWaitsIsTold) {
+  CutRecorder recorder;
+  const http::CutCall cut =
+      recorder.CutOf("/waits", [](RawSocket& caller) { caller.Close(); });
+  BOOST_TEST(NameOf(cut.cause_) == "caller-left");
+  BOOST_TEST(NameOf(cut.stage_) == "waiting");
+  BOOST_TEST(cut.detail_ == "closed");
+  BOOST_TEST(!cut.answered_after_);
+  BOOST_TEST((cut.since_read_ >= std::chrono::milliseconds(50)));
+}
+
+// Pattern: an answer that was written after its caller had left counted as
+// whole, and nothing told that nobody had got it.
+BOOST_AUTO_TEST_CASE(AnAnswerAfterItsCallerLeftIsTold) {
+  CutRecorder recorder;
+  const http::CutCall cut = recorder.CutOf(
+      "/answers-late", [](RawSocket& caller) { caller.Close(); });
+  BOOST_TEST(NameOf(cut.cause_) == "caller-left");
+  BOOST_TEST(cut.answered_after_);
+}
+
+// Pattern: a request ended without an answer, and nothing told why.
+BOOST_AUTO_TEST_CASE(AResetAmidstABodyIsToldWithWhatWasSent) {
+  CutRecorder recorder;
+  const http::CutCall cut =
+      recorder.CutOf("/floods", [](RawSocket& caller) { caller.Reset(); });
+  const std::string cause(NameOf(cut.cause_));
+  BOOST_TEST((cause == "write-failed" || cause == "caller-left"), cause);
+  BOOST_TEST(!cut.detail_.empty());
+  BOOST_TEST(NameOf(cut.stage_) == "body");
+  BOOST_TEST(cut.body_sent_ > 0u);
+  BOOST_TEST(cut.body_sent_ < CuttingHandler::kFlood);
+  BOOST_TEST(cut.body_length_.value_or(0) == CuttingHandler::kFlood);
+}
+
+// Pattern: a caller that took nothing of its answer was given up silently.
+BOOST_AUTO_TEST_CASE(AWriteThatTimesOutIsTold) {
+  for (const char* const target : {"/floods", "/floods-at-once"}) {
+    CutRecorder recorder;
+    const http::CutCall cut = recorder.CutOf(target, DoNothing);
+    BOOST_TEST(NameOf(cut.cause_) == "write-timed-out");
+    BOOST_TEST(NameOf(cut.stage_) == "body");
+    BOOST_TEST(cut.status_ == 200);
+    BOOST_TEST(cut.body_sent_ > 0u);
+    BOOST_TEST(cut.body_sent_ < CuttingHandler::kFlood);
+    BOOST_TEST(cut.body_length_.value_or(0) == CuttingHandler::kFlood);
+  }
+}
+
+// Pattern: a body that broke off at its source closed the connection, and
+// nothing told why.
+BOOST_AUTO_TEST_CASE(ABodyThatBreaksOffIsTold) {
+  CutRecorder recorder;
+  const http::CutCall cut = recorder.CutOf("/breaks-off", DoNothing);
+  BOOST_TEST(NameOf(cut.cause_) == "body-broke-off");
+  BOOST_TEST(cut.detail_ == "the source ended");
+  BOOST_TEST(cut.body_sent_ == CuttingHandler::kPart.size());
+  BOOST_TEST(cut.body_length_.value_or(0) == CuttingHandler::kAnnounced);
+}
+
+// Pattern: requests that were open when the process ended left no trace.
+BOOST_AUTO_TEST_CASE(ARequestThatIsOpenWhenTheServerClosesIsTold) {
+  CutRecorder recorder;
+  const http::CutCall cut =
+      recorder.CutOf("/waits", [&](RawSocket&) { recorder.Close(); });
+  BOOST_TEST(NameOf(cut.cause_) == "server-closed");
+  BOOST_TEST(NameOf(cut.stage_) == "waiting");
+}
+
+// Pattern: after an exception the call stayed counted as open, and the line of
+// the exception did not name the request.
+BOOST_AUTO_TEST_CASE(AHandlerThatFailsIsToldAndItsCallEnds) {
+  CutRecorder recorder;
+  const http::CutCall cut = recorder.CutOf("/throws", DoNothing);
+  BOOST_TEST(NameOf(cut.cause_) == "handler-failed");
+  BOOST_TEST(cut.detail_ == "thrown here");
+  BOOST_TEST(recorder.OpenCalls() == 0u);
+}
+
+// Pattern: a request ended without an answer, and nothing told why.
+BOOST_AUTO_TEST_CASE(AHandlerThatAnswersNothingIsTold) {
+  CutRecorder recorder;
+  const http::CutCall cut = recorder.CutOf("/nothing", DoNothing);
+  BOOST_TEST(NameOf(cut.cause_) == "no-answer");
+}
+
+// Pattern: a line for requests that were answered would hide the others.
+BOOST_AUTO_TEST_CASE(WholeAnswersAndUnreadRequestsAreNotTold) {
+  CutRecorder recorder;
+  {
+    RawSocket caller(recorder.Port());
+    caller.Send("GET /whole HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(caller.ReadUntil("whole").find("whole") != std::string::npos);
+  }
+  {
+    RawSocket caller(recorder.Port());
+    caller.Send(
+        "POST /nothing HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart");
+    caller.ReadAll();
+  }
+  recorder.Close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_TEST(recorder.Await(0).empty());
+}
+
 // An upstream that answers each connection's requests with set bytes.
 class ScriptedUpstream {
  public:
