--- a/src/blackboard/metrics.cc
+++ b/src/blackboard/metrics.cc
@@ -2,11 +2,8 @@
 #include "blackboard/metrics.h"
 
 #include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -17,14 +14,11 @@
 namespace {
 
 namespace acc = boost::accumulators;
-using P99 = acc::accumulator_set<double,
-                                 acc::stats<acc::tag::count,
-                                            acc::tag::sum,
-                                            acc::tag::max,
-                                            acc::tag::p_square_quantile>>;
+using Most = acc::accumulator_set<double, acc::stats<acc::tag::max>>;
 
 constexpr size_t kShards = 8;
-constexpr double kReportedQuantile = 0.99;
+constexpr std::array<std::string_view, kCallSides> kSideNames = {"entry",
+                                                                 "destination"};
 
 void Line(std::string& out, const std::string& name, double value) {
   out += name + " " + std::to_string(value) + "\n";
@@ -35,7 +29,8 @@
 struct Metrics::Latencies {
   struct Shard {
     std::mutex mutex_;
-    P99 seconds_{acc::quantile_probability = kReportedQuantile};
+    Most seconds_;
+    bool any_ = false;
   };
   std::array<Shard, kShards> shards_;
 };
@@ -54,6 +49,17 @@
   Latencies::Shard& shard = latencies_->shards_[index];
   const std::lock_guard<std::mutex> lock(shard.mutex_);
   shard.seconds_(std::chrono::duration<double>(latency).count());
+  shard.any_ = true;
+  calls_.Note(latency);
+}
+
+void Metrics::NoteRequest(CallSide side, base::Duration took) {
+  requests_.at(static_cast<size_t>(side)).Note(took);
+}
+
+void Metrics::CountCut(CallSide side, std::string_view cause) {
+  const std::lock_guard<std::mutex> lock(cuts_mutex_);
+  ++cuts_[{side, std::string(cause)}];
 }
 
 void Metrics::SetControlBytes(uint64_t in, uint64_t out) {
@@ -61,6 +67,31 @@
   control_bytes_out_ = out;
 }
 
+double Metrics::LongestCall() const {
+  double most = 0.0;
+  for (Latencies::Shard& shard : latencies_->shards_) {
+    const std::lock_guard<std::mutex> lock(shard.mutex_);
+    if (shard.any_) {
+      most = std::max(most, acc::max(shard.seconds_));
+    }
+  }
+  return most;
+}
+
+std::string Metrics::RenderCuts() const {
+  std::string out = "# TYPE buckthorngate_cut_requests_total counter\n";
+  const std::lock_guard<std::mutex> lock(cuts_mutex_);
+  for (const auto& [key, count] : cuts_) {
+    const auto& [side, cause] = key;
+    Line(out,
+         "buckthorngate_cut_requests_total{side=\"" +
+             std::string(kSideNames.at(static_cast<size_t>(side))) +
+             "\",cause=\"" + cause + "\"}",
+         static_cast<double>(count));
+  }
+  return out;
+}
+
 std::string Metrics::Render() const {
   std::string out = "# TYPE buckthorngate_requests_total counter\n";
   for (int i = 0; i < kResultCodeCount; ++i) {
@@ -74,27 +105,16 @@
              "\"}",
          static_cast<double>(count));
   }
-  double count = 0.0;
-  double sum = 0.0;
-  double most = 0.0;
-  double p99 = 0.0;
-  for (Latencies::Shard& shard : latencies_->shards_) {
-    const std::lock_guard<std::mutex> lock(shard.mutex_);
-    const double calls = static_cast<double>(acc::count(shard.seconds_));
-    if (calls == 0.0) {
-      continue;
-    }
-    count += calls;
-    sum += acc::sum(shard.seconds_);
-    most = std::max(most, acc::max(shard.seconds_));
-    // The largest of the shards' quantiles bounds the whole's from above.
-    p99 = std::max(p99, acc::p_square_quantile(shard.seconds_));
+  out += "# TYPE buckthorngate_call_seconds histogram\n" +
+         calls_.Render("buckthorngate_call_seconds", "");
+  Line(out, "buckthorngate_call_seconds_max", LongestCall());
+  out += "# TYPE buckthorngate_request_seconds histogram\n";
+  for (size_t side = 0; side < kCallSides; ++side) {
+    out += requests_.at(side).Render(
+        "buckthorngate_request_seconds",
+        "side=\"" + std::string(kSideNames.at(side)) + "\"");
   }
-  out += "# TYPE buckthorngate_call_seconds summary\n";
-  Line(out, "buckthorngate_call_seconds{quantile=\"0.99\"}", p99);
-  Line(out, "buckthorngate_call_seconds_sum", sum);
-  Line(out, "buckthorngate_call_seconds_count", count);
-  Line(out, "buckthorngate_call_seconds_max", most);
+  out += RenderCuts();
   Line(out, "buckthorngate_retries_total",
        static_cast<double>(retries_.load()));
   Line(out, "buckthorngate_control_bytes_total{direction=\"in\"}",
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -272,6 +272,7 @@
 }
 
 http::Task<void> Destination::Handle(http::ServerCall& call) {
+  const base::MonoTime came = clock_.Read().mono_;
   tl::expected<HopRequest, ResultCode> decoded =
       DecodeHopRequest(call.Head(), clock_.Read().mono_);
   if (!decoded) {
@@ -297,6 +298,8 @@
   EncodeHopAnswer(request, answer);
   co_await SendAnswer(call, answer);
   co_await FinishUpload(call, answer);
+  board_.Numbers().NoteRequest(blackboard::CallSide::kDestination,
+                               clock_.Read().mono_ - came);
 }
 
 http::Task<bool> Destination::NoteBroken(std::shared_ptr<Upstream> upstream,
--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -33,8 +33,11 @@
 
 http::Task<void> Entry::Handle(http::ServerCall& server_call) {
   board_.InFlight().fetch_add(1);
+  const base::MonoTime came = clock_.Read().mono_;
   Call call(*this, server_call);
   co_await call.Run();
+  board_.Numbers().NoteRequest(blackboard::CallSide::kEntry,
+                               clock_.Read().mono_ - came);
   board_.InFlight().fetch_sub(1);
 }
 
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -100,15 +100,24 @@
         base::EventId::kCallerMalformed,
         {{"status", std::to_string(status)}, {"what", std::string(what)}});
   });
-  callers_.OnCut([](const http::CutCall& call) { LogCutCall("entry", call); });
-  peers_.OnCut(
-      [](const http::CutCall& call) { LogCutCall("destination", call); });
+  callers_.OnCut([this](const http::CutCall& call) {
+    NoteCut(blackboard::CallSide::kEntry, call);
+  });
+  peers_.OnCut([this](const http::CutCall& call) {
+    NoteCut(blackboard::CallSide::kDestination, call);
+  });
   node_loop_.SetAfterFlush([this](const base::Now& now) { AfterFlush(now); });
   transport_.AddNode(settings.host_, [this](rpc::Envelope envelope) {
     node_loop_.Post(std::move(envelope));
   });
 }
 
+void ProxyRole::Impl::NoteCut(blackboard::CallSide side,
+                              const http::CutCall& call) {
+  board_.Numbers().CountCut(side, NameOf(call.cause_));
+  LogCutCall(side, call);
+}
+
 AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
   AdminHandlers handlers;
   handlers.announce_ = [this](const registry::Announcement& announcement) {
--- a/src/daemon/proxy_role_impl.h
+++ b/src/daemon/proxy_role_impl.h
@@ -52,6 +52,7 @@
   void AwaitIdle(const std::function<int64_t()>& busy,
                  std::chrono::steady_clock::time_point give_up);
   void OnCrash(const std::string& address, const rpc::CrashReport& report);
+  void NoteCut(blackboard::CallSide side, const http::CutCall& call);
   AdminHandlers MakeAdminHandlers();
 
   const Settings& settings_;
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "blackboard/metrics.h"
 #include "daemon/hop_codec.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
@@ -86,5 +87,49 @@
   BOOST_TEST(!tree.IsBelow("p.1"));
 }
 
+// Pattern: quantiles of several daemons do not add up, so a slow host could not
+// be seen on the whole mesh's page; a time on a bound belongs below it.
+BOOST_AUTO_TEST_CASE(TimesAreCountedInCumulativeBuckets) {
+  blackboard::Metrics metrics;
+  metrics.NoteRequest(blackboard::CallSide::kEntry,
+                      std::chrono::milliseconds(1));
+  metrics.NoteRequest(blackboard::CallSide::kEntry,
+                      std::chrono::milliseconds(30));
+  metrics.NoteRequest(blackboard::CallSide::kEntry, std::chrono::minutes(2));
+  metrics.NoteCall(std::chrono::milliseconds(30));
+  const std::string page = metrics.Render();
+  const auto has = [&page](const std::string& line) {
+    return page.find(line + "\n") != std::string::npos;
+  };
+  const std::string entry =
+      "buckthorngate_request_seconds_bucket{side=\"entry\",";
+  BOOST_TEST(has(entry + "le=\"0.001000\"} 1"), page);
+  BOOST_TEST(has(entry + "le=\"0.025000\"} 1"), page);
+  BOOST_TEST(has(entry + "le=\"0.050000\"} 2"), page);
+  BOOST_TEST(has(entry + "le=\"30.000000\"} 2"), page);
+  BOOST_TEST(has(entry + "le=\"+Inf\"} 3"), page);
+  BOOST_TEST(has("buckthorngate_request_seconds_count{side=\"entry\"} 3"),
+             page);
+  BOOST_TEST(has("buckthorngate_request_seconds_count{side=\"destination\"} 0"),
+             page);
+  BOOST_TEST(has("buckthorngate_call_seconds_bucket{le=\"0.050000\"} 1"), page);
+  BOOST_TEST(has("buckthorngate_call_seconds_max 0.030000"), page);
+}
+
+// Pattern: requests that ended without an answer were counted nowhere.
+BOOST_AUTO_TEST_CASE(CutRequestsAreCountedBySideAndCause) {
+  blackboard::Metrics metrics;
+  metrics.CountCut(blackboard::CallSide::kEntry, "write-timed-out");
+  metrics.CountCut(blackboard::CallSide::kEntry, "write-timed-out");
+  metrics.CountCut(blackboard::CallSide::kDestination, "caller-left");
+  const std::string page = metrics.Render();
+  BOOST_TEST(page.find("buckthorngate_cut_requests_total{side=\"entry\","
+                       "cause=\"write-timed-out\"} 2.") != std::string::npos,
+             page);
+  BOOST_TEST(page.find("buckthorngate_cut_requests_total{side=\"destination\","
+                       "cause=\"caller-left\"} 1.") != std::string::npos,
+             page);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -74,6 +75,13 @@
   }
 }
 
+void ProcessMesh::SetDrainTime(std::chrono::milliseconds time) {
+  drain_time_ = time;
+  for (const std::string& host : hosts_) {
+    WriteSettings(host);
+  }
+}
+
 int ProcessMesh::FreePort() {
   const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = {};
@@ -120,7 +128,8 @@
          << Address(ports_["control-" + std::to_string(i)].control_)
          << "\", zone = \"zone-" << i << "\" }\n";
   }
-  file << "[limits]\nhttp_threads = " << http_threads_ << "\n";
+  file << "[limits]\nhttp_threads = " << http_threads_
+       << "\ndrain_time_ms = " << drain_time_.count() << "\n";
 }
 
 pid_t ProcessMesh::Spawn(const std::string& name,
@@ -147,6 +156,24 @@
   return pid;
 }
 
+std::vector<std::string> ProcessMesh::LogLines(
+    const std::string& host,
+    const std::vector<std::string>& texts) const {
+  std::ifstream stream(folder_ + "/" + host + ".log");
+  std::vector<std::string> lines;
+  std::string line;
+  while (std::getline(stream, line)) {
+    const bool all = std::all_of(texts.begin(), texts.end(),
+                                 [&line](const std::string& text) {
+                                   return line.find(text) != std::string::npos;
+                                 });
+    if (all) {
+      lines.push_back(line);
+    }
+  }
+  return lines;
+}
+
 void ProcessMesh::StartAll() {
   for (const std::string& host : hosts_) {
     Start(host);
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -39,6 +39,8 @@
 
   // Threads of each daemon's servers; before StartAll.
   void SetHttpThreads(int threads);
+  // How long a daemon that stops waits for its requests; before StartAll.
+  void SetDrainTime(std::chrono::milliseconds time);
 
   // Hosts: "control-Z" and "proxy-Z-P", from 1.
   void StartAll();
@@ -62,6 +64,10 @@
   // User and system time of a process so far.
   std::chrono::milliseconds CpuTime(const std::string& host) const;
   const std::string& Folder() const { return folder_; }
+  // The lines of the process's output that have all of the texts.
+  std::vector<std::string> LogLines(
+      const std::string& host,
+      const std::vector<std::string>& texts) const;
 
   // Runs the operators' tool; returns its exit code and fills `output`.
   int Tool(const std::vector<std::string>& arguments,
@@ -105,6 +111,7 @@
   std::vector<int> reserved_;
   int next_upstream_ = 1;
   int http_threads_ = 64;
+  std::chrono::milliseconds drain_time_ = std::chrono::seconds(60);
 };
 
 }  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/trace_test.cc
@@ -0,0 +1,105 @@
+// What a daemon's log and metrics tell of requests that ended without a whole
+// answer, and of a stop; real daemons as child processes.
+#define BOOST_TEST_MODULE trace
+#include <boost/test/unit_test.hpp>
+
+#include <signal.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "process_harness.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+constexpr char kService[] = R"(service = "shop"
+versions = ["v1"]
+version = "v1"
+[[route]]
+name = "all"
+path = "/shop"
+timeout_ms = 20000
+)";
+// The upstream stands beside this daemon.
+constexpr char kDestination[] = "proxy-1-1";
+// The callers are at this one.
+constexpr char kEntry[] = "proxy-1-2";
+
+class TracedMesh {
+ public:
+  explicit TracedMesh(std::chrono::milliseconds drain_time) : mesh_(1, 2) {
+    mesh_.SetDrainTime(drain_time);
+    mesh_.StartAll();
+    mesh_.StartUpstream(kDestination, "shop");
+    BOOST_REQUIRE(mesh_.Publish(1, kService) == 0);
+    BOOST_REQUIRE(mesh_.AwaitServed("/shop/x"));
+  }
+  ProcessMesh& Mesh() { return mesh_; }
+
+  HttpAnswer Call(const std::string& path,
+                  const std::string& id,
+                  std::chrono::milliseconds timeout) {
+    return mesh_.Call(kEntry, "GET", path, "", {{"X-Request-Id", id}}, timeout);
+  }
+  // Whether one line has all of the texts, soon.
+  bool AwaitLine(const std::string& host,
+                 const std::vector<std::string>& texts) {
+    return ProcessMesh::Await(
+        [&] { return mesh_.LogLines(host, texts).size() == 1; },
+        std::chrono::seconds(5));
+  }
+
+ private:
+  ProcessMesh mesh_;
+};
+
+// Pattern: a connection ended without a whole answer, and neither daemon's log
+// had a line with the request's id that told why.
+BOOST_AUTO_TEST_CASE(ABodyThatBreaksOffIsToldByBothDaemons) {
+  TracedMesh traced(std::chrono::seconds(60));
+  BOOST_TEST(
+      traced.Call("/shop/cut?bytes=9000000", "cut-1", std::chrono::seconds(10))
+          .status_ == 0);
+  for (const std::string host : {kDestination, kEntry}) {
+    const std::string side = host == kEntry ? "entry" : "destination";
+    BOOST_TEST(traced.AwaitLine(
+        host,
+        {"E511 call-cut", "request=\"cut-1\"", "side=\"" + side + "\"",
+         "cause=\"body-broke-off\"", "stage=\"body\"", "of=\"9000000\""}));
+    BOOST_TEST(traced.Mesh()
+                   .Admin(host, "/metrics")
+                   .body_.find("buckthorngate_cut_requests_total{side=\"" +
+                               side + "\",cause=\"body-broke-off\"} 1.") !=
+               std::string::npos);
+  }
+}
+
+// Pattern: a short answer that broke off became a 502 without a trace of it.
+BOOST_AUTO_TEST_CASE(AShortAnswerThatBreaksOffIsToldByItsDestination) {
+  TracedMesh traced(std::chrono::seconds(60));
+  BOOST_TEST(
+      traced.Call("/shop/cut?bytes=40000", "cut-2", std::chrono::seconds(10))
+          .status_ == 502);
+  BOOST_TEST(traced.AwaitLine(
+      kDestination, {"E512 answer-cut", "request=\"cut-2\"", "of=\"40000\""}));
+  // The caller has a whole answer.
+  BOOST_TEST(traced.Mesh().LogLines(kEntry, {"E511"}).empty());
+}
+
+// Pattern: a caller that had given up could not be told from a daemon's fault.
+BOOST_AUTO_TEST_CASE(ACallerThatGivesUpIsTold) {
+  TracedMesh traced(std::chrono::seconds(60));
+  traced.Call("/shop/slow?ms=2500", "gone-1", std::chrono::milliseconds(300));
+  BOOST_TEST(traced.AwaitLine(kEntry, {"E510 caller-left", "request=\"gone-1\"",
+                                       "side=\"entry\"", "stage=\"waiting\""}));
+  BOOST_TEST(traced.AwaitLine(
+      kDestination,
+      {"E510 caller-left", "request=\"gone-1\"", "side=\"destination\""}));
+  BOOST_TEST(traced.Mesh().LogLines(kEntry, {"E511"}).empty());
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
