--- a/src/base/events.h
+++ b/src/base/events.h
@@ -20,6 +20,8 @@
   kStopped = 102,
   kSettingsRefused = 103,
   kTlsOff = 104,
+  kStopStep = 105,
+  kStopOpen = 106,
   kStorageRepaired = 110,
   kStorageFailed = 111,
   kStorageCorrupt = 112,
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -219,21 +219,29 @@
   // First the callers look for another daemon; the upstreams stay useful
   // meanwhile.
   board_.Draining() = true;
+  LogStopStep("callers-told", began);
   std::this_thread::sleep_for(kCallersNotice);
   upstreams_draining_ = true;
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().DrainAll(); });
+  LogStopStep("peers-told", began);
   std::this_thread::sleep_for(kPeersNotice);
   loop_.RunAndWait([this] { destination_.DrainAll(); });
+  LogStopStep("upstreams-refused", began);
   // What runs at the upstreams may make calls of its own through this daemon,
   // so it takes callers until that has ended.
   AwaitIdle([this] { return destination_.InFlight(); },
             give_up - kLastRequests);
+  LogStopStep("slots-awaited", began);
   std::this_thread::sleep_until(began + kDrainNotice);
   loop_.RunAndWait([this] { callers_.Drain(); });
+  LogStopStep("callers-refused", began);
   AwaitIdle([this] { return board_.InFlight().load(); }, give_up);
+  LogStopStep("calls-awaited", began);
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().LeaveAll(); });
+  LogStopStep("end", began);
+  TellOpenAtEnd();
 }
 
 void ProxyRole::Impl::Stop() {
--- a/src/daemon/proxy_role_impl.h
+++ b/src/daemon/proxy_role_impl.h
@@ -3,9 +3,11 @@
 #define SRC_DAEMON_PROXY_ROLE_IMPL_H_
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "blackboard/blackboard.h"
 #include "daemon/admin_server.h"
@@ -51,6 +53,17 @@
   // Polls on the loop until nothing is busy.
   void AwaitIdle(const std::function<int64_t()>& busy,
                  std::chrono::steady_clock::time_point give_up);
+  // proxy_stop_log.cc: what is open while a daemon stops.
+  struct OpenWork {
+    int64_t slots_ = 0;  // Of this host's upstreams.
+    size_t caller_calls_ = 0;
+    size_t peer_calls_ = 0;  // Of other daemons.
+  };
+  OpenWork CountOpen();
+  void LogStopStep(std::string_view step,
+                   std::chrono::steady_clock::time_point began);
+  // Tells each request that the end of the process will cut.
+  void TellOpenAtEnd();
   void OnCrash(const std::string& address, const rpc::CrashReport& report);
   void NoteCut(blackboard::CallSide side, const http::CutCall& call);
   AdminHandlers MakeAdminHandlers();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -76,6 +76,12 @@
   }
 }
 
+void Server::TellOpen() {
+  for (Connection* const connection : connections_) {
+    connection->TellOpen();
+  }
+}
+
 void Server::Close() {
   Drain();
   const std::set<Connection*> connections = connections_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -88,6 +88,9 @@
   void Drain();
   // Closes all connections; requests under way are cancelled.
   void Close();
+  // Tells OnCut of the requests that are under way: the process is about to
+  // end, which cuts them.
+  void TellOpen();
   size_t Connections() const { return connections_.size(); }
   bool Draining() const { return draining_; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -68,14 +68,20 @@
   const std::shared_ptr<Connection> self = shared_from_this();
   if (handling_) {
     // Told now: the request may not get to its end any more.
-    NoteCut(CutCause::kServerClosed, "");
-    ReportCut();
+    TellOpen();
     const std::shared_ptr<CancelSignal> gone = gone_;
     gone->Raise();
   }
   Abort();
 }
 
+void Server::Connection::TellOpen() {
+  if (handling_) {
+    NoteCut(CutCause::kServerClosed, "");
+    ReportCut();
+  }
+}
+
 void Server::Connection::Abort() {
   keep_ = false;
   ErrorCode ignored;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -27,6 +27,8 @@
   void CloseIfIdle();
   // Cancels the request that is under way, and closes the connection.
   void Cancel();
+  // Tells of the request that is under way as cut by the server's end.
+  void TellOpen();
   // The server goes away; nothing of it may be used any more.
   void Orphan() { server_ = nullptr; }
 
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -101,5 +101,57 @@
   BOOST_TEST(traced.Mesh().LogLines(kEntry, {"E511"}).empty());
 }
 
+// Stops one daemon while a call runs that takes longer than the stop waits;
+// each step, and the call that the exit cuts, must be told.
+void CheckStopThatCuts(const std::string& host,
+                       const std::string& side,
+                       const std::string& open) {
+  TracedMesh traced(std::chrono::milliseconds(4000));
+  ProcessMesh& mesh = traced.Mesh();
+  HttpAnswer answer;
+  std::thread caller([&] {
+    answer =
+        traced.Call("/shop/slow?ms=15000", "open-1", std::chrono::seconds(20));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  mesh.Signal(host, SIGTERM);
+  mesh.Wait(host);
+  caller.join();
+  BOOST_TEST(answer.status_ != 200);
+  const auto told = [&mesh, &host](const std::vector<std::string>& texts) {
+    return mesh.LogLines(host, texts).size() == 1;
+  };
+  for (const std::string step :
+       {"callers-told", "peers-told", "upstreams-refused", "slots-awaited",
+        "callers-refused", "calls-awaited", "end"}) {
+    BOOST_TEST(told({"E105 stop-step", "step=\"" + step + "\"", open}), step);
+  }
+  BOOST_TEST(told({"E106 stop-open", open}));
+  BOOST_TEST(told({"E511 call-cut", "request=\"open-1\"",
+                   "cause=\"server-closed\"", "side=\"" + side + "\""}));
+}
+
+// Pattern: a caller's call that a stop left open was cut without a trace.
+BOOST_AUTO_TEST_CASE(AStopTellsItsStepsAndTheCallersCallsThatItCuts) {
+  CheckStopThatCuts(kEntry, "entry", "caller_calls=\"1\"");
+}
+
+// Pattern: another daemon's call that a stop left open was cut without a trace.
+BOOST_AUTO_TEST_CASE(AStopTellsItsStepsAndTheHopsThatItCuts) {
+  CheckStopThatCuts(kDestination, "destination", "peer_calls=\"1\"");
+}
+
+// Pattern: a warning at each stop would hide the stops that cut requests.
+BOOST_AUTO_TEST_CASE(AStopThatCutsNothingDoesNotWarn) {
+  TracedMesh traced(std::chrono::seconds(60));
+  ProcessMesh& mesh = traced.Mesh();
+  mesh.Signal(kDestination, SIGTERM);
+  mesh.Wait(kDestination);
+  BOOST_TEST(mesh.LogLines(kDestination, {"E105", "step=\"end\""}).size() ==
+             1u);
+  BOOST_TEST(mesh.LogLines(kDestination, {"E106"}).empty());
+  BOOST_TEST(mesh.LogLines(kDestination, {"E511"}).empty());
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
