--- /dev/null
+++ b/src/daemon/cut_log.h
@@ -0,0 +1,14 @@
+// Log lines of requests that ended without a whole answer.
+#ifndef SRC_DAEMON_CUT_LOG_H_
+#define SRC_DAEMON_CUT_LOG_H_
+
+#include "blackboard/metrics.h"
+#include "http/cut_call.h"
+
+namespace buckthorngate::daemon {
+
+void LogCutCall(blackboard::CallSide side, const http::CutCall& call);
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_CUT_LOG_H_
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -254,6 +254,7 @@
   const ResultCode not_executed = NotExecuted(*began);
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*began), without_body);
+  LogIfCut(request, answer);
   if (not_executed != ResultCode::kOk) {
     answer.code_ = not_executed;
     answer.not_run_ = true;
@@ -271,6 +272,7 @@
 }
 
 http::Task<void> Destination::Handle(http::ServerCall& call) {
+  const base::MonoTime came = clock_.Read().mono_;
   tl::expected<HopRequest, ResultCode> decoded =
       DecodeHopRequest(call.Head(), clock_.Read().mono_);
   if (!decoded) {
@@ -281,6 +283,7 @@
     co_return;
   }
   HopRequest& request = *decoded;
+  call.SetId(request.request_id_);
   request.cancel_ = &call.Gone();
   request.still_wanted_ = [&call] { return call.StillThere(); };
   if (call.HasBody()) {
@@ -295,6 +298,8 @@
   EncodeHopAnswer(request, answer);
   co_await SendAnswer(call, answer);
   co_await FinishUpload(call, answer);
+  board_.Numbers().NoteRequest(blackboard::CallSide::kDestination,
+                               clock_.Read().mono_ - came);
 }
 
 http::Task<bool> Destination::NoteBroken(std::shared_ptr<Upstream> upstream,
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -8,6 +8,7 @@
 
 #include "base/events.h"
 #include "base/hash.h"
+#include "daemon/cut_log.h"
 #include "daemon/proxy_role_impl.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
@@ -99,12 +100,24 @@
         base::EventId::kCallerMalformed,
         {{"status", std::to_string(status)}, {"what", std::string(what)}});
   });
+  callers_.OnCut([this](const http::CutCall& call) {
+    NoteCut(blackboard::CallSide::kEntry, call);
+  });
+  peers_.OnCut([this](const http::CutCall& call) {
+    NoteCut(blackboard::CallSide::kDestination, call);
+  });
   node_loop_.SetAfterFlush([this](const base::Now& now) { AfterFlush(now); });
   transport_.AddNode(settings.host_, [this](rpc::Envelope envelope) {
     node_loop_.Post(std::move(envelope));
   });
 }
 
+void ProxyRole::Impl::NoteCut(blackboard::CallSide side,
+                              const http::CutCall& call) {
+  board_.Numbers().CountCut(side, NameOf(call.cause_));
+  LogCutCall(side, call);
+}
+
 AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
   AdminHandlers handlers;
   handlers.announce_ = [this](const registry::Announcement& announcement) {
@@ -206,21 +219,29 @@
   // First the callers look for another daemon; the upstreams stay useful
   // meanwhile.
   board_.Draining() = true;
+  LogStopStep("callers-told", began);
   std::this_thread::sleep_for(kCallersNotice);
   upstreams_draining_ = true;
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().DrainAll(); });
+  LogStopStep("peers-told", began);
   std::this_thread::sleep_for(kPeersNotice);
   loop_.RunAndWait([this] { destination_.DrainAll(); });
+  LogStopStep("upstreams-refused", began);
   // What runs at the upstreams may make calls of its own through this daemon,
   // so it takes callers until that has ended.
   AwaitIdle([this] { return destination_.InFlight(); },
             give_up - kLastRequests);
+  LogStopStep("slots-awaited", began);
   std::this_thread::sleep_until(began + kDrainNotice);
   loop_.RunAndWait([this] { callers_.Drain(); });
+  LogStopStep("callers-refused", began);
   AwaitIdle([this] { return board_.InFlight().load(); }, give_up);
+  LogStopStep("calls-awaited", began);
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().LeaveAll(); });
+  LogStopStep("end", began);
+  TellOpenAtEnd();
 }
 
 void ProxyRole::Impl::Stop() {
