--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -34,6 +34,8 @@
      "A journal cannot be written; the node stops voting and claiming."},
     {kStorageCorrupt, Level::kError, "storage-corrupt",
      "A journal is damaged before its end; the daemon does not start."},
+    {kStorageBack, Level::kInfo, "storage-back",
+     "A journal that had failed was written anew; the node takes part again."},
     {kLeaderElected, Level::kInfo, "leader-elected",
      "This source leads the sources."},
     {kLeaderSteppedDown, Level::kWarning, "leader-stepped-down",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -23,6 +23,7 @@
   kStorageRepaired = 110,
   kStorageFailed = 111,
   kStorageCorrupt = 112,
+  kStorageBack = 113,
   kLeaderElected = 200,
   kLeaderSteppedDown = 201,
   kMembershipChanged = 202,
--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -57,6 +57,17 @@
   records_ = {};
 }
 
+void RaftCore::Resume(const base::Now& now) {
+  if (role_ != Role::kHalted || retired_) {
+    return;
+  }
+  role_ = confirmed_ ? Role::kFollower : Role::kProbation;
+  hard_state_changed_ = false;
+  persisted_ = LastIndex();
+  votes_.clear();
+  ResetElectionTimer(now);
+}
+
 void RaftCore::ResetElectionTimer(const base::Now& now) {
   election_deadline_ =
       now.mono_ + kElectionTimeout + random_.Jitter(kElectionTimeout);
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -48,7 +48,7 @@
   kPreCandidate,
   kCandidate,
   kLeader,
-  kHalted,  // Storage failed or identity retired: takes no part.
+  kHalted,  // Storage fails or identity retired: takes no part.
 };
 
 // What a restart finds in the journal.
@@ -105,6 +105,8 @@
   PendingRecords TakeRecords();
   void Persisted(const base::Now& now);
   void Halt();
+  // Takes part again: storage had failed, and now holds all of this state.
+  void Resume(const base::Now& now);
 
   // Messages that may leave now that all records are synced.
   std::vector<AddressedMessage> TakeMessages(const base::Now& now);
@@ -122,6 +124,7 @@
   // A new leader serves once an entry of its own term is committed.
   bool CanServe() const;
   bool Retired() const { return retired_; }
+  bool Confirmed() const { return confirmed_; }
   const std::string& Id() const { return id_; }
   const std::string& LeaderId() const { return leader_; }
   uint64_t Term() const { return hard_state_.term(); }
--- a/src/consensus/raft_journal.cc
+++ b/src/consensus/raft_journal.cc
@@ -70,7 +70,9 @@
 
 std::vector<rpc::JournalRecord> WholeState(const RaftCore& core) {
   std::vector<rpc::JournalRecord> records;
-  records.push_back(ConfirmedRecord(core.Id()));
+  if (core.Confirmed()) {
+    records.push_back(ConfirmedRecord(core.Id()));
+  }
   records.push_back(HardStateRecord(core.CurrentHardState()));
   records.push_back(SnapshotRecord(core.Snapshot()));
   for (const rpc::LogEntry& entry : core.Entries()) {
@@ -138,6 +140,16 @@
   return ResultCode::kOk;
 }
 
+ResultCode RepairStorage(RaftCore& core,
+                         storage::Journal& journal,
+                         const base::Now& now) {
+  const ResultCode replaced = journal.Replace(WholeState(core));
+  if (replaced == ResultCode::kOk) {
+    core.Resume(now);
+  }
+  return replaced;
+}
+
 ResultCode CompactJournal(RaftCore& core,
                           storage::Journal& journal,
                           uint64_t index,
--- a/src/consensus/raft_journal.h
+++ b/src/consensus/raft_journal.h
@@ -21,6 +21,13 @@
                        storage::Journal& journal,
                        const base::Now& now);
 
+// After a failed sync: makes all that `core` holds durable, and lets it take
+// part again. Its votes and entries that were not synced had been told to
+// nobody. On a failure it stays halted.
+ResultCode RepairStorage(RaftCore& core,
+                         storage::Journal& journal,
+                         const base::Now& now);
+
 // Compacts the log up to `index`, of which `state` is the state machine.
 ResultCode CompactJournal(RaftCore& core,
                           storage::Journal& journal,
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -20,7 +20,6 @@
 // A proxy must leave a relay that is cut off well before others count it as
 // connected; see kStaleContact.
 constexpr base::Duration kManagedHeartbeat = std::chrono::milliseconds(500);
-constexpr size_t kCompactBytes = size_t{8} * 1024 * 1024;
 
 }  // namespace
 
@@ -306,6 +305,9 @@
 }
 
 void RelayNode::OnTimer(const base::Now& now) {
+  if (storage_failed_ && now.mono_ >= next_storage_repair_) {
+    RepairStorage(now);
+  }
   SendResumes(now);
   SendHeartbeats(now);
   feeder_.DropSilent(now);
@@ -317,34 +319,10 @@
   SendZoneAck(now);
 }
 
-ResultCode RelayNode::SyncAndCompact() {
-  if (!journal_dirty_ && !claims_.Dirty()) {
-    return ResultCode::kOk;
-  }
-  const ResultCode synced = journal_.Sync();
-  if (synced != ResultCode::kOk) {
-    return synced;
-  }
-  journal_dirty_ = false;
-  claims_.MarkSynced();
-  if (journal_.Size() < size_after_compaction_ + kCompactBytes) {
-    return ResultCode::kOk;
-  }
-  std::vector<rpc::JournalRecord> records = follower_.AllRecords();
-  for (rpc::JournalRecord& record : claims_.AllRecords()) {
-    records.push_back(std::move(record));
-  }
-  for (const auto& [fingerprint, entry] : quarantine_.Entries()) {
-    *records.emplace_back().mutable_quarantine() = entry;
-  }
-  const ResultCode replaced = journal_.Replace(records);
-  size_after_compaction_ = journal_.Size();
-  return replaced;
-}
-
 std::vector<rpc::Envelope> RelayNode::Flush(const base::Now& now) {
   if (!storage_failed_ && SyncAndCompact() != ResultCode::kOk) {
     storage_failed_ = true;
+    next_storage_repair_ = now.mono_ + storage::kRepairInterval;
     LogEvent(EventId::kStorageFailed, {{"relay", options_.id_}});
   }
   if (storage_failed_) {
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -81,7 +81,12 @@
   void SendHeartbeats(const base::Now& now);
   void SendHeartbeat(const std::string& to, const base::Now& now);
   void SendZoneAck(const base::Now& now);
+
+  // relay_storage.cc: the journal.
   ResultCode SyncAndCompact();
+  ResultCode ReplaceJournal();
+  // Once a failed disk takes writes again.
+  void RepairStorage(const base::Now& now);
 
   // relay_zone.cc: registry, evidence, quarantine.
   void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
@@ -124,6 +129,7 @@
   uint64_t evidence_sequence_ = 0;
   bool journal_dirty_ = false;
   bool storage_failed_ = false;
+  base::MonoTime next_storage_repair_;
   size_t size_after_compaction_ = 0;
   // Goes with each acknowledgement to the sources.
   uint64_t nonce_ = 1;
--- /dev/null
+++ b/src/distribution/relay_storage.cc
@@ -0,0 +1,59 @@
+// A relay: its journal, and a disk that fails and comes back.
+#include "base/events.h"
+#include "distribution/relay_node.h"
+
+namespace buckthorngate::distribution {
+namespace {
+
+using base::EventId;
+using base::LogEvent;
+
+constexpr size_t kCompactBytes = size_t{8} * 1024 * 1024;
+
+}  // namespace
+
+ResultCode RelayNode::SyncAndCompact() {
+  if (!journal_dirty_ && !claims_.Dirty()) {
+    return ResultCode::kOk;
+  }
+  const ResultCode synced = journal_.Sync();
+  if (synced != ResultCode::kOk) {
+    return synced;
+  }
+  journal_dirty_ = false;
+  claims_.MarkSynced();
+  if (journal_.Size() < size_after_compaction_ + kCompactBytes) {
+    return ResultCode::kOk;
+  }
+  return ReplaceJournal();
+}
+
+ResultCode RelayNode::ReplaceJournal() {
+  std::vector<rpc::JournalRecord> records = follower_.AllRecords();
+  for (rpc::JournalRecord& record : claims_.AllRecords()) {
+    records.push_back(std::move(record));
+  }
+  for (const auto& [fingerprint, entry] : quarantine_.Entries()) {
+    *records.emplace_back().mutable_quarantine() = entry;
+  }
+  const ResultCode replaced = journal_.Replace(records);
+  size_after_compaction_ = journal_.Size();
+  return replaced;
+}
+
+void RelayNode::RepairStorage(const base::Now& now) {
+  next_storage_repair_ = now.mono_ + storage::kRepairInterval;
+  // Nothing of what is held only in memory had been told to anybody.
+  if (ReplaceJournal() != ResultCode::kOk) {
+    return;
+  }
+  storage_failed_ = false;
+  journal_dirty_ = false;
+  claims_.MarkSynced();
+  claims_.SetGroup(follower_.State().Claims());
+  claims_.FinishTransfer();
+  quarantine_.Lift(follower_.State().LiftedFingerprints());
+  LogEvent(EventId::kStorageBack, {{"node", options_.id_}});
+}
+
+}  // namespace buckthorngate::distribution
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -203,6 +203,9 @@
 }
 
 void SourceNode::OnTimer(const base::Now& now) {
+  if (storage_failed_ && now.mono_ >= next_storage_repair_) {
+    RepairStorage(now);
+  }
   raft_->Tick(now);
   WatchLeadership();
   feeder_.DropSilent(now);
@@ -290,6 +293,8 @@
   const ResultCode synced = consensus::SyncPending(*raft_, journal_, now);
   WatchLeadership();
   if (synced != ResultCode::kOk) {
+    storage_failed_ = true;
+    next_storage_repair_ = now.mono_ + storage::kRepairInterval;
     FailPending(ResultCode::kStorageFailed);
     outbox_.Take();
     return {};
@@ -352,12 +357,27 @@
 }
 
 void SourceNode::MaybeCompact() {
-  if (journal_.Size() < size_after_compaction_ + kCompactBytes) {
+  const bool due = journal_.Size() >= size_after_compaction_ + kCompactBytes;
+  if (storage_failed_ || !due) {
+    return;
+  }
+  const ResultCode compacted = consensus::CompactJournal(
+      *raft_, journal_, state_.AppliedIndex(), state_.Save());
+  if (compacted != ResultCode::kOk) {
+    storage_failed_ = true;
+    return;
+  }
+  size_after_compaction_ = journal_.Size();
+}
+
+void SourceNode::RepairStorage(const base::Now& now) {
+  next_storage_repair_ = now.mono_ + storage::kRepairInterval;
+  if (consensus::RepairStorage(*raft_, journal_, now) != ResultCode::kOk) {
     return;
   }
-  (void)consensus::CompactJournal(*raft_, journal_, state_.AppliedIndex(),
-                                  state_.Save());
+  storage_failed_ = false;
   size_after_compaction_ = journal_.Size();
+  LogEvent(EventId::kStorageBack, {{"node", options_.id_}});
 }
 
 }  // namespace buckthorngate::distribution
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -142,6 +142,8 @@
       const base::Now& now) const;
   void NoteInForce();
   void MaybeCompact();
+  // Once a failed disk takes writes again.
+  void RepairStorage(const base::Now& now);
   std::string AddressOf(const std::string& member) const;
   void Audit(const std::string& author,
              const std::string& action,
@@ -162,6 +164,8 @@
   base::Outbox outbox_;
 
   bool leading_ = false;
+  bool storage_failed_ = false;
+  base::MonoTime next_storage_repair_;
   uint64_t next_ticket_ = 1;
   // Publications by log index.
   std::map<uint64_t, Pending> pending_;
--- a/src/request/claim_ledger.h
+++ b/src/request/claim_ledger.h
@@ -55,6 +55,10 @@
                          base::Outbox& outbox);
   void OnTransfer(const std::string& from, const rpc::ClaimTransfer& transfer);
 
+  // Becomes ready once the previous members whose ledgers have arrived suffice
+  // and the journal takes the record of that.
+  void FinishTransfer();
+
   // Asks previous members for their ledgers, and drops expired records.
   void OnTimer(const base::Now& now, base::Outbox& outbox);
 
@@ -76,9 +80,6 @@
                    bool exists);
   bool Append(const rpc::JournalRecord& record);
   bool Store(const rpc::ClaimRecord& record);
-  // The previous members whose ledgers have arrived suffice.
-  void FinishTransfer();
-
   const std::string self_;
   storage::Journal& journal_;
   rpc::ClaimGroup group_;
--- a/src/storage/file_journal.cc
+++ b/src/storage/file_journal.cc
@@ -152,6 +152,7 @@
   if (synced != ResultCode::kOk) {
     return tl::unexpected(synced);
   }
+  loaded_ = true;
   return std::move(decoded->records_);
 }
 
@@ -187,7 +188,7 @@
 
 ResultCode FileJournal::Replace(
     const std::vector<rpc::JournalRecord>& records) {
-  if (file_ < 0) {
+  if (!loaded_) {
     return ResultCode::kStorageFailed;
   }
   std::string bytes;
@@ -201,7 +202,10 @@
   if (file < 0) {
     return Fail(errno);
   }
-  close(std::exchange(file_, file));
+  const int replaced = std::exchange(file_, file);
+  if (replaced >= 0) {
+    close(replaced);
+  }
   const ResultCode written = WriteAll(file_, bytes);
   if (written != ResultCode::kOk) {
     return written;
--- a/src/storage/file_journal.h
+++ b/src/storage/file_journal.h
@@ -53,8 +53,11 @@
   ResultCode SyncFolder();
 
   const std::string path_;
-  // Invariant: open exactly while Load has succeeded and nothing failed.
+  // Invariant: open exactly while Load has succeeded and nothing failed since
+  // then or since the last Replace.
   int file_ = -1;
+  // What was not read must not be replaced.
+  bool loaded_ = false;
   // Appended but not yet written.
   std::string pending_;
   size_t size_ = 0;
--- a/tests/disk_model.h
+++ b/tests/disk_model.h
@@ -31,7 +31,7 @@
 };
 
 // A file journal's bytes on a disk. As in the file, a failed journal refuses
-// everything until it is loaded again.
+// all but a replacement, until that or a load succeeds.
 class DiskJournal : public storage::Journal {
  public:
   DiskJournal(Power& power, base::Random& random)
--- /dev/null
+++ b/tests/full_disk_test.cc
@@ -0,0 +1,162 @@
+// Disks that refuse writes for some seconds and take them again.
+#define BOOST_TEST_MODULE full_disk
+#include <boost/test/unit_test.hpp>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "power_cluster.h"
+#include "storage/file_journal.h"
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Duration kRecovery = seconds(15);
+// A host counts as lost for this long after its disk is well again.
+constexpr base::Duration kCatchUp = seconds(6);
+
+// Sends changes until one more is acknowledged.
+bool Publish(PowerCluster& cluster) {
+  const uint64_t wanted = cluster.AckedNumber() + 1;
+  const auto done = [&] { return cluster.AckedNumber() >= wanted; };
+  for (int i = 0; i < 30 && !done(); ++i) {
+    cluster.SendChange();
+    cluster.Run(milliseconds(500), done);
+  }
+  return done();
+}
+
+void FillForSomeSeconds(PowerCluster& cluster, int host) {
+  cluster.Disk(host).SetFull(true);
+  const uint64_t halves = 2 + cluster.Rng().Below(10);
+  for (uint64_t i = 0; i < halves; ++i) {
+    cluster.SendChange();
+    cluster.Run(milliseconds(500));
+  }
+  cluster.Disk(host).SetFull(false);
+  cluster.Run(kCatchUp);
+}
+
+// Guards against hosts that take no part any more after their disks were full,
+// so that one lost disk later ends the quorum for good.
+BOOST_AUTO_TEST_CASE(EachHostIsOfUseAgainAfterItsDiskWasFull) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    PowerCluster cluster(seed);
+    std::vector<int> hosts;
+    for (int host = 1; host <= PowerCluster::kHosts; ++host) {
+      cluster.Start(host, true);
+      hosts.push_back(host);
+    }
+    BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
+    BOOST_REQUIRE(Publish(cluster));
+    std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
+    const size_t full = 1 + cluster.Rng().Below(hosts.size());
+    for (size_t i = 0; i < full; ++i) {
+      FillForSomeSeconds(cluster, hosts[i]);
+    }
+    BOOST_TEST(Publish(cluster), "seed " << seed << cluster.View());
+    const int lost = hosts.back();
+    cluster.Wipe(lost);
+    cluster.Run(milliseconds(cluster.Rng().Below(1000)));
+    cluster.Start(lost, /*first=*/false);
+    (void)cluster.ReadsBack();
+    BOOST_TEST(cluster.Run(kRecovery, [&] { return cluster.ReadsBack(); }),
+               "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Run(kRecovery, [&] { return cluster.Repaired(); }),
+               "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Broken() == "", "seed " << seed);
+  }
+}
+
+// Guards against a relay that serves no proxy any more after its disk was full.
+BOOST_AUTO_TEST_CASE(ARelayServesAgainAfterItsDiskWasFull) {
+  TestMesh mesh(11);
+  mesh.AddSources(3);
+  mesh.AddRelay("relay", "zone");
+  mesh.AddProxy("proxy", "zone");
+  BOOST_REQUIRE(mesh.AwaitLeader());
+  BOOST_REQUIRE(
+      mesh.Publish(MakePublication(1, {MakeService("a")})).result_code() == 0);
+  mesh.Net().Run(seconds(2));
+  BOOST_REQUIRE(mesh.Proxy("proxy").Config().Find("a") != nullptr);
+  mesh.Journal("relay").SetFailing(true);
+  BOOST_REQUIRE(
+      mesh.Publish(MakePublication(2, {MakeService("b")})).result_code() == 0);
+  mesh.Net().Run(seconds(5));
+  BOOST_TEST(mesh.Proxy("proxy").Config().Find("b") == nullptr);
+  mesh.Journal("relay").SetFailing(false);
+  mesh.Net().Run(seconds(5));
+  BOOST_TEST(mesh.Proxy("proxy").Config().Find("b") != nullptr);
+  BOOST_TEST(mesh.Relay("relay").Claims().Ready());
+  // What it has said since lasts.
+  mesh.Crash("relay");
+  mesh.Restart("relay");
+  BOOST_TEST(mesh.Relay("relay").Config().Find("b") != nullptr);
+}
+
+rpc::JournalRecord Record(uint64_t index) {
+  rpc::JournalRecord record;
+  record.mutable_entry()->set_index(index);
+  return record;
+}
+
+// The kernel refuses writes that make a file longer.
+class LimitFiles {
+ public:
+  explicit LimitFiles(rlim_t bytes) {
+    getrlimit(RLIMIT_FSIZE, &before_);
+    const struct rlimit limit = {bytes, before_.rlim_max};
+    (void)std::signal(SIGXFSZ, SIG_IGN);
+    setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~LimitFiles() { setrlimit(RLIMIT_FSIZE, &before_); }
+
+ private:
+  struct rlimit before_ = {};
+};
+
+BOOST_AUTO_TEST_CASE(AReplacementBringsAFailedJournalBack) {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "journal-XXXXXX").string();
+  BOOST_REQUIRE(mkdtemp(folder.data()) != nullptr);
+  {
+    storage::FileJournal journal(folder + "/a.journal");
+    // Before it is loaded nothing may take the place of what it holds.
+    BOOST_TEST((journal.Replace({Record(9)}) == ResultCode::kStorageFailed));
+    BOOST_REQUIRE(journal.Load().has_value());
+    (void)journal.Append(Record(1));
+    BOOST_REQUIRE((journal.Sync() == ResultCode::kOk));
+    {
+      const LimitFiles limit(std::filesystem::file_size(folder + "/a.journal"));
+      (void)journal.Append(Record(2));
+      BOOST_TEST((journal.Sync() != ResultCode::kOk));
+      BOOST_TEST((journal.Replace({Record(1), Record(2), Record(3)}) !=
+                  ResultCode::kOk));
+    }
+    BOOST_TEST((journal.Append(Record(2)) == ResultCode::kStorageFailed));
+    BOOST_TEST((journal.Replace({Record(1), Record(2)}) == ResultCode::kOk));
+    (void)journal.Append(Record(3));
+    BOOST_TEST((journal.Sync() == ResultCode::kOk));
+  }
+  storage::FileJournal journal(folder + "/a.journal");
+  const auto records = journal.Load();
+  BOOST_REQUIRE(records.has_value());
+  BOOST_REQUIRE(records->size() == 3u);
+  for (uint64_t i = 1; i <= 3; ++i) {
+    BOOST_TEST(records->at(i - 1).entry().index() == i);
+  }
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
--- a/tests/power_loss_test.cc
+++ b/tests/power_loss_test.cc
@@ -31,6 +31,9 @@
   kRepairing,     // A disk was lost just now.
   kSilentVoter,   // A host was dark until its place was taken.
   kMemberChange,  // The membership changes at this moment.
+  kFullDisk,      // A disk refuses writes, perhaps still when the fault comes.
+  kStalledDisk,   // A host waits for its disk.
+  kLostTwice,     // A disk is lost twice within seconds.
   kCount,
 };
 
@@ -156,6 +159,25 @@
       case Before::kMemberChange:
         ChangeMembers();
         break;
+      case Before::kFullDisk:
+        FillDisk();
+        break;
+      case Before::kStalledDisk:
+        cluster_.Freeze(victim_);
+        cluster_.SendChange();
+        cluster_.Run(Between(random_, 100, 5000));
+        if (random_.Below(2) == 0) {
+          cluster_.Thaw(victim_);
+        }
+        break;
+      case Before::kLostTwice:
+        for (int i = 0; i < 2; ++i) {
+          cluster_.Wipe(victim_);
+          cluster_.Run(Between(random_, 0, 500));
+          cluster_.Start(victim_, false);
+          cluster_.Run(Between(random_, 0, 2000));
+        }
+        break;
       default:
         break;
     }
@@ -186,6 +208,16 @@
     cluster_.Run(Between(random_, 0, 40));
   }
 
+  void FillDisk() {
+    cluster_.Disk(victim_).SetFull(true);
+    const uint64_t changes = random_.Below(8);
+    for (uint64_t i = 0; i < changes; ++i) {
+      cluster_.SendChange();
+      cluster_.Run(Between(random_, 100, 600));
+    }
+    cluster_.Disk(victim_).SetFull(random_.Below(2) == 0);
+  }
+
   uint64_t MembershipIndex() {
     uint64_t index = 0;
     for (int host = 1; host <= PowerCluster::kHosts; ++host) {
@@ -232,6 +264,11 @@
       Halve();
     }
     StartStopped(200, 1000);
+    if (cluster_.Runs(victim_)) {
+      cluster_.Run(Between(random_, 0, 2000));
+      cluster_.Disk(victim_).SetFull(false);
+      cluster_.Thaw(victim_);
+    }
   }
 
   void Halve() {
