--- a/tests/power_loss_test.cc
+++ b/tests/power_loss_test.cc
@@ -349,6 +349,45 @@
   }
 }
 
+// Guards against first voters that wait for ever for one that lost its disk
+// before all of them had met.
+BOOST_AUTO_TEST_CASE(AFirstVoterThatIsLostBeforeAllHaveMetIsReplaced) {
+  const uint64_t seeds = FromEnvironment("BUCKTHORNGATE_SEEDS", kDefaultSeeds);
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    PowerCluster cluster(seed);
+    base::Random& random = cluster.Rng();
+    const int lost = AnyHost(random);
+    const uint64_t before = random.Below(PowerCluster::kHosts) + 1;
+    const uint64_t power = random.Below(2);
+    for (int host = 1; host <= PowerCluster::kHosts; ++host) {
+      cluster.Start(host, true);
+      cluster.Run(Between(random, 0, 75));
+      if (static_cast<uint64_t>(host) == before && cluster.Runs(lost)) {
+        cluster.Wipe(lost);
+      }
+    }
+    cluster.Run(Between(random, 0, 1000));
+    cluster.Wipe(lost);
+    for (int host = 1; host <= PowerCluster::kHosts; ++host) {
+      if (power == 1) {
+        cluster.Stop(host, /*power=*/true);
+      }
+    }
+    cluster.Run(Between(random, 200, 1000));
+    for (int host = 1; host <= PowerCluster::kHosts; ++host) {
+      if (!cluster.Runs(host)) {
+        cluster.Start(host, false);
+      }
+    }
+    (void)cluster.ReadsBack();
+    BOOST_TEST(cluster.Run(kRecovery, [&] { return cluster.ReadsBack(); }),
+               "seed " << seed << ", host " << lost << cluster.View());
+    BOOST_TEST(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }),
+               "seed " << seed << ", host " << lost << cluster.View());
+    BOOST_TEST(cluster.Broken() == "", "seed " << seed);
+  }
+}
+
 // Guards against acknowledged changes and moves that are gone, older or not
 // readable after a final fault.
 BOOST_AUTO_TEST_CASE(WhatWasAcknowledgedOutlastsEachFinalFault) {
