--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -82,6 +82,13 @@
   }
 
   void Configure() {
+    if (handlers_.announce_) {
+      ConfigureUpstreams();
+    }
+    ConfigurePages();
+  }
+
+  void ConfigureUpstreams() {
     server_.Post("/announce", [this](const httplib::Request& request,
                                      httplib::Response& response) {
       OnAnnounce(request, response);
@@ -96,6 +103,9 @@
       handlers_.leave_(request.get_param_value("address"));
       AnswerText(response, kOk, "ok");
     });
+  }
+
+  void ConfigurePages() {
     server_.Get("/metrics", [this](const httplib::Request&,
                                    httplib::Response& response) {
       response.set_content(handlers_.metrics_(), "text/plain; version=0.0.4");
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -11,7 +11,8 @@
 
 namespace buckthorngate::daemon {
 
-// What the pages call; safe for concurrent use.
+// What the pages call; safe for concurrent use. The first three are for
+// upstreams: none of them is set on a daemon without a proxy.
 struct AdminHandlers {
   std::function<ResultCode(const registry::Announcement&)> announce_;
   std::function<void(const std::string& address)> drain_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -7,16 +7,18 @@
 #include <grpcpp/impl/codegen/service_type.h>
 
 #include "base/events.h"
-#include "base/hash.h"
+#include "daemon/admin_server.h"
+#include "daemon/control_metrics.h"
 #include "daemon/host_identity.h"
 #include "daemon/node_loop.h"
+#include "daemon/node_options.h"
 #include "daemon/proxy_role.h"
 #include "daemon/source_commands.h"
 #include "distribution/relay_node.h"
 #include "distribution/source_node.h"
 #include "membership/node_id.h"
 #include "rpc/control_service.h"
-#include "storage/file_journal.h"
+#include "storage/timed_journal.h"
 
 namespace buckthorngate::daemon {
 namespace {
@@ -27,7 +29,7 @@
 // Both a source and its loop; a relay likewise.
 template <typename NodeType>
 struct Role {
-  std::unique_ptr<storage::FileJournal> journal_;
+  std::unique_ptr<storage::TimedJournal> journal_;
   std::unique_ptr<NodeType> node_;
   std::unique_ptr<NodeLoop> loop_;
 };
@@ -57,6 +59,8 @@
   ResultCode CreateNodes(const base::Now& now);
   ResultCode CreateSource(const base::Now& now);
   ResultCode CreateRelay();
+  // The pages of a daemon without a proxy, which has pages of its own.
+  ResultCode StartAdmin();
   void AddAddresses();
   void WarnIfOpen();
   rpc::PublishReply Publish(const rpc::PublishRequest& request);
@@ -73,10 +77,12 @@
   uint64_t incarnation_ = 0;
   std::unique_ptr<rpc::MeshTransport> transport_;
   std::unique_ptr<grpc::Service> control_;
+  ControlMetrics numbers_;
   Role<distribution::SourceNode> source_;
   Role<distribution::RelayNode> relay_;
   std::unique_ptr<SourceCommands> commands_;
   std::unique_ptr<ProxyRole> proxy_;
+  std::unique_ptr<AdminServer> admin_;
 };
 
 template <typename NodeType>
@@ -124,62 +130,54 @@
 }
 
 ResultCode Daemon::Impl::CreateSource(const base::Now& now) {
-  source_.journal_ = std::make_unique<storage::FileJournal>(
-      settings_.data_folder_ + "/source.journal");
-  distribution::SourceOptions options;
-  options.id_ = settings_.source_id_;
-  options.seed_ = incarnation_ ^ base::Hash(settings_.source_id_);
-  options.seeds_ = settings_.seeds_;
-  options.address_ = settings_.control_address_;
-  options.zone_ = settings_.zone_;
-  options.members_ = first_members_;
-  for (const auto& [id, address] : settings_.sources_) {
-    rpc::Member& member = *options.members_.add_members();
-    member.set_id(id);
-    member.set_address(address);
-    member.set_learner(id == settings_.source_id_ && settings_.source_joins_);
-  }
+  source_.journal_ = MakeJournal("source", settings_);
+  numbers_.SetSourceJournal(source_.journal_.get());
   tl::expected<std::unique_ptr<distribution::SourceNode>, ResultCode> node =
-      distribution::SourceNode::Create(std::move(options), *source_.journal_,
-                                       now);
+      distribution::SourceNode::Create(
+          MakeSourceOptions(settings_, first_members_, incarnation_),
+          *source_.journal_, now);
   if (!node) {
     return node.error();
   }
   source_.node_ = std::move(*node);
   StartLoop(source_, settings_.source_id_);
-  commands_ = std::make_unique<SourceCommands>(*source_.loop_, *source_.node_);
-  source_.loop_->SetAfterFlush(
-      [this](const base::Now&) { commands_->Complete(); });
+  commands_ = std::make_unique<SourceCommands>(*source_.loop_, *source_.node_,
+                                               numbers_);
+  source_.loop_->SetAfterFlush([this](const base::Now& flushed) {
+    commands_->Complete();
+    numbers_.NoteSource(*source_.node_, flushed);
+  });
   return ResultCode::kOk;
 }
 
 ResultCode Daemon::Impl::CreateRelay() {
-  relay_.journal_ = std::make_unique<storage::FileJournal>(
-      settings_.data_folder_ + "/relay.journal");
-  distribution::RelayOptions options;
-  options.id_ = settings_.relay_id_;
-  options.zone_ = settings_.zone_;
-  options.incarnation_ = incarnation_;
-  options.seed_ = incarnation_ ^ base::Hash(settings_.relay_id_);
-  options.seeds_ = settings_.seeds_;
-  for (const auto& [id, address] : settings_.sources_) {
-    options.sources_.push_back(id);
-  }
-  for (const auto& [id, relay] : settings_.relays_) {
-    if (id != settings_.relay_id_) {
-      options.relays_.push_back(id);
-    }
-  }
+  relay_.journal_ = MakeJournal("relay", settings_);
+  numbers_.SetRelayJournal(relay_.journal_.get());
   tl::expected<std::unique_ptr<distribution::RelayNode>, ResultCode> node =
-      distribution::RelayNode::Create(std::move(options), *relay_.journal_);
+      distribution::RelayNode::Create(MakeRelayOptions(settings_, incarnation_),
+                                      *relay_.journal_);
   if (!node) {
     return node.error();
   }
   relay_.node_ = std::move(*node);
   StartLoop(relay_, settings_.relay_id_);
+  relay_.loop_->SetAfterFlush([this](const base::Now& flushed) {
+    numbers_.NoteRelay(*relay_.node_, flushed);
+  });
   return ResultCode::kOk;
 }
 
+ResultCode Daemon::Impl::StartAdmin() {
+  if (!settings_.admin_told_) {
+    return ResultCode::kOk;
+  }
+  AdminHandlers handlers;
+  handlers.metrics_ = [this] { return numbers_.Render(clock_.Read().mono_); };
+  handlers.ready_ = [this] { return Ready(); };
+  admin_ = std::make_unique<AdminServer>(std::move(handlers));
+  return admin_->Start(settings_.admin_address_);
+}
+
 void Daemon::Impl::AddAddresses() {
   for (const auto& [id, address] : settings_.sources_) {
     transport_->SetAddress(id, address);
@@ -261,9 +259,7 @@
   if (relay_.loop_ != nullptr) {
     relay_.loop_->Start();
   }
-  if (proxy_ != nullptr) {
-    code = proxy_->Start();
-  }
+  code = proxy_ != nullptr ? proxy_->Start() : StartAdmin();
   if (code == ResultCode::kOk) {
     LogEvent(EventId::kStarted, {{"host", settings_.host_},
                                  {"zone", settings_.zone_},
@@ -372,6 +368,9 @@
   if (proxy_ != nullptr) {
     proxy_->Stop();
   }
+  if (admin_ != nullptr) {
+    admin_->Stop();
+  }
   transport_->Stop();
   if (relay_.loop_ != nullptr) {
     relay_.loop_->Stop();
--- /dev/null
+++ b/src/daemon/node_options.h
@@ -0,0 +1,33 @@
+// Options and journals of the nodes of a control host, from the daemon's
+// settings.
+#ifndef SRC_DAEMON_NODE_OPTIONS_H_
+#define SRC_DAEMON_NODE_OPTIONS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "daemon/settings.h"
+#include "distribution/relay_node.h"
+#include "distribution/source_node.h"
+#include "mesh.pb.h"
+#include "storage/timed_journal.h"
+
+namespace buckthorngate::daemon {
+
+// `first_members` are the members that the host's identity brings along.
+distribution::SourceOptions MakeSourceOptions(
+    const Settings& settings,
+    const rpc::Membership& first_members,
+    uint64_t incarnation);
+
+distribution::RelayOptions MakeRelayOptions(const Settings& settings,
+                                            uint64_t incarnation);
+
+// The journal of a node in the daemon's data folder.
+std::unique_ptr<storage::TimedJournal> MakeJournal(const std::string& name,
+                                                   const Settings& settings);
+
+}  // namespace buckthorngate::daemon
+
+#endif  // SRC_DAEMON_NODE_OPTIONS_H_
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -64,6 +64,7 @@
     *item.address_ = reader.String(item.key_, *item.address_);
     CheckAddress(reader, item.key_, *item.address_);
   }
+  settings.admin_told_ = table->contains("admin");
   reader.RejectUnknownKeys();
 }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -34,6 +34,9 @@
   std::string callers_address_ = "127.0.0.1:7401";
   std::string peers_address_ = "127.0.0.1:7402";
   std::string admin_address_ = "127.0.0.1:7403";
+  // Whether the settings name the admin address. A daemon without a proxy has
+  // admin pages only then: such daemons may share a host with one that has.
+  bool admin_told_ = false;
 
   std::string source_id_;
   bool source_joins_ = false;
--- a/src/daemon/source_commands.cc
+++ b/src/daemon/source_commands.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "base/events.h"
+
 namespace buckthorngate::daemon {
 namespace {
 
@@ -17,8 +19,10 @@
   return failure;
 }
 
-SourceCommands::SourceCommands(NodeLoop& loop, distribution::SourceNode& node)
-    : loop_(loop), node_(node) {}
+SourceCommands::SourceCommands(NodeLoop& loop,
+                               distribution::SourceNode& node,
+                               ControlMetrics& numbers)
+    : loop_(loop), node_(node), numbers_(numbers) {}
 
 void SourceCommands::Complete() {
   for (distribution::PublishResult& result : node_.TakePublishResults()) {
@@ -63,9 +67,28 @@
   });
 }
 
-RoutingText SourceCommands::ReadRouting() {
-  const rpc::PublishReply confirmed =
+rpc::PublishReply SourceCommands::ConfirmRead(std::string_view what) {
+  const base::MonoTime came = base::MonoNow();
+  rpc::PublishReply confirmed =
       Run([this](const base::Now& now) { return node_.ConfirmRead(now); });
+  const ResultCode code = ResultCodeFromNumber(confirmed.result_code());
+  numbers_.CountRead(code);
+  if (code != ResultCode::kOk) {
+    const base::MonoTime now = base::MonoNow();
+    base::LogEvent(
+        base::EventId::kReadRefused,
+        {{"what", std::string(what)},
+         {"code", std::string(Describe(code).name_)},
+         {"leader", confirmed.leader()},
+         {"contact_age_ms", std::to_string(numbers_.ContactAge(now) /
+                                           std::chrono::milliseconds(1))},
+         {"waited_us", std::to_string((now - came).count())}});
+  }
+  return confirmed;
+}
+
+RoutingText SourceCommands::ReadRouting() {
+  const rpc::PublishReply confirmed = ConfirmRead("routes");
   RoutingText text;
   text.code_ = ResultCodeFromNumber(confirmed.result_code());
   text.leader_ = confirmed.leader();
@@ -79,8 +102,7 @@
 }
 
 MoveReport SourceCommands::ReadMove(const std::string& service) {
-  const rpc::PublishReply confirmed =
-      Run([this](const base::Now& now) { return node_.ConfirmRead(now); });
+  const rpc::PublishReply confirmed = ConfirmRead("move of " + service);
   MoveReport report;
   report.code_ = ResultCodeFromNumber(confirmed.result_code());
   report.leader_ = confirmed.leader();
--- a/src/daemon/source_commands.h
+++ b/src/daemon/source_commands.h
@@ -8,8 +8,10 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "daemon/control_api.h"
+#include "daemon/control_metrics.h"
 #include "daemon/node_loop.h"
 #include "distribution/source_node.h"
 
@@ -18,8 +20,10 @@
 // Safe for concurrent use, but for Complete.
 class SourceCommands {
  public:
-  // Both must outlive it.
-  SourceCommands(NodeLoop& loop, distribution::SourceNode& node);
+  // All must outlive it.
+  SourceCommands(NodeLoop& loop,
+                 distribution::SourceNode& node,
+                 ControlMetrics& numbers);
 
   rpc::PublishReply Publish(const rpc::Publication& publication);
   rpc::PublishReply PublishRouting(const rpc::RoutingCommand& command);
@@ -34,8 +38,12 @@
   // Starts a command, which returns its ticket, and waits for its result.
   rpc::PublishReply Run(std::function<uint64_t(const base::Now&)> start);
 
+  // Confirms this source for a read; a refusal has a line in the log.
+  rpc::PublishReply ConfirmRead(std::string_view what);
+
   NodeLoop& loop_;
   distribution::SourceNode& node_;
+  ControlMetrics& numbers_;
   // By ticket; used on the source's loop only.
   std::map<uint64_t, std::shared_ptr<std::promise<rpc::PublishReply>>> waiting_;
 };
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -79,6 +79,15 @@
   // Fences the epochs before the configuration's claim group.
   claims_.SetGroup(follower_.State().Claims());
   quarantine_.Lift(follower_.State().LiftedFingerprints());
+  if (!records.empty()) {
+    base::LogEvent(base::EventId::kStateRestored,
+                   {{"node", options_.id_},
+                    {"revision", std::to_string(follower_.State().Revision())},
+                    {"routing_number",
+                     std::to_string(follower_.State().Routing().number())},
+                    {"records", std::to_string(records.size())},
+                    {"tail_cut", journal_.TailCut() ? "true" : "false"}});
+  }
 }
 
 void RelayNode::OnMessage(const rpc::Envelope& envelope, const base::Now& now) {
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -44,6 +44,7 @@
   if (!saved.empty() && !node->state_.Restore(saved)) {
     return tl::unexpected(ResultCode::kStorageCorrupt);
   }
+  node->LogRestored(*persistent);
   node->raft_ = std::make_unique<consensus::RaftCore>(
       node->options_.id_, node->options_.members_, std::move(*persistent),
       node->options_.seed_, now);
@@ -53,6 +54,39 @@
   return node;
 }
 
+void SourceNode::LogRestored(
+    const consensus::PersistentState& persistent) const {
+  if (persistent.entries_.empty() && persistent.snapshot_.state().empty()) {
+    return;
+  }
+  // The entries take effect once a leader tells that they are committed.
+  uint64_t number = state_.HighestNumber();
+  uint64_t routing_number = state_.Config().Routing().number();
+  for (const rpc::LogEntry& entry : persistent.entries_) {
+    rpc::Command command;
+    if (entry.kind() != rpc::ENTRY_KIND_COMMAND ||
+        !command.ParseFromString(entry.payload())) {
+      continue;
+    }
+    if (command.has_publish()) {
+      number = std::max(number, command.publish().publication().number());
+    } else if (command.has_routing()) {
+      routing_number = std::max(routing_number,
+                                command.routing().routing().header().number());
+    }
+  }
+  const uint64_t last = persistent.snapshot_.index() +
+                        static_cast<uint64_t>(persistent.entries_.size());
+  LogEvent(EventId::kStateRestored,
+           {{"node", options_.id_},
+            {"revision", std::to_string(state_.Config().Revision())},
+            {"number", std::to_string(number)},
+            {"routing_number", std::to_string(routing_number)},
+            {"entries", std::to_string(persistent.entries_.size())},
+            {"last_index", std::to_string(last)},
+            {"tail_cut", journal_.TailCut() ? "true" : "false"}});
+}
+
 void SourceNode::OnMessage(const rpc::Envelope& envelope,
                            const base::Now& now) {
   switch (envelope.body_case()) {
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -105,6 +105,7 @@
 
   SourceNode(SourceOptions options, storage::Journal& journal);
 
+  void LogRestored(const consensus::PersistentState& persistent) const;
   bool HasEndpoints(const std::string& service,
                     const std::string& version) const override;
   void OnResume(const rpc::Envelope& envelope, const base::Now& now);
--- a/src/distribution/source_state.h
+++ b/src/distribution/source_state.h
@@ -50,6 +50,8 @@
   const config::DeltaWindow& Deltas() const { return deltas_; }
   const std::deque<rpc::AuditRecord>& Audit() const { return audit_; }
   uint64_t AppliedIndex() const { return applied_index_; }
+  // Of publications.
+  uint64_t HighestNumber() const { return highest_number_; }
 
   // What an earlier publication with this number got; null if there is none.
   const rpc::PublicationOutcome* FindOutcome(uint64_t number) const;
--- a/src/storage/file_journal.cc
+++ b/src/storage/file_journal.cc
@@ -127,7 +127,8 @@
     return tl::unexpected(decoded.error());
   }
   size_ = decoded->valid_bytes_;
-  if (size_ != bytes.size()) {
+  tail_cut_ = size_ != bytes.size();
+  if (tail_cut_) {
     base::LogEvent(base::EventId::kStorageRepaired, {{"file", path_}});
     if (ftruncate(file_, static_cast<off_t>(size_)) != 0) {
       return tl::unexpected(Fail(errno));
--- a/src/storage/file_journal.h
+++ b/src/storage/file_journal.h
@@ -40,6 +40,7 @@
   ResultCode Sync() override;
   ResultCode Replace(const std::vector<rpc::JournalRecord>& records) override;
   size_t Size() const override { return size_; }
+  bool TailCut() const override { return tail_cut_; }
 
  private:
   ResultCode Fail(int error_number);
@@ -52,6 +53,7 @@
   // Appended but not yet written.
   std::string pending_;
   size_t size_ = 0;
+  bool tail_cut_ = false;
 };
 
 }  // namespace buckthorngate::storage
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -25,6 +25,9 @@
   // Errors: kStorageCorrupt, kStorageFailed.
   virtual tl::expected<std::vector<rpc::JournalRecord>, ResultCode> Load() = 0;
 
+  // Whether Load cut an incomplete record off the end.
+  virtual bool TailCut() const { return false; }
+
   virtual ResultCode Append(const rpc::JournalRecord& record) = 0;
 
   // Errors: kStorageFailed, kStorageFull.
--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -10,6 +10,7 @@
 
 #include "base/random.h"
 #include "storage/file_journal.h"
+#include "storage/timed_journal.h"
 
 namespace buckthorngate::tests {
 namespace {
@@ -154,5 +155,44 @@
   }
 }
 
+// Pattern: nothing told how long the disk kept a commit waiting; syncs that
+// have nothing to do would hide the slow ones.
+BOOST_AUTO_TEST_CASE(OnlySyncsThatWriteAreTimed) {
+  const Folder folder;
+  storage::TimedJournal journal("source",
+                                std::make_unique<FileJournal>(folder.File()));
+  BOOST_REQUIRE(journal.Load().has_value());
+  const auto counted = [&journal](const std::string& count) {
+    return journal.SyncTimes().Render("t", "").find("t_count " + count +
+                                                    "\n") != std::string::npos;
+  };
+  BOOST_TEST((journal.Sync() == ResultCode::kOk));
+  BOOST_TEST(counted("0"));
+  BOOST_TEST((journal.Append(Record(1)) == ResultCode::kOk));
+  BOOST_TEST((journal.Sync() == ResultCode::kOk));
+  BOOST_TEST((journal.Sync() == ResultCode::kOk));
+  BOOST_TEST(counted("1"));
+  BOOST_TEST((journal.Replace({Record(2)}) == ResultCode::kOk));
+  BOOST_TEST(counted("2"));
+}
+
+// Pattern: what a restart had cut off its journal was not told with what it
+// took up from it.
+BOOST_AUTO_TEST_CASE(ACutTailIsTold) {
+  const Folder folder;
+  {
+    FileJournal journal(folder.File());
+    BOOST_REQUIRE(journal.Load().has_value());
+    BOOST_TEST(!journal.TailCut());
+    BOOST_TEST((journal.Append(Record(1)) == ResultCode::kOk));
+    BOOST_TEST((journal.Sync() == ResultCode::kOk));
+  }
+  std::ofstream(folder.File(), std::ios::app) << "torn";
+  storage::TimedJournal journal("source",
+                                std::make_unique<FileJournal>(folder.File()));
+  BOOST_REQUIRE(journal.Load().has_value());
+  BOOST_TEST(journal.TailCut());
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -153,5 +153,49 @@
   BOOST_TEST(mesh.LogLines(kDestination, {"E511"}).empty());
 }
 
+// The value of a metric's line, or -1.
+double Value(const std::string& page, const std::string& name) {
+  const size_t at = page.find("\n" + name + " ");
+  return at == std::string::npos ? -1.0
+                                 : std::stod(page.substr(at + name.size() + 2));
+}
+
+// Pattern: control hosts had no metrics, so whether one led, had contact or
+// waited for its disk could be learned only by asking it by hand.
+BOOST_AUTO_TEST_CASE(AControlHostHasAPageAndTellsWhatItRestored) {
+  TracedMesh traced(std::chrono::seconds(60));
+  ProcessMesh& mesh = traced.Mesh();
+  const auto page = [&mesh] {
+    return "\n" + mesh.Admin("control-1", "/metrics").body_;
+  };
+  BOOST_TEST(ProcessMesh::Await([&] {
+    return Value(page(), "buckthorngate_source_revision") >= 1.0 &&
+           Value(page(), "buckthorngate_relay_proxies") == 2.0;
+  }));
+  const std::string first = page();
+  BOOST_TEST(Value(first, "buckthorngate_source_leader") == 1.0, first);
+  BOOST_TEST(Value(first, "buckthorngate_source_commit_index") >= 1.0);
+  BOOST_TEST(Value(first, "buckthorngate_source_members{kind=\"voter\"}") ==
+             1.0);
+  BOOST_TEST(Value(first, "buckthorngate_source_contact_age_seconds") >= 0.0);
+  BOOST_TEST(Value(first, "buckthorngate_source_contact_age_seconds") < 5.0);
+  BOOST_TEST(Value(first,
+                   "buckthorngate_journal_sync_seconds_count{journal="
+                   "\"source\"}") >= 1.0);
+  // Upstreams do not announce themselves to a control host.
+  BOOST_TEST(mesh.Admin("control-1", "/healthz").status_ == 200);
+  BOOST_TEST(mesh.Admin("control-1", "/announce").status_ == 404);
+  // Nothing to restore at the first start.
+  BOOST_TEST(mesh.LogLines("control-1", {"E114"}).empty());
+  mesh.Kill("control-1");
+  mesh.Start("control-1");
+  BOOST_TEST(
+      traced.AwaitLine("control-1", {"E114 state-restored", "node=\"source-1\"",
+                                     " number=\"1\"", "tail_cut=\"false\""}));
+  BOOST_TEST(traced.AwaitLine(
+      "control-1",
+      {"E114 state-restored", "node=\"relay-1\"", "tail_cut=\"false\""}));
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
