Consensus: first voters don't wait for one whose disk is lost

Callers saw: a disk lost during the first start, before all first voters had met: no leader, no answer but errors, for good. Cause: a first voter takes part once each other one has said that it never worked with this identity. A host that lost its disk comes back under another identity, so that the one that is asked never answers. The same holds later for a first voter that was cut off from the lost one since its start. Class: waiting for an identity that can't come back. Now: a request to join from the address of a first member under another identity stands for its answer, as long as a majority of the first members is not lost: what was committed, and each vote that counted, is then known to one that answers. AFirstVoterWaitsIfAMajorityOfTheOthersIsLost holds the limit.

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -290,11 +290,36 @@
     return;
   }
   probe_answers_.insert(from);
+  ConfirmOnceAnswered(now);
+}
+
+void RaftCore::NoteSuccessor(const rpc::Member& successor,
+                             const base::Now& now) {
+  if (role_ != Role::kProbation || !IsVoter(id_)) {
+    return;
+  }
+  for (const rpc::Member& member : membership_.members()) {
+    const bool lost = member.address() == successor.address() &&
+                      member.id() != successor.id() && member.id() != id_;
+    if (lost && !member.learner()) {
+      lost_first_members_.insert(member.id());
+    }
+  }
+  ConfirmOnceAnswered(now);
+}
+
+void RaftCore::ConfirmOnceAnswered(const base::Now& now) {
+  // A majority must be left: what was committed is then known to one of it.
+  if (VoterCount() - lost_first_members_.size() < Majority()) {
+    return;
+  }
+  std::set<std::string> known = probe_answers_;
+  known.insert(lost_first_members_.begin(), lost_first_members_.end());
   // A joining source would be a voter by a committed entry, which a majority
   // knows. A first member's vote may be known to one other only.
   const size_t others = OtherMembers(true).size();
   const size_t needed = IsVoter(id_) ? others : others / 2 + 1;
-  if (probe_answers_.size() >= needed) {
+  if (known.size() >= needed) {
     confirmed_ = true;
     records_.confirmed_ = true;
     role_ = Role::kFollower;
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -10,7 +10,9 @@
 //    of the leader's term.
 //  - The membership changes by one member at a time; a learner has no vote.
 //  - A first-time voter joins only if no other first member has worked with
-//    its identity before, so a lost disk cannot lead to a second vote.
+//    its identity before, so a lost disk cannot lead to a second vote. First
+//    members whose own disks are lost need not be asked, unless so many are
+//    lost that what had been committed could be gone.
 #ifndef SRC_CONSENSUS_RAFT_CORE_H_
 #define SRC_CONSENSUS_RAFT_CORE_H_
 
@@ -105,6 +107,10 @@
   PendingRecords TakeRecords();
   void Persisted(const base::Now& now);
   void Halt();
+  // `successor` lives at its address under an identity of its own, so that a
+  // first member there has lost its disk and answers no more.
+  void NoteSuccessor(const rpc::Member& successor, const base::Now& now);
+
   // Takes part again: storage had failed, and now holds all of this state.
   void Resume(const base::Now& now);
 
@@ -186,6 +192,7 @@
                     const rpc::RaftMessage& message,
                     const base::Now& now);
   void SendProbes();
+  void ConfirmOnceAnswered(const base::Now& now);
   // Records durably that `id` has taken part, before its answer counts.
   void NoteWorkedWith(const std::string& id);
   bool HasWorkedWith(const std::string& id) const;
@@ -261,6 +268,8 @@
   base::MonoTime next_probe_;
   std::set<std::string> votes_;
   std::set<std::string> probe_answers_;
+  // First members that have lost their disks; kept during probation.
+  std::set<std::string> lost_first_members_;
   std::map<std::string, Peer> peers_;
 
   PendingRecords records_;
--- a/src/distribution/source_members.cc
+++ b/src/distribution/source_members.cc
@@ -64,6 +64,7 @@
     planner_.NoteJoin(envelope.join(), now.mono_);
     return;
   }
+  raft_->NoteSuccessor(envelope.join(), now);
   const std::string& leader = raft_->LeaderId();
   // Only the first receiver forwards, so that a request cannot go in circles.
   const bool first_hand = envelope.from() == envelope.join().id();
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -293,5 +293,39 @@
   BOOST_TEST(mesh.Publish(MakePublication(1, {service})).result_code() == 0u);
 }
 
+rpc::Member MemberAt(const std::string& address, const std::string& id) {
+  rpc::Member member;
+  member.set_address(address);
+  member.set_id(id);
+  return member;
+}
+
+// Guards against a second vote of a host that takes itself for new, although
+// those who knew its first one have lost their disks as well.
+BOOST_AUTO_TEST_CASE(AFirstVoterWaitsIfAMajorityOfTheOthersIsLost) {
+  rpc::Membership first;
+  for (const char* const id : {"a", "b", "c"}) {
+    *first.add_members() = MemberAt(id, id);
+  }
+  const base::Now now;
+  rpc::RaftMessage answer;
+  answer.set_type(rpc::RAFT_TYPE_PROBE_REPLY);
+  consensus::RaftCore core("c", first, {}, 1, now);
+  core.NoteSuccessor(MemberAt("d", "d#1"), now);
+  core.NoteSuccessor(MemberAt("a", "a"), now);
+  core.Step("b", answer, now);
+  BOOST_TEST((core.CurrentRole() == consensus::Role::kProbation));
+  core.NoteSuccessor(MemberAt("a", "a#1"), now);
+  BOOST_TEST((core.CurrentRole() == consensus::Role::kFollower));
+
+  consensus::RaftCore lonely("c", first, {}, 1, now);
+  lonely.NoteSuccessor(MemberAt("a", "a#1"), now);
+  lonely.NoteSuccessor(MemberAt("b", "b#1"), now);
+  BOOST_TEST((lonely.CurrentRole() == consensus::Role::kProbation));
+  answer.set_reject(true);
+  lonely.Step("b", answer, now);
+  BOOST_TEST((lonely.CurrentRole() == consensus::Role::kHalted));
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
--- a/tests/power_cluster.cc
+++ b/tests/power_cluster.cc
@@ -2,6 +2,7 @@
 #include "power_cluster.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "membership/node_id.h"
@@ -32,6 +33,18 @@
 
 }  // namespace
 
+uint64_t FromEnvironment(const char* name, uint64_t otherwise) {
+  const char* const text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+std::chrono::milliseconds Between(base::Random& random,
+                                  uint64_t least_ms,
+                                  uint64_t most_ms) {
+  return std::chrono::milliseconds(least_ms +
+                                   random.Below(most_ms - least_ms + 1));
+}
+
 PowerCluster::PowerCluster(uint64_t seed)
     : random_(seed), net_(seed), next_seed_(seed * 1000) {
   for (int host = 1; host <= kSeeds; ++host) {
--- a/tests/power_cluster.h
+++ b/tests/power_cluster.h
@@ -17,6 +17,16 @@
 
 namespace buckthorngate::tests {
 
+// Seeds that a test plays unless BUCKTHORNGATE_SEEDS says otherwise.
+inline constexpr uint64_t kDefaultSeeds = 400;
+
+// The number in this variable of the environment, or `otherwise`.
+uint64_t FromEnvironment(const char* name, uint64_t otherwise);
+
+std::chrono::milliseconds Between(base::Random& random,
+                                  uint64_t least_ms,
+                                  uint64_t most_ms);
+
 class PowerCluster {
  public:
   static constexpr int kHosts = 4;
@@ -69,6 +79,7 @@
 
   FakeMesh& Net() { return net_; }
   base::Random& Rng() { return random_; }
+  int AnyHost() { return static_cast<int>(random_.Below(kHosts)) + 1; }
   static std::string AddressOf(int host);
 
  private:
