Membership: a voter whose disk is lost leaves before its successor votes

Callers saw: with three control hosts, a disk that was lost again while its first loss was being repaired: no leader, no answer but errors, for good. Cause: the successor was promoted beside the dead voter (four voters, majority three). Lost in turn, it leaves two dead voters of four; two live hosts can neither elect nor remove anybody. Class: a repair that for a moment needs more live hosts than the state it repairs. Now: a voter whose disk is lost for certain (another identity lives at its address) is removed first, once a successor has caught up, and the successor promoted next. The two live voters decide at each stage, as they did before. A silent voter may come back and is still replaced before it is removed. Weighed: exchanging both in one entry. That is a change by two members and not safe without a joint phase.

--- a/src/membership/planner.cc
+++ b/src/membership/planner.cc
@@ -91,6 +91,11 @@
                             "lost, and replaced"};
   }
   const MemberStatus* ready = FindReadyLearner(members);
+  if (lost != nullptr && ready != nullptr && voters == kWantedVoters &&
+      Superseded(*lost, members)) {
+    return MembershipChange{ChangeKind::kRemove, lost->member_,
+                            "its disk is lost"};
+  }
   if (ready != nullptr && (lost != nullptr || voters < kWantedVoters)) {
     return MembershipChange{
         ChangeKind::kPromote, ready->member_,
--- a/src/membership/planner.h
+++ b/src/membership/planner.h
@@ -1,9 +1,12 @@
 // Keeps the sources' membership at its fault tolerance without an operator.
 //
 // The leader adds hosts that ask to join as learners, promotes a caught-up
-// learner when a voter has lost its disk or is silent, and then removes that
-// voter. A lost voter is removed only after its successor was promoted, so
-// that the number of voters never falls while one is repaired.
+// learner when a voter has lost its disk or is silent, and removes that voter.
+//
+// A silent voter may come back: it is removed only after its successor was
+// promoted, so that the number of voters that can be reached never falls. One
+// whose disk is lost is removed first, once a successor is ready: beside it, a
+// successor that is lost as well would leave two dead voters of four.
 #ifndef SRC_MEMBERSHIP_PLANNER_H_
 #define SRC_MEMBERSHIP_PLANNER_H_
 
