Stop only once answers to other daemons are passed on, or the time is up

What callers saw: answers cut half way (a download), or a 502 although the endpoint was at work, at a daemon other than the one that was stopped.

Cause: a stopping daemon waits for the slots of its upstreams until a second before its time is up, then for its own callers, and ends. That second was meant for callers' last requests; with none of them it ended at once, while an answer of its upstream was still on its way to another daemon. Class: an own end put in place of an outcome that is still under way.

Tried before: a slow reader of 4 to 24 MB with and without the fix; it never failed for this reason (sockets' buffers take the last pieces; the failures seen were connections that the stand-in did not take). Draining the listener for other daemons as well: reverted, since a daemon that refuses connections is taken for one that is gone while it still answers.

--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -237,6 +237,11 @@
   loop_.RunAndWait([this] { callers_.Drain(); });
   LogStopStep("callers-refused", began);
   AwaitIdle([this] { return board_.InFlight().load(); }, give_up);
+  // An answer may be on its way to another daemon for longer than its slot is
+  // taken. Their connections stay open until the end: a daemon that refused
+  // them would be taken for one that is gone.
+  AwaitIdle([this] { return static_cast<int64_t>(peers_.OpenCalls()); },
+            give_up);
   LogStopStep("calls-awaited", began);
   node_loop_.RunAndWait(
       [this](const base::Now&) { node_->Local().LeaveAll(); });
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -50,7 +50,12 @@
 // Two zones, two proxies each, one upstream in each zone, published.
 class ServedMesh {
  public:
-  explicit ServedMesh(int zones = 2, int proxies = 2) : mesh_(zones, proxies) {
+  explicit ServedMesh(
+      int zones = 2,
+      int proxies = 2,
+      std::chrono::milliseconds drain_time = std::chrono::seconds(60))
+      : mesh_(zones, proxies) {
+    mesh_.SetDrainTime(drain_time);
     mesh_.StartAll();
     for (int zone = 1; zone <= zones; ++zone) {
       upstreams_.push_back(
@@ -391,6 +396,24 @@
   BOOST_TEST(served_calls > 300);
 }
 
+// Guards against a daemon that stops before its time is up although an answer
+// to another daemon is still open, which cuts it for a caller elsewhere.
+BOOST_AUTO_TEST_CASE(AStoppingDaemonUsesAllItsTimeForAnswersToOthers) {
+  constexpr std::chrono::milliseconds kDrainTime{4000};
+  ServedMesh served(1, 2, kDrainTime);
+  ProcessMesh& mesh = served.Mesh();
+  HttpAnswer answer;
+  std::thread caller([&] {
+    answer = mesh.Call("proxy-1-2", "POST", "/shop/slow?ms=3800", "once");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  // The upstream stands beside this daemon; the caller is at the other one.
+  mesh.Signal("proxy-1-1", SIGTERM);
+  mesh.Wait("proxy-1-1");
+  caller.join();
+  BOOST_TEST(answer.status_ == 200);
+}
+
 // The number in a stand-in's answer "... call N".
 int CallNumber(const std::string& body) {
   const size_t at = body.rfind("call ");
