A wait without a limit ended at once: a daemon died under a body that went on

Callers saw: connections refused, and every request under way at that daemon without an answer. A caller that went on sending its body after it had its answer ended the whole process.

Cause: Notifier::Wait(MonoTime::max()) overflowed in the timer's nanoseconds, so that it returned false at once. FinishUpload aborts the caller's connection and then waits without a limit until nothing reads the body; that wait was none, the call was destroyed, and the coroutine that sends the body read from it (SIGSEGV in RunStreamed's sender, seen in gdb). The same wait stands in RunHedged, which turned without pause until a hedged request ended: found by reading, its cost was not measured.

Ruled out: a refused connect for another reason (the process was gone), memory.

Evidence: endless_test/AnEndlessRequestIsRefusedAndClosed, part "body", in three runs before: the daemon died each time (two hung or aborted the test program, the third showed the refused connections); after: the daemon serves on, in three runs. AWaitWithoutALimitEndsWhenItIsNotified is the small case; it was written after the fix and was not run without it.

Conclusion: whoever waits without a limit says so with MonoTime::max(), and the one place that knows the timer's unit converts it.

--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -70,7 +70,10 @@
 
 Task<bool> Notifier::Wait(base::MonoTime until) {
   if (!notified_) {
-    timer_.expires_at(until);
+    // The timer counts in a finer unit, so the largest time would overflow.
+    timer_.expires_at(until == base::MonoTime::max()
+                          ? asio::steady_timer::time_point::max()
+                          : asio::steady_timer::time_point(until));
     ErrorCode error;
     co_await timer_.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -262,6 +262,26 @@
   std::thread thread_;
 };
 
+// Guards against a wait without a limit that ends at once: the largest time
+// overflowed in the timer's finer unit, so that a request's body was read on
+// after its request had gone, and the daemon died.
+BOOST_AUTO_TEST_CASE(AWaitWithoutALimitEndsWhenItIsNotified) {
+  http::EventLoop loop;
+  http::Notifier notifier(loop);
+  std::promise<bool> notified;
+  const auto wait = [](http::Notifier& waited,
+                       std::promise<bool>& result) -> http::Task<void> {
+    const bool value = co_await waited.Wait(base::MonoTime::max());
+    result.set_value(value);
+  };
+  loop.Spawn(wait(notifier, notified));
+  loop.Start();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  loop.RunAndWait([&notifier] { notifier.Notify(); });
+  BOOST_TEST(notified.get_future().get());
+  loop.Stop();
+}
+
 struct Result {
   ResultCode code_ = ResultCode::kOk;
   std::string body_;
