A chunk's size, extension or trailer without end filled the memory

Callers saw: a failure at their deadline; hosts with 88 MB would have killed the daemon, and with it all that it had under way.

Cause: the parser looks for the line's end in the read-ahead buffer, which had no largest size; the limit of heads does not count there. It is 128 KiB now, room for the largest head and one piece. What exceeds it is malformed.

The server's side had a bound already (its head limit and 128 KiB).

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
 // Answers to earlier requests that may come first.
 constexpr int kMostSkipped = 4;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -2,16 +2,24 @@
 #ifndef SRC_HTTP_CLIENT_CONNECTION_H_
 #define SRC_HTTP_CLIENT_CONNECTION_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 #include "base/time.h"
 #include "http/beast.h"
+#include "http/body.h"
 
 namespace buckthorngate::http {
 
+// A head may take this much.
+inline constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
+
 class ClientConnection {
  public:
+  // Bytes that are read ahead. A chunk's size and extensions and the trailer
+  // have no limit but this one.
+  static constexpr size_t kBufferBytes = kAnswerHeaderBytes + kPieceBytes;
   using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
   ClientConnection(asio::io_context& context, std::string address)
@@ -28,7 +36,7 @@
 
   const std::string address_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kBufferBytes};
   std::optional<Parser> parser_;
   base::MonoTime unused_after_;
 };
