Interim and foreign answers without end: bounded in number and in memory

Callers saw: a 504 at their deadline, with the daemon's processor busy all the time (interim answers); or a 502 with up to 4 MiB held for each slot (the body of an answer to an earlier request was gathered before it was dropped).

Cause: the loop over heads counted foreign answers only; SkipBody kept what it dropped. Now 32 interim answers at most, and 4 MiB of foreign bodies together, dropped piece by piece. Both say in the log which bound was met.

Evidence: AFastFloodInsteadOfAnAnswerIsCutAsAFailure, before: "interim" 504 after 1520 ms, 1530 ms of processor; "foreign-body" added 45,260 KiB; after: 502 after 1 ms, 10 ms of processor; 40 KiB. EachCutIsLoggedWithItsCause failed before for all four of its causes and passes.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,9 +12,11 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr int kFirstFinalStatus = 200;
-// Answers to earlier requests that may come first.
+// Answers to earlier requests that may come first, and their bodies together.
 constexpr int kMostSkipped = 4;
 constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
+// Interim answers (1xx) that may come first.
+constexpr int kMostInterim = 32;
 // A long answer that makes no progress for this long is given up.
 constexpr base::Duration kPieceTimeout = std::chrono::seconds(10);
 // Left out of the idle time that the other side announces.
@@ -186,15 +188,19 @@
 Task<bool> Exchange::SkipBody() {
   std::string dropped;
   BodyState state = BodyState::kMore;
-  while (state == BodyState::kMore && dropped.size() < kMostSkippedBytes) {
-    state = co_await ReadPiece(dropped, kMostSkippedBytes);
+  while (state == BodyState::kMore && skipped_bytes_ < kMostSkippedBytes) {
+    dropped.clear();
+    state = co_await ReadPiece(dropped, kPieceBytes);
+    skipped_bytes_ += dropped.size();
   }
   co_return state == BodyState::kEnd && connection_->Open();
 }
 
 Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::ReadHead(
     const std::function<bool(const AnswerHead&)>& belongs) {
-  for (int skipped = 0; skipped < kMostSkipped;) {
+  int interim = 0;
+  int skipped = 0;
+  while (skipped < kMostSkipped && interim < kMostInterim) {
     connection_->parser_.emplace();
     ClientConnection::Parser& parser = *connection_->parser_;
     parser.header_limit(kAnswerHeaderBytes);
@@ -214,6 +220,7 @@
     AnswerHead head;
     head.status_ = static_cast<int>(parser.get().result_int());
     if (head.status_ < kFirstFinalStatus) {
+      ++interim;
       continue;
     }
     CopyHeaders(parser.get(), head.headers_);
@@ -223,11 +230,18 @@
     ++skipped;
     const bool skipped_whole = co_await SkipBody();
     if (!skipped_whole) {
-      break;
+      co_return tl::unexpected(
+          ExchangeFailure{ResultCode::kAnswerCrossed, false,
+                          "cut or too long answer to an earlier request"});
     }
   }
+  if (interim >= kMostInterim) {
+    co_return tl::unexpected(FailureOf("too many interim answers",
+                                       /*malformed=*/true, /*not_sent=*/false));
+  }
   co_return tl::unexpected(
-      ExchangeFailure{ResultCode::kAnswerCrossed, false, ""});
+      ExchangeFailure{ResultCode::kAnswerCrossed, false,
+                      "too many answers to earlier requests"});
 }
 
 Task<BodyState> Exchange::Read(std::string& piece, size_t most) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -136,6 +136,7 @@
   std::string method_;
   base::MonoTime deadline_;
   bool streaming_ = false;
+  size_t skipped_bytes_ = 0;
   bool finished_ = false;
 };
 
