Long answers were read and passed on in very small pieces

Callers saw: slow downloads. With small chunks, nothing at all before the deadline.

Cause: the read-ahead buffer keeps the size that the head needed, and each read is as small; and each chunk, however short, was a read, a write and a chunk of its own. Now a long answer has 32 KiB of read-ahead (given back with the connection), and all chunks that have come are taken together.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
 // Interim answers (1xx) that may come first.
 constexpr int kMostInterim = 32;
+// Read ahead of a long answer at once.
+constexpr size_t kStreamBufferBytes = size_t{32} * 1024;
 // A long answer that takes longer for kPieceBytes after its deadline is given
 // up. Only the time that is spent waiting for it counts.
 constexpr base::Duration kPieceTimeout = std::chrono::seconds(10);
@@ -256,6 +258,8 @@
 void Exchange::StreamAnswer() {
   streaming_ = true;
   patience_ = kPieceTimeout;
+  // Otherwise the buffer stays as small as heads need it, and each read too.
+  connection_->buffer_.reserve(kStreamBufferBytes);
 }
 
 base::MonoTime Exchange::PieceDeadline(base::MonoTime now) const {
@@ -281,6 +285,17 @@
   return BodyState::kFailed;
 }
 
+ErrorCode Exchange::ParseReadAhead() {
+  ClientConnection::Parser& parser = *connection_->parser_;
+  ErrorCode error;
+  while (!error && !parser.is_done() && parser.get().body().size > 0 &&
+         connection_->buffer_.size() > 0) {
+    const size_t used = parser.put(connection_->buffer_.data(), error);
+    connection_->buffer_.consume(used);
+  }
+  return error == bhttp::error::need_more ? ErrorCode() : error;
+}
+
 Task<BodyState> Exchange::ReadPiece(std::string& piece, size_t most) {
   ClientConnection::Parser& parser = *connection_->parser_;
   if (parser.is_done()) {
@@ -304,6 +319,9 @@
   co_await bhttp::async_read_some(
       connection_->stream_, connection_->buffer_, parser,
       asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    error = ParseReadAhead();
+  }
   piece.resize(piece.size() - body.size);
   NotePace(piece.size() - held, base::MonoNow() - began);
   // An end without a length: the connection's orderly end completes it.
@@ -342,6 +360,9 @@
     return;
   }
   connection_->stream_.expires_never();
+  if (streaming_) {
+    connection_->buffer_.shrink_to_fit();
+  }
   pool_.Return(connection_, idle);
 }
 
