Idle connections on which bytes come are closed within a second

Nobody got the bytes, but the connection stayed open, with full socket buffers, until the next request to that address; without one, for ever. The pool looks after its idle connections each second while it has any.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -59,10 +59,15 @@
  private:
   ClientConnectionPtr TakeIdle(const std::string& address);
   void DropOld(std::vector<ClientConnectionPtr>& idle) const;
+  // Looks after the idle connections from time to time while there are any.
+  void ArmSweep();
+  void Sweep();
 
   EventLoop& loop_;
   const ClientOptions options_;
   std::map<std::string, std::vector<ClientConnectionPtr>> idle_;
+  asio::steady_timer sweep_;
+  bool sweeping_ = false;
 };
 
 // Whether a TCP connection to the address can be established in time.
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -11,6 +11,10 @@
 namespace buckthorngate::http {
 namespace {
 
+// Idle connections that the other side has closed or sent bytes on are closed
+// after this long at most.
+constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
+
 Task<ErrorCode> Connect(ClientConnection& connection, base::MonoTime until) {
   ErrorCode error = asio::error::invalid_argument;
   const std::optional<Tcp::endpoint> endpoint =
@@ -34,7 +38,7 @@
 }
 
 ConnectionPool::ConnectionPool(EventLoop& loop, ClientOptions options)
-    : loop_(loop), options_(options) {}
+    : loop_(loop), options_(options), sweep_(loop.Context()) {}
 ConnectionPool::~ConnectionPool() = default;
 
 void ConnectionPool::DropOld(std::vector<ClientConnectionPtr>& idle) const {
@@ -95,6 +99,33 @@
   connection->unused_after_ =
       base::MonoNow() + std::min(idle, options_.most_idle_);
   held.push_back(std::move(connection));
+  ArmSweep();
+}
+
+void ConnectionPool::ArmSweep() {
+  if (std::exchange(sweeping_, true)) {
+    return;
+  }
+  sweep_.expires_after(kSweepInterval);
+  sweep_.async_wait([this](const ErrorCode& error) {
+    if (!error) {
+      Sweep();
+    }
+  });
+}
+
+void ConnectionPool::Sweep() {
+  sweeping_ = false;
+  for (auto& [address, idle] : idle_) {
+    DropOld(idle);
+    std::erase_if(idle, [](const ClientConnectionPtr& connection) {
+      return !connection->Quiet();
+    });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+  if (!idle_.empty()) {
+    ArmSweep();
+  }
 }
 
 void ConnectionPool::Forget(const std::string& address) {
