What follows an answer on a caller's connection is read for a bounded time

Cause, in Linger: the stream's timer does not end reads that find bytes at once, so a caller that floods was read on. In DiscardRest: Read sets the idle time, so the 500 ms for the rest of a body became 15 s for each piece of it.

Evidence: AnEndlessRequestIsRefusedAndClosed, before: "line" and "fields" were still read 4 s after their 431, the others 1.2 to 2.6 s; "slow body" was still open 4 s after its start; after: 1.0 to 1.1 s, and 2.1 s.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -190,9 +190,17 @@
 }
 
 Task<void> Server::Connection::DiscardRest() {
-  stream_.expires_after(kDiscardTime);
+  read_until_ = base::MonoNow() + kDiscardTime;
   std::string dropped;
-  const BodyState state = co_await ReadUpTo(*this, dropped, kDiscardBytes);
+  size_t bytes = 0;
+  BodyState state = BodyState::kMore;
+  while (state == BodyState::kMore && bytes < kDiscardBytes &&
+         base::MonoNow() < read_until_) {
+    dropped.clear();
+    state = co_await Read(dropped, kPieceBytes);
+    bytes += dropped.size();
+  }
+  read_until_ = base::MonoTime::max();
   keep_ = state == BodyState::kEnd;
 }
 
@@ -200,7 +208,9 @@
   ErrorCode error;
   stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
   stream_.expires_after(kLingerTime);
-  while (!error) {
+  // The stream's own timer does not end a read that finds bytes at once.
+  const base::MonoTime until = base::MonoNow() + kLingerTime;
+  while (!error && base::MonoNow() < until) {
     buffer_.clear();
     co_await stream_.async_read_some(
         buffer_.prepare(kReadBytes),
@@ -258,8 +268,9 @@
   bhttp::buffer_body::value_type& body = parser_->get().body();
   body.data = piece.data() + held;
   body.size = room;
-  stream_.expires_after(server_ == nullptr ? base::Duration(0)
-                                           : server_->limits_.idle_timeout_);
+  const base::Duration idle =
+      server_ == nullptr ? base::Duration(0) : server_->limits_.idle_timeout_;
+  stream_.expires_at(std::min(base::MonoNow() + idle, read_until_));
   ErrorCode error;
   co_await bhttp::async_read_some(
       stream_, buffer_, *parser_,
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -73,6 +73,8 @@
   std::shared_ptr<CancelSignal> gone_;
   std::optional<Stream> answer_;
   std::optional<bhttp::response_serializer<bhttp::buffer_body>> serializer_;
+  // Bounds reads of a body beside the idle time.
+  base::MonoTime read_until_ = base::MonoTime::max();
   bool watching_ = false;
   bool handling_ = false;
   bool keep_ = true;
