A request whose body trickles in is answered at its deadline

Cause: the body that is held whole was read with the idle time for each piece only, so that a byte each 50 ms could hold the request for most of an hour.

Evidence: AnEndlessRequestIsRefusedAndClosed, "slow body".

--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -147,7 +147,14 @@
   }
   const bool once = match_.route_->at_most_once();
   const size_t most = once ? kClaimBodyBytes : kWholeBodyBytes;
-  const http::BodyState state = co_await http::ReadUpTo(call_, body_, most);
+  http::BodyState state = http::BodyState::kMore;
+  while (state == http::BodyState::kMore && body_.size() < most) {
+    state = co_await call_.Read(body_, most);
+    // A body that trickles in keeps nobody past the request's time.
+    if (state == http::BodyState::kMore && Left().count() <= 0) {
+      co_return ResultCode::kDeadlineExceeded;
+    }
+  }
   if (state == http::BodyState::kFailed) {
     co_return ResultCode::kCallerGone;
   }
