--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -11,12 +11,16 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
-// Answers to earlier requests that may come first.
+// Answers to earlier requests that may come first, and their bodies together.
 constexpr int kMostSkipped = 4;
 constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
-// A long answer that makes no progress for this long is given up.
+// Interim answers (1xx) that may come first.
+constexpr int kMostInterim = 32;
+// Read ahead of a long answer at once.
+constexpr size_t kStreamBufferBytes = size_t{32} * 1024;
+// A long answer that takes longer for kPieceBytes after its deadline is given
+// up. Only the time that is spent waiting for it counts.
 constexpr base::Duration kPieceTimeout = std::chrono::seconds(10);
 // Left out of the idle time that the other side announces.
 constexpr base::Duration kIdleMargin = std::chrono::milliseconds(1500);
@@ -187,15 +191,19 @@
 Task<bool> Exchange::SkipBody() {
   std::string dropped;
   BodyState state = BodyState::kMore;
-  while (state == BodyState::kMore && dropped.size() < kMostSkippedBytes) {
-    state = co_await ReadPiece(dropped, kMostSkippedBytes);
+  while (state == BodyState::kMore && skipped_bytes_ < kMostSkippedBytes) {
+    dropped.clear();
+    state = co_await ReadPiece(dropped, kPieceBytes);
+    skipped_bytes_ += dropped.size();
   }
   co_return state == BodyState::kEnd && connection_->Open();
 }
 
 Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::ReadHead(
     const std::function<bool(const AnswerHead&)>& belongs) {
-  for (int skipped = 0; skipped < kMostSkipped;) {
+  int interim = 0;
+  int skipped = 0;
+  while (skipped < kMostSkipped && interim < kMostInterim) {
     connection_->parser_.emplace();
     ClientConnection::Parser& parser = *connection_->parser_;
     parser.header_limit(kAnswerHeaderBytes);
@@ -215,6 +223,7 @@
     AnswerHead head;
     head.status_ = static_cast<int>(parser.get().result_int());
     if (head.status_ < kFirstFinalStatus) {
+      ++interim;
       continue;
     }
     CopyHeaders(parser.get(), head.headers_);
@@ -224,11 +233,18 @@
     ++skipped;
     const bool skipped_whole = co_await SkipBody();
     if (!skipped_whole) {
-      break;
+      co_return tl::unexpected(
+          ExchangeFailure{ResultCode::kAnswerCrossed, false,
+                          "cut or too long answer to an earlier request"});
     }
   }
+  if (interim >= kMostInterim) {
+    co_return tl::unexpected(FailureOf("too many interim answers",
+                                       /*malformed=*/true, /*not_sent=*/false));
+  }
   co_return tl::unexpected(
-      ExchangeFailure{ResultCode::kAnswerCrossed, false, ""});
+      ExchangeFailure{ResultCode::kAnswerCrossed, false,
+                      "too many answers to earlier requests"});
 }
 
 Task<BodyState> Exchange::Read(std::string& piece, size_t most) {
@@ -239,6 +255,48 @@
   co_return state;
 }
 
+void Exchange::StreamAnswer() {
+  streaming_ = true;
+  patience_ = kPieceTimeout;
+  // Otherwise the buffer stays as small as heads need it, and each read too.
+  connection_->buffer_.reserve(kStreamBufferBytes);
+}
+
+base::MonoTime Exchange::PieceDeadline(base::MonoTime now) const {
+  if (!streaming_) {
+    return deadline_;
+  }
+  return std::min(std::max(deadline_, now + patience_),
+                  deadline_ + pool_.Options().most_overtime_);
+}
+
+void Exchange::NotePace(size_t bytes, base::Duration waited) {
+  patience_ -= std::min(waited, patience_);
+  piece_came_ += bytes;
+  if (piece_came_ >= kPieceBytes) {
+    piece_came_ = 0;
+    patience_ = kPieceTimeout;
+  }
+}
+
+BodyState Exchange::Cut(const std::string& detail, bool malformed) {
+  failure_ = FailureOf(detail, malformed, /*not_sent=*/false);
+  failure_text_ = std::string(Describe(failure_.code_).name_) + ": " + detail;
+  connection_->Close();
+  return BodyState::kFailed;
+}
+
+ErrorCode Exchange::ParseReadAhead() {
+  ClientConnection::Parser& parser = *connection_->parser_;
+  ErrorCode error;
+  while (!error && !parser.is_done() && parser.get().body().size > 0 &&
+         connection_->buffer_.size() > 0) {
+    const size_t used = parser.put(connection_->buffer_.data(), error);
+    connection_->buffer_.consume(used);
+  }
+  return error == bhttp::error::need_more ? ErrorCode() : error;
+}
+
 Task<BodyState> Exchange::ReadPiece(std::string& piece, size_t most) {
   ClientConnection::Parser& parser = *connection_->parser_;
   if (parser.is_done()) {
@@ -250,14 +308,24 @@
   bhttp::buffer_body::value_type& body = parser.get().body();
   body.data = piece.data() + held;
   body.size = room;
-  connection_->stream_.expires_at(
-      streaming_ ? std::max(deadline_, base::MonoNow() + kPieceTimeout)
-                 : deadline_);
+  const base::MonoTime began = base::MonoNow();
+  const base::MonoTime until = PieceDeadline(began);
+  if (began >= until) {
+    // The stream's own timer does not end a read that finds bytes at once.
+    piece.resize(held);
+    co_return Cut(streaming_ ? "too slow or too long" : "deadline passed",
+                  /*malformed=*/false);
+  }
+  connection_->stream_.expires_at(until);
   ErrorCode error;
   co_await bhttp::async_read_some(
       connection_->stream_, connection_->buffer_, parser,
       asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    error = ParseReadAhead();
+  }
   piece.resize(piece.size() - body.size);
+  NotePace(piece.size() - held, base::MonoNow() - began);
   // An end without a length: the connection's orderly end completes it.
   if (error == asio::error::eof && parser.need_eof()) {
     ErrorCode ended;
@@ -265,25 +333,11 @@
     error = ended;
   }
   if (error && error != bhttp::error::need_buffer) {
-    NoteFailure(error);
-    connection_->Close();
-    co_return BodyState::kFailed;
+    co_return Cut(error.message(), IsMalformed(error));
   }
   co_return parser.is_done() ? BodyState::kEnd : BodyState::kMore;
 }
 
-void Exchange::NoteFailure(const ErrorCode& error) {
-  ResultCode code = ResultCode::kUpstreamFailed;
-  if (cancel_.Raised()) {
-    code = ResultCode::kCallerGone;
-  } else if (error == beast::error::timeout) {
-    code = ResultCode::kDeadlineExceeded;
-  } else if (IsMalformed(error)) {
-    code = ResultCode::kAnswerMalformed;
-  }
-  failure_ = std::string(Describe(code).name_) + ": " + error.message();
-}
-
 std::optional<uint64_t> Exchange::Length() const {
   const boost::optional<std::uint64_t> length =
       connection_->parser_->content_length();
@@ -308,6 +362,9 @@
     return;
   }
   connection_->stream_.expires_never();
+  if (streaming_) {
+    connection_->buffer_.shrink_to_fit();
+  }
   pool_.Return(connection_, idle);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -33,6 +33,9 @@
   base::Duration most_idle_ = std::chrono::seconds(3);
   base::Duration connect_timeout_ = std::chrono::milliseconds(300);
   size_t most_idle_connections_ = 64;  // For each address.
+  // A long answer's body may outlast its request's deadline by this much, while
+  // it comes fast enough.
+  base::Duration most_overtime_ = std::chrono::minutes(2);
 };
 
 // Idle connections by address. Used on the loop's thread only.
@@ -51,14 +54,20 @@
   void Return(ClientConnectionPtr connection, base::Duration idle);
   // Closes the idle connections to an address.
   void Forget(const std::string& address);
+  const ClientOptions& Options() const { return options_; }
 
  private:
   ClientConnectionPtr TakeIdle(const std::string& address);
   void DropOld(std::vector<ClientConnectionPtr>& idle) const;
+  // Looks after the idle connections from time to time while there are any.
+  void ArmSweep();
+  void Sweep();
 
   EventLoop& loop_;
   const ClientOptions options_;
   std::map<std::string, std::vector<ClientConnectionPtr>> idle_;
+  asio::steady_timer sweep_;
+  bool sweeping_ = false;
 };
 
 // Whether a TCP connection to the address can be established in time.
@@ -108,10 +117,12 @@
   // The answer's body, after its head. Hands the connection back at the end.
   Task<BodyState> Read(std::string& piece, size_t most) override;
   std::optional<uint64_t> Length() const override;
-  std::string_view Failure() const override { return failure_; }
-  // The answer is long: from now on each piece has a time of its own, instead
-  // of the deadline for all of it.
-  void StreamAnswer() { streaming_ = true; }
+  std::string_view Failure() const override { return failure_text_; }
+  // The answer is long: from now on it may outlast the deadline, as long as it
+  // makes progress, up to the pool's most_overtime_.
+  void StreamAnswer();
+  // Why Read returned kFailed.
+  const ExchangeFailure& FailureInfo() const { return failure_; }
 
   // Waits until a streamed request's body is no longer read; false if that
   // takes longer than `most`. At once true for whole bodies.
@@ -124,11 +135,17 @@
       const std::function<bool(const AnswerHead&)>& belongs);
   Task<bool> SkipBody();
   Task<BodyState> ReadPiece(std::string& piece, size_t most);
+  // When the next piece of the body must have come.
+  base::MonoTime PieceDeadline(base::MonoTime now) const;
+  void NotePace(size_t bytes, base::Duration waited);
+  // Closes the connection for this reason.
+  BodyState Cut(const std::string& detail, bool malformed);
+  // Takes what has been read ahead, as far as the body's buffer has room.
+  ErrorCode ParseReadAhead();
   ExchangeFailure FailureOf(const std::string& detail,
                             bool malformed,
                             bool not_sent) const;
   // Keeps what broke the answer's body off.
-  void NoteFailure(const ErrorCode& error);
   void Finish();
 
   ConnectionPool& pool_;
@@ -139,8 +156,14 @@
   std::string method_;
   base::MonoTime deadline_;
   bool streaming_ = false;
+  // While streaming: what is left of the time for the piece under way, and
+  // what has come of it.
+  base::Duration patience_{0};
+  size_t piece_came_ = 0;
+  size_t skipped_bytes_ = 0;
+  ExchangeFailure failure_;
   bool finished_ = false;
-  std::string failure_;
+  std::string failure_text_;
 };
 
 }  // namespace buckthorngate::http
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "endless_upstream.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -493,6 +494,26 @@
   std::thread thread_;
 };
 
+// Guards against a wait without a limit that ends at once: the largest time
+// overflowed in the timer's finer unit, so that a request's body was read on
+// after its request had gone, and the daemon died.
+BOOST_AUTO_TEST_CASE(AWaitWithoutALimitEndsWhenItIsNotified) {
+  http::EventLoop loop;
+  http::Notifier notifier(loop);
+  std::promise<bool> notified;
+  const auto wait = [](http::Notifier& waited,
+                       std::promise<bool>& result) -> http::Task<void> {
+    const bool value = co_await waited.Wait(base::MonoTime::max());
+    result.set_value(value);
+  };
+  loop.Spawn(wait(notifier, notified));
+  loop.Start();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  loop.RunAndWait([&notifier] { notifier.Notify(); });
+  BOOST_TEST(notified.get_future().get());
+  loop.Stop();
+}
+
 struct Result {
   ResultCode code_ = ResultCode::kOk;
   std::string body_;
@@ -597,5 +618,48 @@
   BOOST_TEST(result.body_ == "all of it");
 }
 
+// Guards against a long answer that goes on for as long as its caller reads.
+BOOST_AUTO_TEST_CASE(AStreamedAnswerOutlastsItsDeadlineByABoundedTime) {
+  EndlessUpstream upstream(
+      {{"", {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "a"}}});
+  http::EventLoop loop;
+  http::ClientOptions options;
+  options.most_overtime_ = std::chrono::seconds(1);
+  http::ConnectionPool pool(loop, options);
+  std::promise<std::string> cut;
+  const auto run = [](http::ConnectionPool& connections, std::string address,
+                      std::promise<std::string>& result) -> http::Task<void> {
+    http::CancelSignal cancel;
+    const base::MonoTime deadline =
+        base::MonoNow() + std::chrono::milliseconds(500);
+    const auto connection =
+        co_await connections.Take(address, deadline, cancel);
+    http::Exchange exchange(connections, *connection, cancel);
+    http::RequestHead request;
+    request.method_ = "GET";
+    request.target_ = "/";
+    const std::function<bool(const http::AnswerHead&)> belongs =
+        [](const http::AnswerHead&) { return true; };
+    const auto head = co_await exchange.Run(request, "", deadline, belongs);
+    exchange.StreamAnswer();
+    http::BodyState state = http::BodyState::kMore;
+    while (state == http::BodyState::kMore) {
+      std::string piece;
+      state = co_await exchange.Read(piece, http::kPieceBytes);
+    }
+    result.set_value(state == http::BodyState::kFailed
+                         ? exchange.FailureInfo().detail_
+                         : "whole");
+  };
+  const auto began = std::chrono::steady_clock::now();
+  loop.Spawn(run(pool, upstream.Address(), cut));
+  loop.Start();
+  BOOST_TEST(cut.get_future().get() == "too slow or too long");
+  const auto took = std::chrono::steady_clock::now() - began;
+  BOOST_TEST((took > std::chrono::milliseconds(1400)));
+  BOOST_TEST((took < std::chrono::milliseconds(2500)));
+  loop.Stop();
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
