Test: a cut is provoked once its request is under way, not 100 ms later

ARequestThatIsOpenWhenTheServerClosesIsTold failed twice (once in ctest, once in five further runs) at a load of 20 to 30 on 8 cores: the server was closed before it had read the request, so there was nothing to tell. The tests of cuts now wait until the handler has begun and require that; nothing that they check is weaker. trace_test gives a call 1.5 s instead of 0.5 s to reach the upstream before the stop (it had not failed).

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -236,6 +236,7 @@
   explicit CuttingHandler(http::EventLoop& loop) : loop_(loop) {}
 
   http::Task<void> Handle(http::ServerCall& call) override {
+    ++began_;
     call.SetId("id" + call.Head().target_);
     const std::string what = call.Head().target_;
     http::AnswerHead head;
@@ -265,6 +266,8 @@
     }
   }
 
+  std::atomic<int> began_{0};
+
   static constexpr uint64_t kAnnounced = 10;
   static constexpr std::string_view kPart = "part";
   // More than the sockets' buffers hold.
@@ -322,6 +325,11 @@
                       const std::function<void(RawSocket&)>& then) {
     RawSocket caller(port_);
     caller.Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    const base::MonoTime until = base::MonoNow() + std::chrono::seconds(3);
+    while (handler_.began_ == 0 && base::MonoNow() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    BOOST_REQUIRE(handler_.began_ == 1);
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     then(caller);
     const std::vector<http::CutCall> cuts = Await(1);
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -113,7 +113,8 @@
     answer =
         traced.Call("/shop/slow?ms=15000", "open-1", std::chrono::seconds(20));
   });
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  // The call has reached the upstream by then, on a busy machine too.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   mesh.Signal(host, SIGTERM);
   mesh.Wait(host);
   caller.join();
