--- a/tests/power_loss_test.cc
+++ b/tests/power_loss_test.cc
@@ -32,6 +32,7 @@
   kFullDisk,      // A disk refuses writes, perhaps still when the fault comes.
   kStalledDisk,   // A host waits for its disk.
   kLostTwice,     // A disk is lost twice within seconds.
+  kBehind,        // A host is cut off and misses changes.
   kCount,
 };
 
@@ -158,6 +159,9 @@
           cluster_.Thaw(victim_);
         }
         break;
+      case Before::kBehind:
+        CutOff();
+        break;
       case Before::kLostTwice:
         for (int i = 0; i < 2; ++i) {
           cluster_.Wipe(victim_);
@@ -196,6 +200,21 @@
     cluster_.Run(Between(random_, 0, 40));
   }
 
+  void CutOff() {
+    behind_ = victim_;
+    victim_ = behind_ % cluster_.Hosts() + 1;
+    for (int host = 1; host <= cluster_.Hosts(); ++host) {
+      if (host != behind_) {
+        cluster_.Cut(behind_, host);
+      }
+    }
+    const uint64_t changes = 1 + random_.Below(12);
+    for (uint64_t i = 0; i < changes; ++i) {
+      cluster_.SendChange();
+      cluster_.Run(Between(random_, 100, 600));
+    }
+  }
+
   void FillDisk() {
     cluster_.Disk(victim_).SetFull(true);
     const uint64_t changes = random_.Below(8);
@@ -244,9 +263,15 @@
     }
     if (power || fault_ == Fault::kKill) {
       for (int host = 1; host <= cluster_.Hosts(); ++host) {
-        cluster_.Stop(host, power);
+        if (host != behind_ || cluster_.GetPower().Off()) {
+          cluster_.Stop(host, power);
+        }
       }
     }
+    if (behind_ != 0) {
+      cluster_.Net().Heal();
+      cluster_.Run(Between(random_, 0, 4000));
+    }
     cluster_.GetPower().Restore();
     if (fault_ == Fault::kWipeAndHalves) {
       Halve();
@@ -310,6 +335,8 @@
   Moment moment_ = Moment::kAtAnswer;
   Fault fault_ = Fault::kPower;
   int victim_ = 0;
+  // The host that was cut off and has missed changes, if any.
+  int behind_ = 0;
 };
 
 // Guards against acknowledged changes and moves that are gone, older or not
