A failed probe says nothing of requests that began after it

What callers would see: a request is broken off after less than the patience of a probe, though its peer answered another request a moment ago. Cause: SilentPeers forgets a peer, and what was heard from it, as soon as no request waits for it. A probe that began before and fails later (its first packet was lost: it is sent again only after a second) then found no word from the peer and gave up whatever waits now. Class: an answer that takes long is taken for a host that is gone. Now: a probe judges a peer only if a request has waited for it since the probe began. Test AProbeSaysNothingOncePeersWereNotWaitedFor fails before (Unreachable is true for a request that began 380 ms after the probe), passes after.

--- a/src/request/silent_peers.cc
+++ b/src/request/silent_peers.cc
@@ -60,7 +60,14 @@
 bool SilentPeers::Unreachable(const std::string& peer,
                               base::MonoTime since) const {
   const auto found = peers_.find(peer);
-  return found != peers_.end() && found->second.heard_ < since;
+  if (found == peers_.end() || found->second.heard_ >= since) {
+    return false;
+  }
+  // What was heard is forgotten whenever no request waits.
+  const std::map<uint64_t, base::MonoTime>& waiting = found->second.waiting_;
+  return std::any_of(waiting.begin(), waiting.end(), [since](const auto& item) {
+    return item.second <= since;
+  });
 }
 
 std::vector<uint64_t> SilentPeers::WaitingFor(const std::string& peer) const {
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -82,6 +82,19 @@
   BOOST_TEST(!peers.Unreachable("b", AtMs(0)));
 }
 
+// Guards against a request that is broken off by a probe that began before it,
+// though the peer has answered another request since then.
+BOOST_AUTO_TEST_CASE(AProbeSaysNothingOncePeersWereNotWaitedFor) {
+  SilentPeers peers;
+  peers.Begin(1, "a", AtMs(0));
+  BOOST_TEST((peers.TakeProbes(AtMs(120)) == Names{"a"}));
+  peers.End(1, "a", /*answered=*/true, AtMs(300));
+  peers.Begin(2, "a", AtMs(500));
+  BOOST_TEST(!peers.Unreachable("a", AtMs(120)));
+  BOOST_TEST((peers.TakeProbes(AtMs(620)) == Names{"a"}));
+  BOOST_TEST(peers.Unreachable("a", AtMs(620)));
+}
+
 // Guards against peers that are given up because this process was stopped.
 BOOST_AUTO_TEST_CASE(TheTimeOfAnOwnStallIsNotHeldAgainstPeers) {
   SilentPeers peers;
