A relay that was stopped gives hosts a lease's time to be heard

What callers would see: after a relay was frozen for longer than the leases of endpoints (3 s), all endpoints of its zone count as gone at all daemons until their hosts have announced them again. Cause: the timer of a process that wakes may run before it has read the heartbeats that came meanwhile, so that its own stall was held against all hosts. Class: a host that was not heard is taken for one that is gone. Now: a check of leases that is over a second late waits for one lease's time first. A host that died meanwhile is dropped that much later. Test ARelayThatWakesTakesNoHostForGone (freeze of 5 s whose messages are not read yet) fails before: the endpoint was missing in 3 steps of 10 ms. Passes after, with the other ten tests of registry_test.

--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -16,6 +16,8 @@
 // for other relays to tell of theirs.
 constexpr base::Duration kRegistryWarmUp = std::chrono::seconds(4);
 constexpr base::Duration kExpiryInterval = std::chrono::milliseconds(250);
+// A check of leases that is later than this says that this process was stopped.
+constexpr base::Duration kLateExpiry = std::chrono::seconds(1);
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 
 }  // namespace
@@ -180,6 +182,11 @@
   if (now.mono_ < next_expiry_) {
     return;
   }
+  if (now.mono_ - next_expiry_ > kLateExpiry) {
+    // Heartbeats of that time may not have been read yet.
+    next_expiry_ = now.mono_ + registry::kEndpointLease;
+    return;
+  }
   next_expiry_ = now.mono_ + kExpiryInterval;
   const std::vector<rpc::Endpoint> expired =
       endpoints_.ExpireLeases(options_.zone_, now.mono_);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -193,5 +193,26 @@
   BOOST_TEST(zones.Seen("proxy-2-1"));
 }
 
+// Guards against a zone whose endpoints all count as gone because its relay was
+// stopped for longer than their leases and has not read yet what came
+// meanwhile.
+BOOST_AUTO_TEST_CASE(ARelayThatWakesTakesNoHostForGone) {
+  MeshWithTwoZones zones(7);
+  zones.RunAnnouncing(std::chrono::seconds(3));
+  BOOST_REQUIRE(zones.Seen("proxy-1-2"));
+  BOOST_REQUIRE(zones.Seen("proxy-2-1"));
+  zones.Mesh().Net().Freeze("relay-1");
+  zones.Mesh().Net().Isolate("relay-1");
+  zones.RunAnnouncing(std::chrono::seconds(5));
+  zones.Mesh().Net().Thaw("relay-1");
+  zones.Mesh().Net().Heal();
+  int unseen = 0;
+  zones.Mesh().Net().Run(std::chrono::seconds(2), [&zones, &unseen] {
+    zones.Announce();
+    unseen += zones.Seen("proxy-1-2") && zones.Seen("proxy-2-1") ? 0 : 1;
+  });
+  BOOST_TEST(unseen == 0);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
