--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -260,6 +260,7 @@
   const ResultCode not_executed = NotExecuted(*began);
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*began), without_body);
+  LogIfCut(request, answer);
   if (answer.code_ == ResultCode::kUpstreamFailed) {
     LogUpstreamFailed(request.request_id_, request.endpoint_id_,
                       exchange->FailureInfo());
--- a/tests/endless_test.cc
+++ b/tests/endless_test.cc
@@ -68,12 +68,9 @@
 class EndlessMesh {
  public:
   explicit EndlessMesh(std::map<std::string, EndlessAnswer> answers,
-                       const std::string& settings = "")
+                       milliseconds drain_time = std::chrono::seconds(60))
       : mesh_(1, 2) {
-    for (const std::string& host : mesh_.Proxies()) {
-      std::ofstream(mesh_.Folder() + "/" + host + ".toml", std::ios::app)
-          << settings;
-    }
+    mesh_.SetDrainTime(drain_time);
     mesh_.StartAll();
     upstream_ = std::make_unique<EndlessUpstream>(std::move(answers));
     // The daemon's admin address may not be open yet; announced until it is.
@@ -371,7 +368,7 @@
 // Guards against a daemon that cannot end while a body goes on.
 BOOST_AUTO_TEST_CASE(SigtermInTheMidstOfAnEndlessBodyEndsInTheDrainTime) {
   for (const std::string host : {EndlessMesh::kBeside, EndlessMesh::kEntry}) {
-    EndlessMesh mesh(Bodies(), "drain_time_ms = 5000\n");
+    EndlessMesh mesh(Bodies(), milliseconds(5000));
     std::thread callers(
         [&] { mesh.CallAll(Get("chunks"), milliseconds(9000)); });
     BOOST_TEST(ProcessMesh::Await(
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -187,15 +187,15 @@
   BOOST_TEST(mesh.Admin("control-1", "/healthz").status_ == 200);
   BOOST_TEST(mesh.Admin("control-1", "/announce").status_ == 404);
   // Nothing to restore at the first start.
-  BOOST_TEST(mesh.LogLines("control-1", {"E114"}).empty());
+  BOOST_TEST(mesh.LogLines("control-1", {"E115"}).empty());
   mesh.Kill("control-1");
   mesh.Start("control-1");
   BOOST_TEST(
-      traced.AwaitLine("control-1", {"E114 state-restored", "node=\"source-1\"",
+      traced.AwaitLine("control-1", {"E115 state-restored", "node=\"source-1\"",
                                      " number=\"1\"", "tail_cut=\"false\""}));
   BOOST_TEST(traced.AwaitLine(
       "control-1",
-      {"E114 state-restored", "node=\"relay-1\"", "tail_cut=\"false\""}));
+      {"E115 state-restored", "node=\"relay-1\"", "tail_cut=\"false\""}));
 }
 
 }  // namespace
