--- a/src/base/histogram.cc
+++ b/src/base/histogram.cc
@@ -29,8 +29,14 @@
     count += counts_.at(i).load(std::memory_order_relaxed);
     const std::string bound =
         i < kBounds.size() ? Seconds(kBounds.at(i)) : "+Inf";
-    out += name + "_bucket{" + more + "le=\"" + bound + "\"} " +
-           std::to_string(count) + "\n";
+    out += name;
+    out += "_bucket{";
+    out += more;
+    out += "le=\"";
+    out += bound;
+    out += "\"} ";
+    out += std::to_string(count);
+    out += "\n";
   }
   out += name + "_sum" + set + " " +
          Seconds(Duration(sum_us_.load(std::memory_order_relaxed))) + "\n";
