An upstream that is about to end is found dead, though it takes a connection yet

What callers saw: a request that crashes upstreams was sent on to the next one, which crashed too, until none was left and all others got 503.

Cause: after a broken exchange one connection decided whether the upstream is alive. A process that ends closes its sockets one after the other; on a busy machine the listener is open for a moment after the request's connection has gone, so the probe was taken and closed at once. Now the connection must last for 50 ms, or a second one be established (an upstream that is there but at its largest number of connections resets ours, and takes the second as it took the first).

The order in which the sockets close was not traced; that the probe connected and the next call was refused was.

--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -20,6 +20,8 @@
 constexpr base::Duration kUpstreamIdle = std::chrono::seconds(3);
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr base::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
+// A process that ends closes its sockets one after the other within this time.
+constexpr base::Duration kEndOfProcess = std::chrono::milliseconds(50);
 // Waiting requests are looked after at least this often.
 constexpr base::Duration kQueueTick = std::chrono::milliseconds(50);
 constexpr int kServerError = 500;
@@ -315,8 +317,8 @@
 http::Task<bool> Destination::NoteBroken(std::shared_ptr<Upstream> upstream,
                                          std::string fingerprint) {
   // An upstream that no longer accepts connections has died.
-  const bool alive = co_await http::AcceptsConnections(
-      loop_, upstream->info_.address_, kCrashProbeTimeout);
+  const bool alive = co_await http::StillListens(
+      loop_, upstream->info_.address_, kCrashProbeTimeout, kEndOfProcess);
   if (alive) {
     co_return false;
   }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -75,6 +75,14 @@
                               const std::string& address,
                               base::Duration timeout);
 
+// Whether a server that has broken a connection off is still there. One that is
+// about to end may take a connection yet, and closes it when it does: so the
+// connection must last for `lasts`, or else a second one be established.
+Task<bool> StillListens(EventLoop& loop,
+                        const std::string& address,
+                        base::Duration timeout,
+                        base::Duration lasts);
+
 // How an exchange failed, and whether the request may have been received.
 struct ExchangeFailure {
   ResultCode code_ = ResultCode::kUpstreamFailed;
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -141,4 +141,23 @@
   co_return !error;
 }
 
+Task<bool> StillListens(EventLoop& loop,
+                        const std::string& address,
+                        base::Duration timeout,
+                        base::Duration lasts) {
+  ClientConnection connection(loop.Context(), address);
+  ErrorCode error = co_await Connect(connection, base::MonoNow() + timeout);
+  if (error) {
+    co_return false;
+  }
+  char byte = 0;
+  connection.stream_.expires_after(lasts);
+  co_await connection.stream_.async_read_some(
+      asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+  if (!error || error == beast::error::timeout) {
+    co_return true;
+  }
+  co_return co_await AcceptsConnections(loop, address, timeout);
+}
+
 }  // namespace buckthorngate::http
