--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -1,12 +1,31 @@
 // The entry side of a daemon.
 #include "daemon/entry.h"
 
+#include <atomic>
+#include <cstdint>
 #include <utility>
 
 #include "base/hash.h"
 #include "daemon/entry_call.h"
 
 namespace buckthorngate::daemon {
+namespace {
+
+// Counts a request until it ends, be it by an exception: a stop waits for all.
+class CountedScope {
+ public:
+  explicit CountedScope(std::atomic<int64_t>& count) : count_(count) {
+    count_.fetch_add(1);
+  }
+  ~CountedScope() { count_.fetch_sub(1); }
+  CountedScope(const CountedScope&) = delete;
+  CountedScope& operator=(const CountedScope&) = delete;
+
+ private:
+  std::atomic<int64_t>& count_;
+};
+
+}  // namespace
 
 Entry::Entry(EntryOptions options,
              const base::Clock& clock,
@@ -32,13 +51,12 @@
 }
 
 http::Task<void> Entry::Handle(http::ServerCall& server_call) {
-  board_.InFlight().fetch_add(1);
+  const CountedScope in_flight(board_.InFlight());
   const base::MonoTime came = clock_.Read().mono_;
   Call call(*this, server_call);
   co_await call.Run();
   board_.Numbers().NoteRequest(blackboard::CallSide::kEntry,
                                clock_.Read().mono_ - came);
-  board_.InFlight().fetch_sub(1);
 }
 
 }  // namespace buckthorngate::daemon
