Others go first while a silent peer is probed

What callers saw: since a silent peer is given up only after its probes have failed for 0.6 s, requests went on to hosts of a zone that was cut off until then, and waited there as long as the first one: more of them were late or refused.

Cause: between the first silence and the verdict nothing told the choice of an endpoint. Now, once a probe has not been answered within 250 ms, endpoints of that host are left out for 0.6 s as long as others can be used. Nothing is broken off, and the time of a later ejection does not grow by it.

Ruled out: an earlier verdict (it was the fault of this incident); a second try beside the first (it doubles the load of links that are full).

Test: silence_test OthersGoFirstWhileAPeerIsNotHeard (new calls, so it can't be built on the code before).

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -6,6 +6,7 @@
 #include "config/service_file.h"
 #include "daemon/entry_call.h"
 #include "request/hop_headers.h"
+#include "request/silent_peers.h"
 #include "rollout/evidence_collector.h"
 
 namespace buckthorngate::daemon {
@@ -106,6 +107,10 @@
   request.deadline_ = deadline_;
   request.objective_ = objective_;
   request.still_wanted_ = [call = &call_] { return call->StillThere(); };
+  request.on_unheard_ = [stats = attempt.endpoint_->stats_,
+                         &clock = entry_.clock_] {
+    stats->LeaveOut(clock.Read().mono_ + request::kProbePatience);
+  };
   return request;
 }
 
--- a/src/daemon/hop.h
+++ b/src/daemon/hop.h
@@ -52,6 +52,8 @@
   http::CancelSignal* cancel_ = nullptr;
   // Asks the caller's socket, for when the process was stopped for long.
   std::function<bool()> still_wanted_;
+  // Called while the destination answers neither requests nor probes.
+  std::function<void()> on_unheard_ = [] {};
   // What the hop keeps until the answer's body is read.
   std::shared_ptr<void> kept_;
 };
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -35,7 +35,8 @@
   }
   const std::shared_ptr<PeerWatch::Pending> pending =
       std::make_shared<PeerWatch::Pending>(
-          watch_, request.peer_address_, *request.cancel_, request.repeatable_);
+          watch_, request.peer_address_, *request.cancel_, request.repeatable_,
+          request.on_unheard_);
   request.kept_ = pending;
   const std::shared_ptr<http::Exchange> exchange =
       std::make_shared<http::Exchange>(connections_, *connection,
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -30,10 +30,12 @@
 PeerWatch::Pending::Pending(PeerWatch& watch,
                             std::string peer,
                             http::CancelSignal& caller,
-                            bool may_give_up)
+                            bool may_give_up,
+                            std::function<void()> on_unheard)
     : watch_(watch),
       peer_(std::move(peer)),
       may_give_up_(may_give_up),
+      on_unheard_(std::move(on_unheard)),
       id_(watch.next_id_++),
       link_(caller, [this] { cancel_.Raise(); }) {
   watch_.silent_.Begin(id_, peer_, watch_.clock_.Read().mono_);
@@ -64,6 +66,7 @@
     }
     last = now;
     for (const std::string& peer : silent_.TakeProbes(now)) {
+      TellUnheard(peer);
       loop_.Spawn(Probe(peer));
     }
   }
@@ -80,6 +83,15 @@
   }
 }
 
+void PeerWatch::TellUnheard(const std::string& peer) {
+  if (!silent_.Unheard(peer)) {
+    return;
+  }
+  for (const uint64_t id : silent_.WaitingFor(peer)) {
+    pending_.at(id)->on_unheard_();
+  }
+}
+
 void PeerWatch::GiveUp(const std::string& peer) {
   size_t given_up = 0;
   for (const uint64_t id : silent_.WaitingFor(peer)) {
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -7,6 +7,7 @@
 #define SRC_DAEMON_PEER_WATCH_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -51,7 +52,8 @@
     Pending(PeerWatch& watch,
             std::string peer,
             http::CancelSignal& caller,
-            bool may_give_up);
+            bool may_give_up,
+            std::function<void()> on_unheard);
     ~Pending();
     Pending(const Pending&) = delete;
     Pending& operator=(const Pending&) = delete;
@@ -68,6 +70,8 @@
     PeerWatch& watch_;
     const std::string peer_;
     const bool may_give_up_;
+    // Told while the peer answers neither requests nor probes.
+    const std::function<void()> on_unheard_;
     const uint64_t id_;
     bool waiting_ = true;
     bool given_up_ = false;
@@ -79,6 +83,7 @@
   // Runs while any request waits.
   http::Task<void> Run();
   http::Task<void> Probe(std::string peer);
+  void TellUnheard(const std::string& peer);
   void GiveUp(const std::string& peer);
 
   const base::Clock& clock_;
--- a/src/request/endpoint_stats.h
+++ b/src/request/endpoint_stats.h
@@ -35,6 +35,14 @@
   // that doubles with each failure in a row.
   void Eject(base::MonoTime now);
 
+  // The endpoint's daemon has not been heard: others go first until then.
+  void LeaveOut(base::MonoTime until) {
+    ejected_until_us_.store(
+        std::max(ejected_until_us_.load(std::memory_order_relaxed),
+                 until.time_since_epoch().count()),
+        std::memory_order_relaxed);
+  }
+
   // The endpoint's own daemon told how many requests run or wait there.
   void Report(uint32_t load, base::MonoTime now) {
     reported_.store(static_cast<int32_t>(load), std::memory_order_relaxed);
--- a/src/request/silent_peers.cc
+++ b/src/request/silent_peers.cc
@@ -32,12 +32,14 @@
   if (found != peers_.end()) {
     found->second.heard_ = now;
     found->second.probed_ = base::MonoTime();
+    found->second.unheard_ = false;
   }
 }
 
 void SilentPeers::Forgive(base::MonoTime now) {
   for (auto& [address, peer] : peers_) {
     peer.heard_ = now;
+    peer.unheard_ = false;
   }
 }
 
@@ -50,6 +52,7 @@
     const base::MonoTime since = std::max(oldest->second, peer.heard_);
     const bool probed = now - peer.probed_ < kProbeInterval;
     if (now - since >= kPeerSilence && !probed) {
+      peer.unheard_ = peer.probed_ >= since;
       peer.probed_ = now;
       silent.push_back(address);
     }
@@ -57,6 +60,11 @@
   return silent;
 }
 
+bool SilentPeers::Unheard(const std::string& peer) const {
+  const auto found = peers_.find(peer);
+  return found != peers_.end() && found->second.unheard_;
+}
+
 bool SilentPeers::Unreachable(const std::string& peer,
                               base::MonoTime since) const {
   const auto found = peers_.find(peer);
--- a/src/request/silent_peers.h
+++ b/src/request/silent_peers.h
@@ -46,6 +46,9 @@
   // Peers that have said nothing for kPeerSilence while a request waited all
   // that time, and were not probed within kProbeInterval: to be probed now.
   std::vector<std::string> TakeProbes(base::MonoTime now);
+  // Whether the peer was probed again because it had not answered within
+  // kProbeInterval. It may be there, but others are the better choice.
+  bool Unheard(const std::string& peer) const;
   // Whether the peer has said nothing since `since`, when a probe began that
   // has failed after kProbePatience.
   bool Unreachable(const std::string& peer, base::MonoTime since) const;
@@ -58,6 +61,7 @@
     std::map<uint64_t, base::MonoTime> waiting_;
     base::MonoTime heard_;
     base::MonoTime probed_;
+    bool unheard_ = false;
   };
 
   std::map<std::string, Peer> peers_;
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "daemon/peer_watch.h"
+#include "request/endpoint_stats.h"
 #include "request/silent_peers.h"
 
 namespace buckthorngate::tests {
@@ -132,7 +133,8 @@
     loop_.Start();
     loop_.RunAndWait([this] {
       pending_ = std::make_unique<daemon::PeerWatch::Pending>(
-          watch_, "peer", caller_, /*may_give_up=*/true);
+          watch_, "peer", caller_, /*may_give_up=*/true,
+          [this] { ++unheard_; });
     });
   }
   ~WatchedRequest() {
@@ -146,8 +148,10 @@
     return given_up;
   }
   int Probes() const { return probe_.probes_; }
+  int Unheard() const { return unheard_; }
 
  private:
+  std::atomic<int> unheard_{0};
   base::SystemClock clock_;
   http::EventLoop loop_;
   FixedProbe probe_;
@@ -174,5 +178,22 @@
   BOOST_TEST(request.GivenUp());
 }
 
+// Guards against new requests that go to a daemon which has not been heard,
+// until it is given up: they wait as long as the first one.
+BOOST_AUTO_TEST_CASE(OthersGoFirstWhileAPeerIsNotHeard) {
+  WatchedRequest unheard(std::chrono::milliseconds(450));
+  WatchedRequest heard(std::chrono::milliseconds(100));
+  std::this_thread::sleep_for(std::chrono::milliseconds(900));
+  BOOST_TEST(unheard.Unheard() > 0);
+  BOOST_TEST(heard.Unheard() == 0);
+  request::EndpointStats stats(AtMs(0));
+  stats.LeaveOut(AtMs(600));
+  BOOST_TEST(stats.Ejected(AtMs(599)));
+  BOOST_TEST(!stats.Ejected(AtMs(600)));
+  // It was not refused: the next ejection is as short as a first one.
+  stats.Eject(AtMs(600));
+  BOOST_TEST(!stats.Ejected(AtMs(800)));
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
