--- a/src/http/client.h
+++ b/src/http/client.h
@@ -153,7 +153,6 @@
   ExchangeFailure FailureOf(const std::string& detail,
                             bool malformed,
                             bool not_sent) const;
-  // Keeps what broke the answer's body off.
   void Finish();
 
   ConnectionPool& pool_;
@@ -169,9 +168,10 @@
   base::Duration patience_{0};
   size_t piece_came_ = 0;
   size_t skipped_bytes_ = 0;
+  // Why the answer's body was cut, as data and for the log.
   ExchangeFailure failure_;
-  bool finished_ = false;
   std::string failure_text_;
+  bool finished_ = false;
 };
 
 }  // namespace buckthorngate::http
