--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -390,28 +390,4 @@
                    {"reason", move.reason()}});
 }
 
-void SourceNode::MaybeCompact() {
-  const bool due = journal_.Size() >= size_after_compaction_ + kCompactBytes;
-  if (storage_failed_ || !due) {
-    return;
-  }
-  const ResultCode compacted = consensus::CompactJournal(
-      *raft_, journal_, state_.AppliedIndex(), state_.Save());
-  if (compacted != ResultCode::kOk) {
-    storage_failed_ = true;
-    return;
-  }
-  size_after_compaction_ = journal_.Size();
-}
-
-void SourceNode::RepairStorage(const base::Now& now) {
-  next_storage_repair_ = now.mono_ + storage::kRepairInterval;
-  if (consensus::RepairStorage(*raft_, journal_, now) != ResultCode::kOk) {
-    return;
-  }
-  storage_failed_ = false;
-  size_after_compaction_ = journal_.Size();
-  LogEvent(EventId::kStorageBack, {{"node", options_.id_}});
-}
-
 }  // namespace buckthorngate::distribution
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -142,9 +142,12 @@
   std::vector<membership::MemberStatus> MemberStatuses(
       const base::Now& now) const;
   void NoteInForce();
+
+  // source_storage.cc: the journal.
   void MaybeCompact();
   // Once a failed disk takes writes again.
   void RepairStorage(const base::Now& now);
+
   std::string AddressOf(const std::string& member) const;
   void Audit(const std::string& author,
              const std::string& action,
