A peer is given up only after 1.6 s without any sign

Cause: the same as before, by degree. 13 slots that answer at once with 90 kB each fill a link of 14 Mbit/s for 0.67 s, and a lost packet of a probe comes again after a second; a probe had 0.6 s. Since others go first once a peer is unheard for 0.25 s, a later verdict costs new requests nothing.

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -109,7 +109,7 @@
   request.still_wanted_ = [call = &call_] { return call->StillThere(); };
   request.on_unheard_ = [stats = attempt.endpoint_->stats_,
                          &clock = entry_.clock_] {
-    stats->LeaveOut(clock.Read().mono_ + request::kProbePatience);
+    stats->LeaveOut(clock.Read().mono_ + request::kLeftOutTime);
   };
   return request;
 }
--- a/src/request/silent_peers.h
+++ b/src/request/silent_peers.h
@@ -23,8 +23,13 @@
 inline constexpr base::Duration kPeerSilence = std::chrono::milliseconds(120);
 // A silent peer is probed this often, since a packet of a probe may be lost.
 inline constexpr base::Duration kProbeInterval = std::chrono::milliseconds(250);
-// A link on which packets wait for half a second still works.
-inline constexpr base::Duration kProbePatience = std::chrono::milliseconds(600);
+// All slots of a host that answer at once fill its link for most of a second,
+// and a lost packet of a probe is sent again after one.
+inline constexpr base::Duration kProbePatience =
+    std::chrono::milliseconds(1600);
+// An unheard peer's endpoints are left out for this long; renewed with each
+// probe.
+inline constexpr base::Duration kLeftOutTime = std::chrono::milliseconds(600);
 
 // Not safe for concurrent use.
 class SilentPeers {
