One reason for an answer that is too late, whichever clock notices it

AStreamedAnswerOutlastsItsDeadlineByABoundedTime failed once beside other tests: the stream's own timer ended the read a moment before the exchange's clock would have, and the log told the library's words.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -286,6 +286,11 @@
   return BodyState::kFailed;
 }
 
+BodyState Exchange::CutLate() {
+  return Cut(streaming_ ? "too slow or too long" : "deadline passed",
+             /*malformed=*/false);
+}
+
 ErrorCode Exchange::ParseReadAhead() {
   ClientConnection::Parser& parser = *connection_->parser_;
   ErrorCode error;
@@ -313,8 +318,7 @@
   if (began >= until) {
     // The stream's own timer does not end a read that finds bytes at once.
     piece.resize(held);
-    co_return Cut(streaming_ ? "too slow or too long" : "deadline passed",
-                  /*malformed=*/false);
+    co_return CutLate();
   }
   connection_->stream_.expires_at(until);
   ErrorCode error;
@@ -332,6 +336,9 @@
     parser.put_eof(ended);
     error = ended;
   }
+  if (error == beast::error::timeout) {
+    co_return CutLate();
+  }
   if (error && error != bhttp::error::need_buffer) {
     co_return Cut(error.message(), IsMalformed(error));
   }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -148,6 +148,8 @@
   void NotePace(size_t bytes, base::Duration waited);
   // Closes the connection for this reason.
   BodyState Cut(const std::string& detail, bool malformed);
+  // The same, once PieceDeadline has passed.
+  BodyState CutLate();
   // Takes what has been read ahead, as far as the body's buffer has room.
   ErrorCode ParseReadAhead();
   ExchangeFailure FailureOf(const std::string& detail,
