An answer that starts as none is a failure at its first byte

Callers saw: a request that took a kept connection just before stray bytes came on it waited for its whole deadline (504), although those bytes could not be an answer.

Cause: the parser looks at a head line by line, and a line that trickles in has no end before the deadline.

Ruled out: the answer itself being late (status 204, 200 of HEAD and 304 alike failed, always in the variant that trickles); the pool handing out a connection with bytes on it (it looks before; the bytes come after).

BytesThatStartNoAnswerAreAFailureAtOnce (http_test) fails before in both variants (its deadline of 2 s passes).

Why it works: the first bytes are compared with "HTTP/1." as they come, so such a request fails at once, as one whose answer is malformed.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -25,6 +25,15 @@
 // Left out of the idle time that the other side announces.
 constexpr base::Duration kIdleMargin = std::chrono::milliseconds(1500);
 
+// What each answer starts with.
+constexpr std::string_view kAnswerStart = "HTTP/1.";
+
+bool CanStartAnAnswer(const beast::flat_buffer& buffer) {
+  const size_t size = std::min(buffer.size(), kAnswerStart.size());
+  return std::string_view(static_cast<const char*>(buffer.data().data()),
+                          size) == kAnswerStart.substr(0, size);
+}
+
 // "timeout=10, max=5": whole seconds.
 base::Duration IdleTimeOf(std::string_view keep_alive) {
   constexpr std::string_view kKey = "timeout=";
@@ -199,6 +208,26 @@
   co_return state == BodyState::kEnd && connection_->Open();
 }
 
+Task<ErrorCode> Exchange::ReadAnswerStart() {
+  constexpr size_t kMostAtOnce = size_t{64} * 1024;
+  beast::flat_buffer& buffer = connection_->buffer_;
+  while (CanStartAnAnswer(buffer) && buffer.size() < kAnswerStart.size()) {
+    ErrorCode error;
+    const size_t got = co_await connection_->stream_.async_read_some(
+        buffer.prepare(beast::read_size(buffer, kMostAtOnce)),
+        asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(got);
+    if (error == asio::error::eof) {
+      co_return buffer.size() == 0 ? bhttp::error::end_of_stream
+                                   : bhttp::error::partial_message;
+    }
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return CanStartAnAnswer(buffer) ? ErrorCode() : bhttp::error::bad_version;
+}
+
 Task<tl::expected<AnswerHead, ExchangeFailure>> Exchange::ReadHead(
     const std::function<bool(const AnswerHead&)>& belongs) {
   int interim = 0;
@@ -212,10 +241,12 @@
       parser.skip(true);
     }
     connection_->stream_.expires_at(deadline_);
-    ErrorCode error;
-    co_await bhttp::async_read_header(
-        connection_->stream_, connection_->buffer_, parser,
-        asio::redirect_error(asio::use_awaitable, error));
+    ErrorCode error = co_await ReadAnswerStart();
+    if (!error) {
+      co_await bhttp::async_read_header(
+          connection_->stream_, connection_->buffer_, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error) {
       co_return tl::unexpected(
           FailureOf(error.message(), IsMalformed(error), /*not_sent=*/false));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -141,6 +141,9 @@
 
   Task<tl::expected<AnswerHead, ExchangeFailure>> ReadHead(
       const std::function<bool(const AnswerHead&)>& belongs);
+  // Reads until what comes is known to be an answer or not. The parser looks
+  // at whole lines only, and a line may never end.
+  Task<ErrorCode> ReadAnswerStart();
   Task<bool> SkipBody();
   Task<BodyState> ReadPiece(std::string& piece, size_t most);
   // When the next piece of the body must have come.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -618,6 +618,17 @@
               ResultCode::kAnswerMalformed));
 }
 
+// Guards against bytes that are no answer and no whole line, which held a
+// request until its deadline.
+BOOST_AUTO_TEST_CASE(BytesThatStartNoAnswerAreAFailureAtOnce) {
+  for (const std::string bytes : {"a", "HTTP/2"}) {
+    // The second script keeps the connection open.
+    ScriptedUpstream upstream({bytes, ""});
+    BOOST_TEST((RunExchanges(upstream.Address(), 1)[0].code_ ==
+                ResultCode::kAnswerMalformed));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
   ScriptedUpstream upstream(
       {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it"});
