Bytes of any answer show that a peer is there

What callers saw: 502 connect-failed for a request that its endpoint ran, given up by the watch of silent daemons (LOST around a SIGTERM).

Cause: the watch counted a peer as heard by the heads of answers and by probes only. Once its head had come, an answer's body told nothing: while long answers filled the peer's link and its packets came in all the time, a request beside them was given up when a probe of 1.6 s had no answer.

Ruled out: a watch that waits still longer (it is right for a peer that is cut off, of which no byte comes); requests that end meanwhile (heads were counted already).

Evidence: APeerWhoseAnswersComeIsNotGivenUp, a peer that refuses new connections while one answer flows in pieces: failed 2 of 2 without the hook in PeerClient (the waiting request failed instead of "late"), hop_test passed 5 of 5 with it; silence_test and http_test passed.

Why it works: each piece of a body that comes from the peer counts as a sign since then. From a peer that is cut off nothing comes, so it is found as soon as before.

--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -41,6 +41,8 @@
   const std::shared_ptr<http::Exchange> exchange =
       std::make_shared<http::Exchange>(connections_, *connection,
                                        pending->Cancel());
+  exchange->OnPiece(
+      [this, peer = request.peer_address_] { watch_.Heard(peer); });
   const http::RequestHead head = EncodeHopRequest(request, clock_.Read().mono_);
   const std::string attempt = request.attempt_id_;
   const auto belongs = [attempt](const http::AnswerHead& answer) {
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -56,6 +56,10 @@
   }
 }
 
+void PeerWatch::Heard(const std::string& peer) {
+  silent_.Heard(peer, clock_.Read().mono_);
+}
+
 http::Task<void> PeerWatch::Run() {
   base::MonoTime last = clock_.Read().mono_;
   while (!silent_.Idle()) {
@@ -77,7 +81,7 @@
   const base::MonoTime began = clock_.Read().mono_;
   const bool reached = co_await probe_.Reach(peer, request::kProbePatience);
   if (reached) {
-    silent_.Heard(peer, clock_.Read().mono_);
+    Heard(peer);
   } else if (silent_.Unreachable(peer, began)) {
     GiveUp(peer);
   }
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -46,6 +46,9 @@
   // All must outlive the watch.
   PeerWatch(const base::Clock& clock, http::EventLoop& loop, PeerProbe& probe);
 
+  // Bytes have come from the peer, of whichever answer.
+  void Heard(const std::string& peer);
+
   // One request that waits for a peer. Outlives the watch safely.
   class Pending {
    public:
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -361,6 +361,9 @@
   }
   piece.resize(piece.size() - body.size);
   NotePace(piece.size() - held, base::MonoNow() - began);
+  if (piece.size() > held) {
+    on_piece_();
+  }
   // An end without a length: the connection's orderly end completes it.
   if (error == asio::error::eof && parser.need_eof()) {
     ErrorCode ended;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -131,6 +132,8 @@
   void StreamAnswer();
   // Why Read returned kFailed.
   const ExchangeFailure& FailureInfo() const { return failure_; }
+  // Called for each piece of the answer's body that comes.
+  void OnPiece(std::function<void()> came) { on_piece_ = std::move(came); }
 
   // Waits until a streamed request's body is no longer read; false if that
   // takes longer than `most`. At once true for whole bodies.
@@ -176,6 +179,7 @@
   // Why the answer's body was cut, as data and for the log.
   ExchangeFailure failure_;
   std::string failure_text_;
+  std::function<void()> on_piece_ = [] {};
   bool finished_ = false;
 };
 
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -2,10 +2,18 @@
 #define BOOST_TEST_MODULE hop
 #include <boost/test/unit_test.hpp>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
 #include <string>
+#include <thread>
 
 #include "blackboard/metrics.h"
 #include "daemon/hop_codec.h"
+#include "daemon/peer_client.h"
+#include "http/server.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
 
@@ -116,6 +124,110 @@
   BOOST_TEST(has("buckthorngate_call_seconds_max 0.030000"), page);
 }
 
+// An address on which nobody listens.
+std::string FreeAddress() {
+  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
+  BOOST_REQUIRE(bind(file, generic, size) == 0);
+  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
+  close(file);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+// Answers "/long" in pieces for 1.5 s, and all else after 1 s.
+class SlowPeer : public http::Handler {
+ public:
+  SlowPeer() : server_(loop_, *this) {
+    BOOST_REQUIRE((server_.Listen(address_) == ResultCode::kOk));
+    loop_.Start();
+  }
+  ~SlowPeer() override {
+    loop_.RunAndWait([this] { server_.Close(); });
+    loop_.Stop();
+  }
+
+  // Takes no more connections; those that there are stay.
+  void RefuseConnections() {
+    loop_.RunAndWait([this] { server_.Drain(); });
+  }
+
+  http::Task<void> Handle(http::ServerCall& call) override {
+    http::AnswerHead head;
+    head.status_ = 200;
+    head.headers_.Add(request::kAttemptHeader,
+                      call.Head().headers_.Find(request::kAttemptHeader));
+    if (call.Head().target_ != "/long") {
+      co_await http::Sleep(loop_.Context(), std::chrono::seconds(1));
+      co_await call.Answer(head, "late");
+      co_return;
+    }
+    bool sent = co_await call.Begin(head, std::nullopt);
+    for (int piece = 0; sent && piece < 30; ++piece) {
+      co_await http::Sleep(loop_.Context(), std::chrono::milliseconds(50));
+      sent = co_await call.Write("piece");
+    }
+    co_await call.Finish();
+  }
+
+  const std::string address_ = FreeAddress();
+
+ private:
+  http::EventLoop loop_;
+  http::Server server_;
+};
+
+// A request to SlowPeer by a client of its own loop.
+struct SentHop {
+  SentHop(daemon::PeerClient& client,
+          http::EventLoop& loop,
+          const std::string& address,
+          const std::string& target) {
+    request_ = MakeRequest();
+    request_.head_.target_ = target;
+    request_.attempt_id_ = target;
+    request_.peer_address_ = address;
+    request_.repeatable_ = true;
+    request_.deadline_ = base::MonoNow() + std::chrono::seconds(5);
+    request_.cancel_ = &cancel_;
+    const auto run = [](daemon::PeerClient& hop,
+                        SentHop& sent) -> http::Task<void> {
+      sent.answer_ = co_await hop.Run(sent.request_);
+      sent.ended_.set_value();
+    };
+    loop.RunAndWait([&] { loop.Spawn(run(client, *this)); });
+  }
+
+  http::CancelSignal cancel_;
+  daemon::HopRequest request_;
+  daemon::HopAnswer answer_;
+  std::promise<void> ended_;
+};
+
+// Guards against a request that is broken off at a peer whose probes fail,
+// though the answer to another request comes from it all the while.
+BOOST_AUTO_TEST_CASE(APeerWhoseAnswersComeIsNotGivenUp) {
+  SlowPeer peer;
+  base::SystemClock clock;
+  http::EventLoop loop;
+  daemon::PeerClient client(clock, loop);
+  loop.Start();
+  SentHop flowing(client, loop, peer.address_, "/long");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  SentHop waiting(client, loop, peer.address_, "/late");
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  peer.RefuseConnections();
+  waiting.ended_.get_future().wait();
+  flowing.ended_.get_future().wait();
+  BOOST_TEST((waiting.answer_.code_ == ResultCode::kOk));
+  BOOST_TEST(waiting.answer_.body_ == "late");
+  BOOST_TEST((flowing.answer_.code_ == ResultCode::kOk));
+  loop.Stop();
+}
+
 // Pattern: requests that ended without an answer were counted nowhere.
 BOOST_AUTO_TEST_CASE(CutRequestsAreCountedBySideAndCause) {
   blackboard::Metrics metrics;
