A failed try decides nothing while the other one is at work

What callers saw, on routes with hedge = true: 429 or 502 for a read that was at work at its endpoint and would have been answered. The 429 said that it had not run.

Cause: of a slow try and the second one beside it, whichever ended first counted, and the other was broken off. A second try that is refused at once (no room) ended first. The outcome of the one that was broken off counted neither as run nor as reached.

Ruled out: the watch of silent peers (the test has none).

Evidence: hedge_test, before: ASecondTryThatIsRefusedLeavesTheFirstAtWork 429 instead of 200, AFirstTryThatFailsLeavesTheSecondAtWork 502 instead of 200, ARefusalKeepsInMindThatTheOtherTryRan 429 instead of 502; TheLoserOfAHedgedReadIsBrokenOff passed. After: all four, 3 of 3 runs.

Why it works: a try ends the request only with an answer below 500; otherwise both are awaited, each until its own deadline, and both are accounted for. Of two failures the one that an upstream gave goes to the caller. A caller that leaves cancels both.

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -14,9 +14,6 @@
 
 using request::AttemptOutcome;
 
-// A safe read that takes this many times its usual latency is hedged.
-constexpr int kHedgeFactor = 4;
-constexpr base::Duration kLeastHedgeDelay = std::chrono::milliseconds(20);
 constexpr double kTreeSizeWeight = 0.1;
 constexpr int kServerError = 500;
 constexpr double kMilli = 1000.0;
@@ -124,63 +121,6 @@
   attempt->done_ = true;
 }
 
-base::Duration Entry::Call::HedgeDelay(const Attempt& attempt) const {
-  const base::Duration usual = attempt.endpoint_->stats_->Latency();
-  if (!match_.route_->hedge() || below_retry_ || streamed_ ||
-      usual.count() == 0) {
-    return base::Duration(0);
-  }
-  return std::max(usual * kHedgeFactor, kLeastHedgeDelay);
-}
-
-http::Task<Entry::Call::AttemptPtr> Entry::Call::RunHedged(AttemptPtr first) {
-  const base::Duration delay = HedgeDelay(*first);
-  if (delay.count() == 0) {
-    co_await RunHop(first);
-    co_return first;
-  }
-  const std::shared_ptr<http::Notifier> changed =
-      std::make_shared<http::Notifier>(entry_.loop_);
-  // Runs apart from the call: the loser ends after it.
-  const auto spawn = [this, changed](const AttemptPtr& attempt) {
-    const auto run =
-        [](Hop& hop, AttemptPtr tried,
-           std::shared_ptr<http::Notifier> done) -> http::Task<void> {
-      tried->answer_ = co_await hop.Run(tried->request_);
-      tried->done_ = true;
-      done->Notify();
-    };
-    entry_.loop_.Spawn(run(HopTo(*attempt), attempt, changed));
-  };
-  spawn(first);
-  co_await changed->Wait(entry_.clock_.Read().mono_ + delay);
-  AttemptPtr second;
-  ResultCode code = ResultCode::kOk;
-  if (!first->done_ && service_->retry_budget_.Spend(1.0)) {
-    retrying_ = true;
-    second = Begin(code);
-    retrying_ = false;
-  }
-  if (second != nullptr) {
-    spawn(second);
-  }
-  const auto decided = [&first, &second] {
-    return first->done_ || (second != nullptr && second->done_);
-  };
-  while (!decided()) {
-    co_await changed->Wait(base::MonoTime::max());
-  }
-  if (second == nullptr) {
-    co_return first;
-  }
-  const AttemptPtr winner = first->done_ ? first : second;
-  const AttemptPtr loser = first->done_ ? second : first;
-  loser->cancel_.Raise();
-  loser->endpoint_->stats_->End(base::Duration(0), /*failed=*/true,
-                                entry_.clock_.Read().mono_);
-  co_return winner;
-}
-
 AttemptOutcome Entry::Call::OutcomeOf(const Attempt& attempt) const {
   const HopAnswer& answer = attempt.answer_;
   AttemptOutcome outcome;
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -67,10 +67,6 @@
   HopRequest MakeHopRequest(const Attempt& attempt) const;
   Hop& HopTo(const Attempt& attempt) const;
   http::Task<void> RunHop(AttemptPtr attempt);
-  // Runs the attempt, and a second one beside it if it is slow; returns the
-  // one whose answer counts.
-  http::Task<AttemptPtr> RunHedged(AttemptPtr first);
-  base::Duration HedgeDelay(const Attempt& attempt) const;
   request::AttemptOutcome OutcomeOf(const Attempt& attempt) const;
   void Note(const Attempt& attempt, const request::AttemptOutcome& outcome);
   void NoteEvidence(const Attempt& attempt,
@@ -80,6 +76,16 @@
   http::Task<void> Answer(Attempt& attempt);
   void RefreshView();
 
+  // entry_hedge.cc: a second try beside a slow one.
+  // Runs the attempt, and a second one beside it if it is slow; returns the
+  // one whose answer counts.
+  http::Task<AttemptPtr> RunHedged(AttemptPtr first);
+  base::Duration HedgeDelay(const Attempt& attempt) const;
+  // Whether the attempt has an answer that ends the request.
+  static bool Succeeded(const Attempt& attempt);
+  // Accounts for the attempt whose answer does not count, and cancels it.
+  void EndLoser(Attempt& loser);
+
   // Whether the route or the method allows more than one run.
   bool Repeatable() const;
   base::Duration Left() const;
--- /dev/null
+++ b/src/daemon/entry_hedge.cc
@@ -0,0 +1,100 @@
+// The entry side: a second try beside one that is slow.
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "daemon/entry_call.h"
+
+namespace buckthorngate::daemon {
+namespace {
+
+// A safe read that takes this many times its usual latency is hedged.
+constexpr int kHedgeFactor = 4;
+constexpr base::Duration kLeastHedgeDelay = std::chrono::milliseconds(20);
+constexpr int kServerError = 500;
+
+}  // namespace
+
+base::Duration Entry::Call::HedgeDelay(const Attempt& attempt) const {
+  const base::Duration usual = attempt.endpoint_->stats_->Latency();
+  if (!match_.route_->hedge() || below_retry_ || streamed_ ||
+      usual.count() == 0) {
+    return base::Duration(0);
+  }
+  return std::max(usual * kHedgeFactor, kLeastHedgeDelay);
+}
+
+bool Entry::Call::Succeeded(const Attempt& attempt) {
+  return attempt.done_ && attempt.answer_.code_ == ResultCode::kOk &&
+         attempt.answer_.head_.status_ < kServerError;
+}
+
+void Entry::Call::EndLoser(Attempt& loser) {
+  if (loser.done_) {
+    const request::AttemptOutcome outcome = OutcomeOf(loser);
+    may_have_run_ = may_have_run_ || !outcome.not_run_;
+    reached_ += outcome.reached_ ? 1 : 0;
+    Note(loser, outcome);
+  } else {
+    loser.endpoint_->stats_->End(base::Duration(0), /*failed=*/true,
+                                 entry_.clock_.Read().mono_);
+  }
+  loser.cancel_.Raise();
+}
+
+http::Task<Entry::Call::AttemptPtr> Entry::Call::RunHedged(AttemptPtr first) {
+  const base::Duration delay = HedgeDelay(*first);
+  if (delay.count() == 0) {
+    co_await RunHop(first);
+    co_return first;
+  }
+  const std::shared_ptr<http::Notifier> changed =
+      std::make_shared<http::Notifier>(entry_.loop_);
+  // Runs apart from the call: the loser ends after it.
+  const auto spawn = [this, changed](const AttemptPtr& attempt) {
+    const auto run =
+        [](Hop& hop, AttemptPtr tried,
+           std::shared_ptr<http::Notifier> done) -> http::Task<void> {
+      tried->answer_ = co_await hop.Run(tried->request_);
+      tried->done_ = true;
+      done->Notify();
+    };
+    entry_.loop_.Spawn(run(HopTo(*attempt), attempt, changed));
+  };
+  spawn(first);
+  co_await changed->Wait(entry_.clock_.Read().mono_ + delay);
+  AttemptPtr second;
+  ResultCode code = ResultCode::kOk;
+  if (!first->done_ && service_->retry_budget_.Spend(1.0)) {
+    retrying_ = true;
+    second = Begin(code);
+    retrying_ = false;
+  }
+  std::optional<http::CancelScope> link;
+  if (second != nullptr) {
+    link.emplace(call_.Gone(), [second] { second->cancel_.Raise(); });
+    spawn(second);
+  }
+  // A failure decides nothing while the other one may still be answered.
+  const auto decided = [&first, &second] {
+    const bool all_done = first->done_ && (second == nullptr || second->done_);
+    return all_done || Succeeded(*first) ||
+           (second != nullptr && Succeeded(*second));
+  };
+  while (!decided()) {
+    co_await changed->Wait(base::MonoTime::max());
+  }
+  if (second == nullptr) {
+    co_return first;
+  }
+  // Of two failures the one that an upstream gave goes first.
+  const bool second_counts =
+      Succeeded(*second) || (second->answer_.code_ == ResultCode::kOk &&
+                             first->answer_.code_ != ResultCode::kOk);
+  const bool second_wins = !Succeeded(*first) && second_counts;
+  const AttemptPtr winner = second_wins ? second : first;
+  EndLoser(second_wins ? *first : *second);
+  co_return winner;
+}
+
+}  // namespace buckthorngate::daemon
--- /dev/null
+++ b/tests/hedge_test.cc
@@ -0,0 +1,228 @@
+// Second tries beside slow ones, on the entry side.
+#define BOOST_TEST_MODULE hedge
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "daemon/entry.h"
+#include "storage/memory_journal.h"
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+// How a hop to an endpoint ends, and when.
+struct HopPlan {
+  std::chrono::milliseconds after_{1};
+  ResultCode code_ = ResultCode::kOk;
+  bool not_run_ = false;
+};
+
+// Ends each attempt of a request as planned for its number, from 0.
+class PlannedHop : public daemon::Hop {
+ public:
+  explicit PlannedHop(http::EventLoop& loop) : loop_(loop) {}
+
+  http::Task<daemon::HopAnswer> Run(daemon::HopRequest& request) override {
+    const std::string attempt = request.attempt_id_;
+    const HopPlan plan = plans_[attempt.substr(attempt.rfind('/') + 1)];
+    http::Notifier cancelled(loop_);
+    const http::CancelScope scope(*request.cancel_,
+                                  [&cancelled] { cancelled.Notify(); });
+    const bool cut = co_await cancelled.Wait(base::MonoNow() + plan.after_);
+    if (cut) {
+      ++cut_;
+      co_return daemon::FailedHop(ResultCode::kCallerGone, /*not_run=*/false);
+    }
+    daemon::HopAnswer answer = daemon::FailedHop(plan.code_, plan.not_run_);
+    answer.reached_ = !plan.not_run_;
+    answer.head_.status_ = 200;
+    co_return answer;
+  }
+
+  std::map<std::string, HopPlan> plans_;
+  int cut_ = 0;
+
+ private:
+  http::EventLoop& loop_;
+};
+
+// A caller that waits for its answer.
+class WaitingCaller : public http::ServerCall {
+ public:
+  WaitingCaller() {
+    head_.method_ = "GET";
+    head_.target_ = "/a";
+  }
+
+  const http::RequestHead& Head() const override { return head_; }
+  void SetId(std::string_view) override {}
+  bool HasBody() const override { return false; }
+  http::CancelSignal& Gone() override { return gone_; }
+  bool StillThere() override { return true; }
+  std::optional<uint64_t> Length() const override { return 0; }
+  http::Task<http::BodyState> Read(std::string&, size_t) override {
+    co_return http::BodyState::kEnd;
+  }
+  http::Task<bool> Answer(const http::AnswerHead& head,
+                          std::string_view) override {
+    status_ = head.status_;
+    co_return true;
+  }
+  http::Task<bool> AnswerWithoutBody(const http::AnswerHead&,
+                                     std::optional<uint64_t>) override {
+    co_return false;
+  }
+  http::Task<bool> Begin(const http::AnswerHead&,
+                         std::optional<uint64_t>) override {
+    co_return false;
+  }
+  http::Task<bool> Write(std::string_view) override { co_return false; }
+  http::Task<bool> Finish() override { co_return false; }
+  void NoteBodyFailure(std::string_view) override {}
+  void Abort() override {}
+
+  int status_ = 0;
+  std::promise<void> ended_;
+
+ private:
+  http::RequestHead head_;
+  http::CancelSignal gone_;
+};
+
+// An entry with two endpoints of a service whose reads are hedged. Both have
+// answered before, in about a millisecond.
+class HedgingEntry {
+ public:
+  HedgingEntry()
+      : node_(std::move(
+            distribution::ProxyNode::Create(MakeOptions(), journal_).value())),
+        node_loop_(*node_, clock_, [](const rpc::Envelope&) {}),
+        claims_(clock_, loop_, node_loop_, *node_),
+        hop_(loop_),
+        entry_({"entry", 1, request::Dialect()},
+               clock_,
+               loop_,
+               board_,
+               claims_,
+               hop_,
+               hop_,
+               [](const rpc::BrakeNotice&) {}) {
+    PublishView();
+    loop_.Start();
+    constexpr int kEnoughForBoth = 30;
+    for (int i = 0; i < kEnoughForBoth; ++i) {
+      BOOST_TEST(Call() == 200);
+    }
+  }
+  ~HedgingEntry() { loop_.Stop(); }
+
+  void Plan(const std::map<std::string, HopPlan>& plans) {
+    loop_.RunAndWait([&] { hop_.plans_ = plans; });
+  }
+  // The answer's status.
+  int Call() {
+    WaitingCaller caller;
+    const auto run = [](daemon::Entry& entry,
+                        WaitingCaller& call) -> http::Task<void> {
+      co_await entry.Handle(call);
+      call.ended_.set_value();
+    };
+    loop_.RunAndWait([&] { loop_.Spawn(run(entry_, caller)); });
+    caller.ended_.get_future().wait();
+    return caller.status_;
+  }
+  int Cut() const { return hop_.cut_; }
+
+ private:
+  static distribution::ProxyOptions MakeOptions() {
+    distribution::ProxyOptions options;
+    options.identity_.host_ = "entry";
+    return options;
+  }
+  void PublishView() {
+    config::ConfigState config;
+    rpc::ServiceState state;
+    *state.mutable_service() = MakeService("a");
+    state.mutable_service()->mutable_routes(0)->set_hedge(true);
+    state.mutable_service()->mutable_routes(0)->set_repeatable(true);
+    config.Put(state);
+    config.SetRevision(1);
+    registry::EndpointRegistry endpoints;
+    const base::MonoTime now = clock_.Read().mono_;
+    for (const std::string& host : {"one", "two"}) {
+      rpc::Endpoint endpoint;
+      endpoint.set_id(host);
+      endpoint.set_host(host);
+      endpoint.set_service("a");
+      endpoint.set_version("v1");
+      endpoint.set_slots(4);
+      endpoint.set_sequence(1);
+      endpoint.set_state(rpc::ENDPOINT_STATE_READY);
+      endpoints.Merge(endpoint, now);
+    }
+    board_.View().Publish(views_.Build(true, config, endpoints, {}, now));
+  }
+
+  base::SystemClock clock_;
+  http::EventLoop loop_;
+  storage::MemoryJournal journal_;
+  std::unique_ptr<distribution::ProxyNode> node_;
+  daemon::NodeLoop node_loop_;
+  daemon::ClaimClient claims_;
+  blackboard::Blackboard board_;
+  request::MeshViewBuilder views_{"zone"};
+  PlannedHop hop_;
+  daemon::Entry entry_;
+};
+
+// Guards against a request that is broken off at its endpoint, and answered
+// 429, because the endpoint of its second try had no room.
+BOOST_AUTO_TEST_CASE(ASecondTryThatIsRefusedLeavesTheFirstAtWork) {
+  HedgingEntry entry;
+  entry.Plan({{"0", {std::chrono::milliseconds(300)}},
+              {"1",
+               {std::chrono::milliseconds(1), ResultCode::kEndpointOverloaded,
+                /*not_run_=*/true}}});
+  BOOST_TEST(entry.Call() == 200);
+  BOOST_TEST(entry.Cut() == 0);
+}
+
+// Guards against a second try that is broken off at its endpoint because the
+// first one fails.
+BOOST_AUTO_TEST_CASE(AFirstTryThatFailsLeavesTheSecondAtWork) {
+  HedgingEntry entry;
+  entry.Plan(
+      {{"0", {std::chrono::milliseconds(100), ResultCode::kUpstreamFailed}},
+       {"1", {std::chrono::milliseconds(300)}}});
+  BOOST_TEST(entry.Call() == 200);
+  BOOST_TEST(entry.Cut() == 0);
+}
+
+// Guards against a promise that a request has not run, made by the refusal of
+// its second try though the first one ran.
+BOOST_AUTO_TEST_CASE(ARefusalKeepsInMindThatTheOtherTryRan) {
+  HedgingEntry entry;
+  entry.Plan(
+      {{"0", {std::chrono::milliseconds(100), ResultCode::kUpstreamFailed}},
+       {"1",
+        {std::chrono::milliseconds(1), ResultCode::kEndpointOverloaded,
+         /*not_run_=*/true}}});
+  BOOST_TEST(entry.Call() == 502);
+  BOOST_TEST(entry.Cut() == 0);
+}
+
+// Pattern: a read that is late is answered by another endpoint.
+BOOST_AUTO_TEST_CASE(TheLoserOfAHedgedReadIsBrokenOff) {
+  HedgingEntry entry;
+  entry.Plan({{"0", {std::chrono::milliseconds(800)}},
+              {"1", {std::chrono::milliseconds(1)}}});
+  BOOST_TEST(entry.Call() == 200);
+  BOOST_TEST(entry.Cut() == 1);
+}
+
+}  // namespace
+}  // namespace buckthorngate::tests
