An answer that is cut by its time or its caller is no crash

What callers saw: 502 upstream-failed instead of 504 for an answer that had begun and passed the request's deadline. What operators saw: an upstream that closes its listener before it ends its work counted as crashed, the request as the suspect, and the suspect was not tried again; after some such reports a request is quarantined.

Cause: whatever cut the first part of an answer's body (deadline, a caller that left, bytes that are no answer) was told as the upstream's own failure, so the destination looked whether the upstream had died. It asks by a new connection, which an upstream that is stopping refuses. Heads that come too late were told apart already.

Ruled out: the rest of a long answer (its failure starts no such probe).

Evidence: hop_test with an upstream that refuses new connections while its answer flows. Before, 2 of 2: AnAnswerThatIsTooLateIsNoCrash and ACallerThatLeavesWithinAnAnswerIsNoCrash got another code, crashed_, and one crash report each. After: hop_test passed 3 of 3.

Why it works: the exchange knows why it was cut, and that code is passed on; only a failure of the upstream itself is looked into. All of them are logged as before.

--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -263,7 +263,7 @@
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*began), without_body);
   LogIfCut(request, answer);
-  if (answer.code_ == ResultCode::kUpstreamFailed) {
+  if (answer.code_ != ResultCode::kOk) {
     LogUpstreamFailed(request.request_id_, request.endpoint_id_,
                       exchange->FailureInfo());
   }
--- a/src/daemon/hop.cc
+++ b/src/daemon/hop.cc
@@ -32,7 +32,7 @@
   const http::BodyState state =
       co_await http::ReadUpTo(*exchange, answer.body_, kWholeBodyBytes);
   if (state == http::BodyState::kFailed) {
-    answer.code_ = ResultCode::kUpstreamFailed;
+    answer.code_ = exchange->FailureInfo().code_;
   } else if (state == http::BodyState::kMore) {
     exchange->StreamAnswer();
     answer.rest_ = exchange;
@@ -42,7 +42,7 @@
 }
 
 void LogIfCut(const HopRequest& request, const HopAnswer& answer) {
-  if (answer.code_ != ResultCode::kUpstreamFailed) {
+  if (answer.code_ == ResultCode::kOk) {
     return;
   }
   const std::optional<uint64_t> length = answer.upload_->Length();
--- a/src/daemon/hop.h
+++ b/src/daemon/hop.h
@@ -91,7 +91,8 @@
 HopAnswer FailedHop(ResultCode code, bool not_run);
 
 // Reads the beginning of an answer's body from `exchange`; the whole of it if
-// it is short. kUpstreamFailed if it is cut off.
+// it is short. If it is cut off, why: kUpstreamFailed, kAnswerMalformed,
+// kDeadlineExceeded or kCallerGone.
 http::Task<HopAnswer> CollectAnswer(std::shared_ptr<http::Exchange> exchange,
                                     http::AnswerHead head,
                                     bool without_body);
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -10,7 +10,9 @@
 #include <string>
 #include <thread>
 
+#include "blackboard/blackboard.h"
 #include "blackboard/metrics.h"
+#include "daemon/destination.h"
 #include "daemon/hop_codec.h"
 #include "daemon/peer_client.h"
 #include "http/server.h"
@@ -180,21 +182,23 @@
   http::Server server_;
 };
 
-// A request to SlowPeer by a client of its own loop.
+// A request to SlowPeer, on the loop of its hop.
 struct SentHop {
-  SentHop(daemon::PeerClient& client,
+  SentHop(daemon::Hop& client,
           http::EventLoop& loop,
           const std::string& address,
-          const std::string& target) {
+          const std::string& target,
+          base::Duration deadline) {
     request_ = MakeRequest();
     request_.head_.target_ = target;
     request_.attempt_id_ = target;
     request_.peer_address_ = address;
     request_.repeatable_ = true;
-    request_.deadline_ = base::MonoNow() + std::chrono::seconds(5);
+    request_.deadline_ = base::MonoNow() + deadline;
+    request_.objective_ = request_.deadline_;
+    request_.still_wanted_ = [] { return true; };
     request_.cancel_ = &cancel_;
-    const auto run = [](daemon::PeerClient& hop,
-                        SentHop& sent) -> http::Task<void> {
+    const auto run = [](daemon::Hop& hop, SentHop& sent) -> http::Task<void> {
       sent.answer_ = co_await hop.Run(sent.request_);
       sent.ended_.set_value();
     };
@@ -214,10 +218,11 @@
   base::SystemClock clock;
   http::EventLoop loop;
   daemon::PeerClient client(clock, loop);
+  constexpr base::Duration kLongTime = std::chrono::seconds(5);
   loop.Start();
-  SentHop flowing(client, loop, peer.address_, "/long");
+  SentHop flowing(client, loop, peer.address_, "/long", kLongTime);
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
-  SentHop waiting(client, loop, peer.address_, "/late");
+  SentHop waiting(client, loop, peer.address_, "/late", kLongTime);
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
   peer.RefuseConnections();
   waiting.ended_.get_future().wait();
@@ -228,6 +233,76 @@
   loop.Stop();
 }
 
+// A destination beside SlowPeer as its upstream.
+class DestinationOfSlowPeer {
+ public:
+  DestinationOfSlowPeer()
+      : destination_("host",
+                     dialect_,
+                     clock_,
+                     loop_,
+                     board_,
+                     [this](const std::string&, const rpc::CrashReport&) {
+                       ++crashes_;
+                     }) {
+    daemon::UpstreamInfo info;
+    info.endpoint_id_ = MakeRequest().endpoint_id_;
+    info.address_ = peer_.address_;
+    info.service_ = "a";
+    info.slots_ = 4;
+    destination_.SetUpstream(info);
+    loop_.Start();
+  }
+  ~DestinationOfSlowPeer() { loop_.Stop(); }
+
+  // Runs "/long", whose upstream refuses connections once it is at work.
+  daemon::HopAnswer RunLong(base::Duration deadline,
+                            base::Duration caller_leaves) {
+    SentHop sent(destination_, loop_, peer_.address_, "/long", deadline);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    peer_.RefuseConnections();
+    std::this_thread::sleep_for(caller_leaves);
+    loop_.RunAndWait([&sent] { sent.cancel_.Raise(); });
+    sent.ended_.get_future().wait();
+    // It refers to the request.
+    loop_.RunAndWait([&sent] { sent.answer_.upload_.reset(); });
+    return sent.answer_;
+  }
+  int Crashes() const { return crashes_; }
+
+ private:
+  SlowPeer peer_;
+  const request::Dialect dialect_;
+  base::SystemClock clock_;
+  http::EventLoop loop_;
+  blackboard::Blackboard board_;
+  int crashes_ = 0;
+  daemon::Destination destination_;
+};
+
+// Guards against an upstream that counts as crashed, and its request as the
+// suspect, because its answer took longer than the request's time.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsTooLateIsNoCrash) {
+  DestinationOfSlowPeer destination;
+  const daemon::HopAnswer answer = destination.RunLong(
+      std::chrono::milliseconds(500), std::chrono::milliseconds(1000));
+  BOOST_TEST((answer.code_ == ResultCode::kDeadlineExceeded));
+  BOOST_TEST(answer.reached_);
+  BOOST_TEST(!answer.not_run_);
+  BOOST_TEST(!answer.crashed_);
+  BOOST_TEST(destination.Crashes() == 0);
+}
+
+// Guards against the same when the caller leaves within the answer.
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesWithinAnAnswerIsNoCrash) {
+  DestinationOfSlowPeer destination;
+  const daemon::HopAnswer answer = destination.RunLong(
+      std::chrono::seconds(5), std::chrono::milliseconds(100));
+  BOOST_TEST((answer.code_ == ResultCode::kCallerGone));
+  BOOST_TEST(!answer.crashed_);
+  BOOST_TEST(destination.Crashes() == 0);
+}
+
 // Pattern: requests that ended without an answer were counted nowhere.
 BOOST_AUTO_TEST_CASE(CutRequestsAreCountedBySideAndCause) {
   blackboard::Metrics metrics;
