A pausing caller's answer is not cut before the write time-out

What callers saw: a caller that took none of a long answer for 4 to 10 s, and then read on, got the beginning of the answer and the connection's end.

Cause: TCP_USER_TIMEOUT was 4 s on each socket, but a caller or daemon has 10 s (write_timeout_) to take some of its answer. Linux counts the time for which the other side's window is closed as time without acknowledgement, though it answers each probe of the window. So a caller that was there was taken for one that is gone.

Ruled out: the write time-out itself (10 s; the pause of the test is 8 s), and the end of the source (the test's handler writes until Write fails).

Evidence: ACallerThatPausesWithinTheWriteTimeoutGetsItsWholeAnswer (http_test), a raw caller that reads nothing for 8 s and then all. Before: failed, 128,064 of 67,108,864 bytes came. After: passed, nothing cut.

Why it works: the server derives the kernel's time from its own write time-out, 2 s more, so that its own ends the connection first and logs the cause; it can't fall below it any more. The client's is an option of 12 s. Peers that vanished are still bounded: AWriteThatTimesOutIsTold for servers, and ARequestThatNobodyTakesEndsItsConnection, new, for clients (the option at 1 s: ended after 1.3 s, deadline 20 s). The new one guards the bound that stays; it uses the new option and was not run before.

--- a/src/http/beast.cc
+++ b/src/http/beast.cc
@@ -8,9 +8,6 @@
 namespace buckthorngate::http {
 namespace {
 
-// Bytes that stay unacknowledged for longer end the connection.
-constexpr int kUserTimeoutMs = 4000;
-
 std::string_view View(const beast::string_view& text) {
   return {text.data(), text.size()};
 }
@@ -61,11 +58,12 @@
          error != bhttp::error::partial_message;
 }
 
-void ConfigureSocket(Tcp::socket& socket) {
+void ConfigureSocket(Tcp::socket& socket, base::Duration most_untaken) {
   ErrorCode ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
   const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>
-      user_timeout(kUserTimeoutMs);
+      user_timeout(static_cast<int>(
+          std::chrono::ceil<std::chrono::milliseconds>(most_untaken).count()));
   socket.set_option(user_timeout, ignored);
 }
 
--- a/src/http/beast.h
+++ b/src/http/beast.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/time.h"
 #include "http/head.h"
 
 namespace buckthorngate::http {
@@ -25,8 +26,10 @@
 bool IsMalformed(const ErrorCode& error);
 
 // Sets what each socket of the path of requests needs: no delay, and an end
-// to connections whose other side has gone silent.
-void ConfigureSocket(Tcp::socket& socket);
+// to connections whose other side acknowledges nothing for `most_untaken`.
+// Linux counts the time for which it has no room, too, so `most_untaken` is to
+// be longer than any pause that is allowed to it.
+void ConfigureSocket(Tcp::socket& socket, base::Duration most_untaken);
 
 }  // namespace buckthorngate::http
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -33,6 +33,9 @@
   base::Duration most_idle_ = std::chrono::seconds(3);
   base::Duration connect_timeout_ = std::chrono::milliseconds(300);
   size_t most_idle_connections_ = 64;  // For each address.
+  // A connection ends once the other side has taken nothing of a request for
+  // this long. As long as servers wait for callers.
+  base::Duration most_untaken_ = std::chrono::seconds(12);
   // A long answer's body may outlast its request's deadline by this much, while
   // it comes fast enough.
   base::Duration most_overtime_ = std::chrono::minutes(2);
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -85,7 +85,7 @@
   if (error) {
     co_return tl::unexpected(ResultCode::kConnectFailed);
   }
-  ConfigureSocket(connection->stream_.socket());
+  ConfigureSocket(connection->stream_.socket(), options_.most_untaken_);
   co_return connection;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,6 +12,8 @@
 constexpr int kBacklog = 1024;
 // After a failed accept, for instance without a free descriptor.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(20);
+// The write time-out ends a connection before the kernel does, and tells why.
+constexpr base::Duration kWriteTimeoutFirst = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -60,7 +62,7 @@
       co_await Sleep(loop_.Context(), kAcceptPause);
       continue;
     }
-    ConfigureSocket(socket);
+    ConfigureSocket(socket, limits_.write_timeout_ + kWriteTimeoutFirst);
     loop_.Spawn(Connection::Serve(
         std::make_shared<Connection>(*this, std::move(socket))));
   }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -88,6 +88,16 @@
     }
     return received_;
   }
+  // Reads until the connection ends or is silent; the number of bytes.
+  size_t CountAll() {
+    std::vector<char> buffer(size_t{256} * 1024);
+    size_t count = 0;
+    ssize_t got = 0;
+    while ((got = recv(file_, buffer.data(), buffer.size(), 0)) > 0) {
+      count += static_cast<size_t>(got);
+    }
+    return count;
+  }
   std::string ReadAll() { return ReadUntil("\r\n\r\nno such text"); }
 
  private:
@@ -261,6 +271,14 @@
       while (sent) {
         sent = co_await call.Write(piece);
       }
+    } else if (what == "/long") {
+      const std::string piece(http::kPieceBytes, 'x');
+      co_await call.Begin(head, kFlood);
+      bool sent = true;
+      for (uint64_t at = 0; sent && at < kFlood; at += piece.size()) {
+        sent = co_await call.Write(piece);
+      }
+      co_await call.Finish();
     } else if (what == "/floods-at-once") {
       const std::string body(kFlood, 'x');
       co_await call.Answer(head, body);
@@ -287,13 +305,15 @@
 
 class CutRecorder {
  public:
-  CutRecorder() : handler_(loop_), server_(loop_, handler_) {
+  explicit CutRecorder(
+      base::Duration write_timeout = std::chrono::milliseconds(300))
+      : handler_(loop_), server_(loop_, handler_) {
     const int file = ListenAnywhere(port_);
     close(file);
     BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
                    ResultCode::kOk));
     http::ServerLimits limits;
-    limits.write_timeout_ = std::chrono::milliseconds(300);
+    limits.write_timeout_ = write_timeout;
     server_.SetLimits(limits);
     server_.OnCut([this](const http::CutCall& call) { cuts_.push_back(call); });
     loop_.Start();
@@ -311,6 +331,11 @@
       });
     }
   }
+  std::vector<http::CutCall> Told() {
+    std::vector<http::CutCall> cuts;
+    loop_.RunAndWait([&] { cuts = cuts_; });
+    return cuts;
+  }
   // Those that were told by the time that there are `count`, or 3 s have gone.
   std::vector<http::CutCall> Await(size_t count) {
     std::vector<http::CutCall> cuts;
@@ -405,6 +430,17 @@
   }
 }
 
+// Guards against an answer that is cut at a caller that pauses: the kernel gave
+// the connection up before the write time-out was over.
+BOOST_AUTO_TEST_CASE(ACallerThatPausesWithinTheWriteTimeoutGetsItsWholeAnswer) {
+  CutRecorder recorder(http::ServerLimits().write_timeout_);
+  RawSocket caller(recorder.Port());
+  caller.Send("GET /long HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::seconds(8));
+  BOOST_TEST(caller.CountAll() >= CuttingHandler::kFlood);
+  BOOST_TEST(recorder.Told().empty());
+}
+
 // Pattern: a body that broke off at its source closed the connection, and
 // nothing told why.
 BOOST_AUTO_TEST_CASE(ABodyThatBreaksOffIsTold) {
@@ -680,5 +716,42 @@
   loop.Stop();
 }
 
+// Guards the bound on vanished servers: a request that nobody takes ends its
+// connection, long before its deadline.
+BOOST_AUTO_TEST_CASE(ARequestThatNobodyTakesEndsItsConnection) {
+  int port = 0;
+  const int listener = ListenAnywhere(port);
+  http::EventLoop loop;
+  http::ClientOptions options;
+  options.most_untaken_ = std::chrono::seconds(1);
+  http::ConnectionPool pool(loop, options);
+  std::promise<ResultCode> ended;
+  const auto run = [](http::ConnectionPool& connections, std::string address,
+                      std::promise<ResultCode>& result) -> http::Task<void> {
+    http::CancelSignal cancel;
+    const base::MonoTime deadline = base::MonoNow() + std::chrono::seconds(20);
+    const auto connection =
+        co_await connections.Take(address, deadline, cancel);
+    http::Exchange exchange(connections, *connection, cancel);
+    http::RequestHead request;
+    request.method_ = "POST";
+    request.target_ = "/";
+    const std::function<bool(const http::AnswerHead&)> belongs =
+        [](const http::AnswerHead&) { return true; };
+    const std::string body(CuttingHandler::kFlood, 'x');
+    const auto head = co_await exchange.Run(request, body, deadline, belongs);
+    result.set_value(head ? ResultCode::kOk : head.error().code_);
+  };
+  const base::MonoTime began = base::MonoNow();
+  loop.Spawn(run(pool, "127.0.0.1:" + std::to_string(port), ended));
+  loop.Start();
+  BOOST_TEST((ended.get_future().get() == ResultCode::kUpstreamFailed));
+  const base::Duration took = base::MonoNow() - began;
+  BOOST_TEST((took > std::chrono::milliseconds(900)));
+  BOOST_TEST((took < std::chrono::seconds(5)));
+  loop.Stop();
+  close(listener);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
