--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -116,8 +116,8 @@
   return own ? entry_.own_host_ : entry_.other_hosts_;
 }
 
-http::Task<void> Entry::Call::RunHop(AttemptPtr attempt) {
-  attempt->answer_ = co_await HopTo(*attempt).Run(attempt->request_);
+http::Task<void> Entry::Call::RunHop(Hop& hop, AttemptPtr attempt) {
+  attempt->answer_ = co_await hop.Run(attempt->request_);
   attempt->done_ = true;
 }
 
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -66,7 +66,8 @@
   request::VersionChoice ChooseVersions() const;
   HopRequest MakeHopRequest(const Attempt& attempt) const;
   Hop& HopTo(const Attempt& attempt) const;
-  http::Task<void> RunHop(AttemptPtr attempt);
+  // Static: an attempt that lost may outlast its call.
+  static http::Task<void> RunHop(Hop& hop, AttemptPtr attempt);
   request::AttemptOutcome OutcomeOf(const Attempt& attempt) const;
   void Note(const Attempt& attempt, const request::AttemptOutcome& outcome);
   void NoteEvidence(const Attempt& attempt,
--- a/src/daemon/entry_hedge.cc
+++ b/src/daemon/entry_hedge.cc
@@ -45,7 +45,7 @@
 http::Task<Entry::Call::AttemptPtr> Entry::Call::RunHedged(AttemptPtr first) {
   const base::Duration delay = HedgeDelay(*first);
   if (delay.count() == 0) {
-    co_await RunHop(first);
+    co_await RunHop(HopTo(*first), first);
     co_return first;
   }
   const std::shared_ptr<http::Notifier> changed =
@@ -55,8 +55,7 @@
     const auto run =
         [](Hop& hop, AttemptPtr tried,
            std::shared_ptr<http::Notifier> done) -> http::Task<void> {
-      tried->answer_ = co_await hop.Run(tried->request_);
-      tried->done_ = true;
+      co_await RunHop(hop, tried);
       done->Notify();
     };
     entry_.loop_.Spawn(run(HopTo(*attempt), attempt, changed));
