The test of hedged reads counts a loser after the turn that ends it

TheLoserOfAHedgedReadIsBrokenOff failed 4 of 11 runs (and 6 of 25 with a first try at this: reading the count on the loop only): "Cut() == 1 has failed [0 != 1]".

Cause, in the test only: the loser is cancelled in the turn that ends the call, and its coroutine goes on in a later one; the count was read in between. Logs of the failing runs show both tries, the second one the winner. Now one empty turn goes before the count. The checks are the same, and those of no cut now see a late one, too.

Evidence: 40 of 40 runs of hedge_test, and 200 of 200 of this test.

--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -135,7 +135,14 @@
     caller.ended_.get_future().wait();
     return caller.status_;
   }
-  int Cut() const { return hop_.cut_; }
+  // Tries that were broken off.
+  int Cut() {
+    int cut = 0;
+    // The last turn of a call cancels its loser, which ends in a turn after it.
+    loop_.RunAndWait([] {});
+    loop_.RunAndWait([&] { cut = hop_.cut_; });
+    return cut;
+  }
 
  private:
   static distribution::ProxyOptions MakeOptions() {
