A claim that is given back is given back at each member

Callers saw 409 (claim-outcome-unknown) for 24 h on each resend of a key whose request had been refused as not run.

Cause: a claim may be granted after its asker has given up. The release was sent once, or nobody sent it: * a claim without a majority was released by one message to each member, with no resend, and with the epoch of the claim, which a member with a newer group refuses; * a claim that overtook its release, or was doubled, was granted after it; * a release counted as done with a majority, so that the last member kept the claim, refused the key beside another refusal, and handed it on to the next group; * a request whose outcome didn't come within 1.5 s was refused as not run, but its claim went on in the node and could be granted afterwards.

Fix: a release is asked for, ever less often, until each member of the present group has taken it; a member remembers for 30 s the owners that gave back and grants them nothing more; a claim that is not waited for any longer is released by the one who stopped waiting. Releases that no member takes are bounded (4096, then one is given up after 0.8 s and logged as claim-kept).

Why no key runs twice by it: a release names its owner, owners are unique to a request and a start of the daemon, and it is sent only by one that has told its caller "not run" or is about to, and never runs that claim. A key that another owner holds is not touched. A late claim of an earlier epoch is fenced as before, so that the memory of owners needs no copy for a new group.

Ruled out: a short lease until the holder has begun needs one more round trip for each request, and clocks. Releasing from replies that come late needs those replies to arrive.

Not covered: a daemon that ends while its release is under way leaves the claim (safe, the key is refused); a member that left the group with a claim that was released later still holds it if it joins again.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -89,6 +89,9 @@
      "An upstream died under its requests."},
     {kAnnouncementIgnored, Level::kWarning, "announcement-ignored",
      "An upstream's announcement was malformed, late or foreign."},
+    {kClaimKept, Level::kWarning, "claim-kept",
+     "A claim was given back, but not each member has taken it; resends of its "
+     "key may be refused."},
     {kRequestQuarantined, Level::kError, "request-quarantined",
      "A request that crashes upstreams is refused from now on."},
     {kRequestRefused, Level::kInfo, "request-refused",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -52,6 +52,7 @@
   kEndpointExpired = 402,
   kEndpointCrashed = 403,
   kAnnouncementIgnored = 404,
+  kClaimKept = 410,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
   kAnswerCrossed = 502,
--- a/src/daemon/claim_client.cc
+++ b/src/daemon/claim_client.cc
@@ -29,13 +29,23 @@
   if (waiting->outcome_) {
     co_return std::move(*waiting->outcome_);
   }
+  if (action == rpc::ClaimRequest::CLAIM) {
+    Release(std::move(record));
+  }
   request::ClaimOutcome late;
-  late.owner_ = record.owner();
+  late.owner_ = key.first;
   late.action_ = action;
   late.code_ = ResultCode::kClaimNoQuorum;
   co_return late;
 }
 
+void ClaimClient::Release(rpc::ClaimRecord record) {
+  record.set_released(true);
+  node_loop_.Run([this, record = std::move(record)](const base::Now& now) {
+    node_.StartClaim(rpc::ClaimRequest::RELEASE, record, now);
+  });
+}
+
 void ClaimClient::Complete(std::vector<request::ClaimOutcome> outcomes) {
   if (outcomes.empty()) {
     return;
--- a/src/daemon/claim_client.h
+++ b/src/daemon/claim_client.h
@@ -23,8 +23,8 @@
               NodeLoop& node_loop,
               distribution::ProxyNode& node);
 
-  // Waits for the outcome; kClaimNoQuorum if it does not come in time. On the
-  // event loop's thread.
+  // Waits for the outcome; kClaimNoQuorum if it does not come in time: then a
+  // claim is given back, granted or not. On the event loop's thread.
   http::Task<request::ClaimOutcome> Run(rpc::ClaimRequest::Action action,
                                         rpc::ClaimRecord record);
 
@@ -41,6 +41,8 @@
     std::optional<request::ClaimOutcome> outcome_;
   };
 
+  void Release(rpc::ClaimRecord record);
+
   const base::Clock& clock_;
   http::EventLoop& loop_;
   NodeLoop& node_loop_;
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -91,7 +91,7 @@
       OnQuarantine(envelope.quarantine());
       break;
     case rpc::Envelope::kClaimReply:
-      claims_.OnReply(envelope.from(), envelope.claim_reply(), outbox_);
+      claims_.OnReply(envelope.from(), envelope.claim_reply(), now, outbox_);
       break;
     case rpc::Envelope::kPeerDigest:
       OnPeerDigest(envelope);
--- a/src/request/claim_coordinator.cc
+++ b/src/request/claim_coordinator.cc
@@ -1,8 +1,12 @@
 // The daemon's side of claims.
 #include "request/claim_coordinator.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/events.h"
+#include "request/claim_ledger.h"
+
 namespace buckthorngate::request {
 
 ClaimCoordinator::ClaimCoordinator(std::string self) : self_(std::move(self)) {}
@@ -19,13 +23,14 @@
   pending.members_ = static_cast<size_t>(group_.members_size());
   pending.granted_.clear();
   pending.answered_.clear();
-  Send(pending.request_, outbox);
+  Send(pending, outbox);
 }
 
-void ClaimCoordinator::Send(const rpc::ClaimRequest& request,
-                            base::Outbox& outbox) {
+void ClaimCoordinator::Send(const Pending& pending, base::Outbox& outbox) {
   for (const rpc::ClaimMember& member : group_.members()) {
-    *outbox.Add(self_, member.relay()).mutable_claim() = request;
+    if (pending.granted_.count(member.relay()) == 0) {
+      *outbox.Add(self_, member.relay()).mutable_claim() = pending.request_;
+    }
   }
 }
 
@@ -34,7 +39,10 @@
                              const base::Now& now,
                              base::Outbox& outbox) {
   const Key key{record.owner(), action};
-  Pending& pending = pending_[key];
+  if (action == rpc::ClaimRequest::RELEASE) {
+    pending_.erase({record.owner(), rpc::ClaimRequest::CLAIM});
+  }
+  Pending& pending = pending_[key] = Pending();
   pending.request_.set_action(action);
   pending.request_.set_epoch(group_.epoch());
   *pending.request_.mutable_record() = std::move(record);
@@ -42,14 +50,15 @@
   pending.next_send_ = now.mono_ + kClaimResendInterval;
   pending.members_ = static_cast<size_t>(group_.members_size());
   if (pending.members_ == 0) {
-    Finish(key, ResultCode::kClaimNoQuorum, outbox);
+    Finish(key, ResultCode::kClaimNoQuorum, now, outbox);
     return;
   }
-  Send(pending.request_, outbox);
+  Send(pending, outbox);
 }
 
 void ClaimCoordinator::OnReply(const std::string& from,
                                const rpc::ClaimReply& reply,
+                               const base::Now& now,
                                base::Outbox& outbox) {
   const Key key{reply.owner(), reply.action()};
   const auto found = pending_.find(key);
@@ -65,11 +74,20 @@
   // Answers to the request as it was before a restart say nothing of it now.
   const bool earlier_round =
       reply.has_group() || (reply.result_code() == 0 && reply.epoch() != epoch);
-  if (earlier_round || !found->second.answered_.insert(from).second) {
+  if (earlier_round) {
     return;
   }
-  Pending& pending = found->second;
   const ResultCode code = ResultCodeFromNumber(reply.result_code());
+  if (key.second == rpc::ClaimRequest::RELEASE) {
+    if (code == ResultCode::kOk) {
+      OnReleased(key, from);
+    }
+    return;
+  }
+  if (!found->second.answered_.insert(from).second) {
+    return;
+  }
+  Pending& pending = found->second;
   if (code == ResultCode::kOk) {
     pending.granted_.insert(from);
   } else if (code == ResultCode::kKeyReused ||
@@ -85,50 +103,104 @@
   }
   const size_t majority = pending.members_ / 2 + 1;
   if (pending.granted_.size() >= majority) {
-    Finish(key, ResultCode::kOk, outbox);
+    Finish(key, ResultCode::kOk, now, outbox);
   } else if (pending.answer_) {
-    Finish(key, ResultCode::kClaimOutcomeUnknown, outbox);
+    Finish(key, ResultCode::kClaimOutcomeUnknown, now, outbox);
   } else if (pending.answered_.size() == pending.members_) {
-    Finish(key, pending.refusal_, outbox);
+    Finish(key, pending.refusal_, now, outbox);
+  }
+}
+
+void ClaimCoordinator::OnReleased(const Key& key, const std::string& from) {
+  Pending& pending = pending_.at(key);
+  pending.granted_.insert(from);
+  if (!pending.told_ && pending.granted_.size() > pending.members_ / 2) {
+    pending.told_ = true;
+    Tell(key, pending, ResultCode::kOk);
+  }
+  if (pending.granted_.size() == pending.members_) {
+    pending_.erase(key);
   }
 }
 
+bool ClaimCoordinator::KeepReleasing(const Key& key,
+                                     Pending& pending,
+                                     const base::Now& now) {
+  if (now.mono_ < pending.deadline_) {
+    return true;
+  }
+  if (!pending.told_) {
+    pending.told_ = true;
+    Tell(key, pending, ResultCode::kClaimNoQuorum);
+  }
+  const bool expired =
+      pending.request_.record().expires_ms() <= base::ToUnixMs(now.wall_);
+  if (!expired && pending_.size() <= kMostOpenClaims) {
+    return true;
+  }
+  base::LogEvent(base::EventId::kClaimKept,
+                 {{"key", pending.request_.record().key()},
+                  {"owner", key.first},
+                  {"released", std::to_string(pending.granted_.size())},
+                  {"members", std::to_string(pending.members_)}});
+  return false;
+}
+
 void ClaimCoordinator::OnTimer(const base::Now& now, base::Outbox& outbox) {
   std::vector<Key> late;
-  for (auto& [key, pending] : pending_) {
-    if (now.mono_ >= pending.deadline_) {
-      late.push_back(key);
+  for (auto item = pending_.begin(); item != pending_.end();) {
+    Pending& pending = item->second;
+    const bool release = item->first.second == rpc::ClaimRequest::RELEASE;
+    if (release && !KeepReleasing(item->first, pending, now)) {
+      item = pending_.erase(item);
+      continue;
+    }
+    if (!release && now.mono_ >= pending.deadline_) {
+      late.push_back(item->first);
     } else if (now.mono_ >= pending.next_send_) {
       // Members take the same request twice without harm.
-      pending.next_send_ = now.mono_ + kClaimResendInterval;
-      Send(pending.request_, outbox);
+      pending.next_send_ = now.mono_ + pending.resend_interval_;
+      if (release) {
+        pending.resend_interval_ =
+            std::min(2 * pending.resend_interval_, kMostReleaseInterval);
+      }
+      Send(pending, outbox);
     }
+    ++item;
   }
   for (const Key& key : late) {
-    Finish(key, pending_[key].refusal_, outbox);
+    Finish(key, pending_[key].refusal_, now, outbox);
   }
 }
 
 void ClaimCoordinator::Finish(const Key& key,
                               ResultCode code,
+                              const base::Now& now,
                               base::Outbox& outbox) {
   const auto found = pending_.find(key);
   Pending pending = std::move(found->second);
   pending_.erase(found);
+  Tell(key, pending, code);
+  // A claim that some members granted but no majority is given back: this
+  // owner will never run it.
+  const bool asked = pending.members_ != 0;
+  if (key.second == rpc::ClaimRequest::CLAIM && code != ResultCode::kOk &&
+      asked) {
+    rpc::ClaimRecord record = std::move(*pending.request_.mutable_record());
+    record.set_released(true);
+    Start(rpc::ClaimRequest::RELEASE, std::move(record), now, outbox);
+  }
+}
+
+void ClaimCoordinator::Tell(const Key& key,
+                            const Pending& pending,
+                            ResultCode code) {
   ClaimOutcome outcome;
   outcome.owner_ = key.first;
   outcome.action_ = key.second;
   outcome.code_ = code;
   outcome.answer_ = pending.answer_;
   outcomes_.push_back(std::move(outcome));
-  // A claim that some members granted but no majority is given back: this
-  // owner will never run it.
-  if (key.second == rpc::ClaimRequest::CLAIM && code != ResultCode::kOk) {
-    rpc::ClaimRequest release = pending.request_;
-    release.set_action(rpc::ClaimRequest::RELEASE);
-    release.mutable_record()->set_released(true);
-    Send(release, outbox);
-  }
 }
 
 std::vector<ClaimOutcome> ClaimCoordinator::TakeOutcomes() {
--- a/src/request/claim_coordinator.h
+++ b/src/request/claim_coordinator.h
@@ -3,6 +3,10 @@
 // Asks each member of the claim group and counts the answers. A request runs
 // only after a majority has synced its claim. Without a majority the claim is
 // given back and the request refused as not run.
+//
+// A claim that is given back is asked for until each member has said that it
+// holds none of this owner: one that still did would refuse the key for as
+// long as claims last, and hand it to the next group.
 #ifndef SRC_REQUEST_CLAIM_COORDINATOR_H_
 #define SRC_REQUEST_CLAIM_COORDINATOR_H_
 
@@ -25,6 +29,12 @@
 inline constexpr base::Duration kClaimResendInterval =
     std::chrono::milliseconds(200);
 
+// Members that have not taken a release are asked less and less often.
+inline constexpr base::Duration kMostReleaseInterval = std::chrono::seconds(5);
+// Bounds memory and messages while a member is away; beyond it a release is
+// given up at kClaimTimeout.
+inline constexpr size_t kMostOpenClaims = 4096;
+
 // What became of one claim, answer or release.
 struct ClaimOutcome {
   std::string owner_;
@@ -43,13 +53,15 @@
   // Ignores an older group than the one that is known.
   void SetGroup(const rpc::ClaimGroup& group);
 
-  // `record.owner` must be unique to the request and action.
+  // `record.owner` must be unique to the request and action. A release ends
+  // its owner's claim: it has no outcome any more, even if it is granted.
   void Start(rpc::ClaimRequest::Action action,
              rpc::ClaimRecord record,
              const base::Now& now,
              base::Outbox& outbox);
   void OnReply(const std::string& from,
                const rpc::ClaimReply& reply,
+               const base::Now& now,
                base::Outbox& outbox);
   void OnTimer(const base::Now& now, base::Outbox& outbox);
   std::vector<ClaimOutcome> TakeOutcomes();
@@ -59,9 +71,12 @@
     rpc::ClaimRequest request_;
     base::MonoTime deadline_;
     base::MonoTime next_send_;
+    base::Duration resend_interval_ = kClaimResendInterval;
     size_t members_ = 0;
     std::set<std::string> granted_;
     std::set<std::string> answered_;
+    // A release whose outcome is out may still be asked for.
+    bool told_ = false;
     // Strongest refusal so far.
     ResultCode refusal_ = ResultCode::kClaimNoQuorum;
     std::optional<rpc::StoredAnswer> answer_;
@@ -71,8 +86,16 @@
   // Starts over with the group that a member has told of: this daemon may be
   // cut off from its relay.
   void Restart(Pending& pending, base::Outbox& outbox);
-  void Send(const rpc::ClaimRequest& request, base::Outbox& outbox);
-  void Finish(const Key& key, ResultCode code, base::Outbox& outbox);
+  // To the members that have not granted it.
+  void Send(const Pending& pending, base::Outbox& outbox);
+  void OnReleased(const Key& key, const std::string& from);
+  void Finish(const Key& key,
+              ResultCode code,
+              const base::Now& now,
+              base::Outbox& outbox);
+  void Tell(const Key& key, const Pending& pending, ResultCode code);
+  // False if the release is given up.
+  bool KeepReleasing(const Key& key, Pending& pending, const base::Now& now);
 
   const std::string self_;
   rpc::ClaimGroup group_;
--- a/src/request/claim_ledger.cc
+++ b/src/request/claim_ledger.cc
@@ -104,6 +104,9 @@
 ResultCode ClaimLedger::Claim(const rpc::ClaimRecord& wanted,
                               rpc::ClaimRecord& held,
                               bool exists) {
+  if (released_.count(wanted.owner()) != 0) {
+    return ResultCode::kClaimNoQuorum;
+  }
   if (!exists) {
     return Store(wanted) ? ResultCode::kOk : ResultCode::kStorageFailed;
   }
@@ -114,6 +117,13 @@
                                         : ResultCode::kClaimOutcomeUnknown;
 }
 
+ResultCode ClaimLedger::Release(const rpc::ClaimRecord& wanted,
+                                bool owns,
+                                base::MonoTime now) {
+  released_[wanted.owner()] = now + kReleasedMemory;
+  return !owns || Store(wanted) ? ResultCode::kOk : ResultCode::kStorageFailed;
+}
+
 rpc::ClaimReply ClaimLedger::Decide(const rpc::ClaimRequest& request,
                                     const base::Now& now) {
   const rpc::ClaimRecord& wanted = request.record();
@@ -141,6 +151,8 @@
     code = ResultCode::kClaimTransferring;
   } else if (request.action() == rpc::ClaimRequest::CLAIM) {
     code = Claim(wanted, held, exists);
+  } else if (request.action() == rpc::ClaimRequest::RELEASE) {
+    code = Release(wanted, owns, now.mono_);
   } else if (!owns) {
     code = ResultCode::kClaimOutcomeUnknown;
   } else if (!Store(wanted)) {
@@ -214,6 +226,9 @@
     std::erase_if(records_, [wall_ms](const auto& item) {
       return item.second.expires_ms() <= wall_ms;
     });
+    std::erase_if(released_, [&now](const auto& item) {
+      return item.second <= now.mono_;
+    });
   }
 }
 
--- a/src/request/claim_ledger.h
+++ b/src/request/claim_ledger.h
@@ -3,7 +3,8 @@
 // A member of the claim group holds one record for each operation key. A key
 // belongs to the first owner that claims it, until the record expires; the
 // owner may store the answer, or give the key back if the request certainly
-// did not run. A claim stands if a majority of the group has synced it.
+// did not run; after that no claim of this owner is granted, however late it
+// comes. A claim stands if a majority of the group has synced it.
 //
 // When the group's membership changes (its epoch grows), a member first fences
 // the old epoch, then copies the ledgers of a majority of the previous members
@@ -30,6 +31,9 @@
 // A stored answer larger than this is not kept; a resend is told that the
 // outcome is unknown.
 inline constexpr size_t kMaxStoredAnswerBytes = 64 * 1024;
+// How long an owner that gave its key back is remembered: longer than a claim
+// that was sent before may be under way.
+inline constexpr base::Duration kReleasedMemory = std::chrono::seconds(30);
 inline constexpr base::Duration kTransferRetryInterval =
     std::chrono::milliseconds(300);
 
@@ -78,12 +82,18 @@
   ResultCode Claim(const rpc::ClaimRecord& wanted,
                    rpc::ClaimRecord& held,
                    bool exists);
+  ResultCode Release(const rpc::ClaimRecord& wanted,
+                     bool owns,
+                     base::MonoTime now);
   bool Append(const rpc::JournalRecord& record);
   bool Store(const rpc::ClaimRecord& record);
   const std::string self_;
   storage::Journal& journal_;
   rpc::ClaimGroup group_;
   std::map<std::string, rpc::ClaimRecord> records_;
+  // Owners that gave their key back, and when to forget them. In memory only:
+  // what was under way to a process ends with it.
+  std::map<std::string, base::MonoTime> released_;
   // Invariant: true exactly while this member may grant claims in group_.
   bool ready_ = false;
   // Previous members whose whole ledger is merged.
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <string>
 
+#include "request/claim_coordinator.h"
+#include "request/claim_ledger.h"
 #include "test_mesh.h"
 
 namespace buckthorngate::tests {
@@ -277,5 +279,199 @@
   BOOST_TEST(ran > 40 * 10);
 }
 
+// Asks as a daemon does: gives a claim back that it doesn't use, and one whose
+// outcome it didn't wait for.
+class Asker {
+ public:
+  Asker(TestMesh& mesh, uint64_t seed) : mesh_(mesh), random_(seed) {}
+
+  void Ask(const std::string& proxy,
+           const std::string& key,
+           base::Duration patience) {
+    Asked asked;
+    asked.proxy_ = proxy;
+    asked.until_ = mesh_.Net().Now().mono_ + patience;
+    asked.record_.set_key(key);
+    asked.record_.set_content_digest(1);
+    asked.record_.set_owner(proxy + "#" + std::to_string(++next_));
+    asked.record_.set_expires_ms(
+        base::ToUnixMs(mesh_.Net().Now().wall_ + std::chrono::hours(24)));
+    mesh_.Proxy(proxy).StartClaim(rpc::ClaimRequest::CLAIM, asked.record_,
+                                  mesh_.Net().Now());
+    asked_[asked.record_.owner()] = asked;
+  }
+
+  void Run(base::Duration length) {
+    mesh_.Net().Run(length, [this] {
+      TakeOutcomes();
+      GiveUp();
+    });
+  }
+
+  // One in `one_in` of the claims that are granted are used.
+  void SetUse(uint64_t one_in) { one_in_ = one_in; }
+  int Runs(const std::string& key) { return runs_[key]; }
+  int GivenBack() const { return given_back_; }
+
+ private:
+  struct Asked {
+    std::string proxy_;
+    base::MonoTime until_;
+    rpc::ClaimRecord record_;
+  };
+
+  void TakeOutcomes() {
+    for (const std::string& id : mesh_.ProxyIds()) {
+      for (const request::ClaimOutcome& outcome :
+           mesh_.Proxy(id).TakeClaimOutcomes()) {
+        const auto found = asked_.find(outcome.owner_);
+        if (outcome.action_ != rpc::ClaimRequest::CLAIM ||
+            found == asked_.end()) {
+          continue;
+        }
+        const Asked asked = found->second;
+        asked_.erase(found);
+        if (outcome.code_ != ResultCode::kOk) {
+          continue;
+        }
+        if (random_.Below(one_in_) == 0) {
+          ++runs_[asked.record_.key()];
+        } else {
+          GiveBack(asked);
+        }
+      }
+    }
+  }
+
+  void GiveUp() {
+    std::vector<Asked> late;
+    for (const auto& [owner, asked] : asked_) {
+      if (mesh_.Net().Now().mono_ >= asked.until_) {
+        late.push_back(asked);
+      }
+    }
+    for (const Asked& asked : late) {
+      asked_.erase(asked.record_.owner());
+      GiveBack(asked);
+    }
+  }
+
+  void GiveBack(const Asked& asked) {
+    ++given_back_;
+    rpc::ClaimRecord record = asked.record_;
+    record.set_released(true);
+    mesh_.Proxy(asked.proxy_)
+        .StartClaim(rpc::ClaimRequest::RELEASE, record, mesh_.Net().Now());
+  }
+
+  TestMesh& mesh_;
+  base::Random random_;
+  int next_ = 0;
+  uint64_t one_in_ = 1;
+  int given_back_ = 0;
+  std::map<std::string, Asked> asked_;
+  std::map<std::string, int> runs_;
+};
+
+constexpr int kAskedKeys = 8;
+
+std::string AskedKey(int number) {
+  return "k" + std::to_string(number);
+}
+
+// Messages are lost, doubled and late while a member is cut off and another
+// one starts again.
+void AskThroughFaults(TestMesh& mesh, Asker& asker, base::Random& random) {
+  NetworkFaults faults;
+  faults.loss_ = 0.3;
+  faults.duplicate_ = 0.3;
+  faults.most_delay_ = std::chrono::milliseconds(1200);
+  mesh.Net().SetFaults(faults);
+  for (int round = 0; round < 40; ++round) {
+    const std::string key =
+        AskedKey(static_cast<int>(random.Below(kAskedKeys)));
+    for (const std::string& proxy : mesh.ProxyIds()) {
+      asker.Ask(proxy, key, std::chrono::milliseconds(random.Below(3000)));
+    }
+    asker.Run(std::chrono::milliseconds(random.Below(900)));
+    if (round == 8) {
+      mesh.Net().Isolate("relay-2");
+    } else if (round == 12) {
+      mesh.Net().Heal();
+      mesh.Crash("relay-3");
+    } else if (round == 14) {
+      mesh.Restart("relay-3");
+    }
+  }
+  mesh.Net().SetFaults(NetworkFaults());
+}
+
+// Guards against a key that nobody ran and that is refused for as long as
+// claims last, because its grant came after its asker had left or its release
+// was lost.
+BOOST_AUTO_TEST_CASE(AKeyThatNobodyRanMayRunLater) {
+  int ran = 0;
+  int not_run = 0;
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    TestMesh mesh(seed);
+    BuildMesh(mesh);
+    BOOST_REQUIRE(AwaitGroup(mesh, 3));
+    base::Random random(seed);
+    Asker asker(mesh, seed + 1);
+    asker.SetUse(2);
+    AskThroughFaults(mesh, asker, random);
+    asker.Run(std::chrono::seconds(20));
+    asker.SetUse(1);
+    for (int i = 0; i < kAskedKeys; ++i) {
+      const int before = asker.Runs(AskedKey(i));
+      BOOST_TEST(before <= 1,
+                 "seed " << seed << ": " << AskedKey(i) << " ran twice");
+      asker.Ask("proxy-" + std::to_string(1 + i % 3), AskedKey(i),
+                std::chrono::seconds(2));
+      asker.Run(std::chrono::seconds(2));
+      BOOST_TEST(asker.Runs(AskedKey(i)) == 1,
+                 "seed " << seed << ": " << AskedKey(i) << " ran "
+                         << asker.Runs(AskedKey(i)) << " times, " << before
+                         << " of them before");
+      ran += before;
+      not_run += 1 - before;
+    }
+    BOOST_TEST(asker.GivenBack() > 0);
+  }
+  BOOST_TEST(ran > 60);
+  BOOST_TEST(not_run > 60);
+}
+
+// Guards against releases that pile up without a bound while a member is away.
+BOOST_AUTO_TEST_CASE(ReleasesThatNobodyTakesAreBounded) {
+  request::ClaimCoordinator coordinator("proxy-1");
+  rpc::ClaimGroup group;
+  group.set_epoch(1);
+  group.add_members()->set_relay("relay-1");
+  coordinator.SetGroup(group);
+  base::Now now{base::MonoTime(std::chrono::hours(1)),
+                base::WallTime(std::chrono::hours(1))};
+  base::Outbox outbox;
+  constexpr size_t kReleases = request::kMostOpenClaims + 1000;
+  for (size_t i = 0; i < kReleases; ++i) {
+    rpc::ClaimRecord record;
+    record.set_key("k" + std::to_string(i));
+    record.set_owner("proxy-1#" + std::to_string(i));
+    record.set_expires_ms(base::ToUnixMs(now.wall_ + request::kClaimLifetime));
+    record.set_released(true);
+    coordinator.Start(rpc::ClaimRequest::RELEASE, record, now, outbox);
+  }
+  BOOST_TEST(outbox.Take().size() == kReleases);
+  now.mono_ += request::kClaimTimeout;
+  coordinator.OnTimer(now, outbox);
+  BOOST_TEST(outbox.Take().size() == request::kMostOpenClaims);
+  // Each has its outcome, those too that are asked for yet.
+  BOOST_TEST(coordinator.TakeOutcomes().size() == kReleases);
+  now.mono_ += request::kClaimLifetime;
+  now.wall_ += request::kClaimLifetime;
+  coordinator.OnTimer(now, outbox);
+  BOOST_TEST(outbox.Take().empty());
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
