A relay that hears few hosts takes none for gone

Callers of other zones would be refused for want of endpoints, though the hosts were well: a relay whose way to its hosts is cut marked all of their endpoints as gone after a lease (3 s) and told everybody; one that was cut off from all told it as soon as its link was back (ExpireEndpoints).

Cause: silence of all hosts at once was taken for the end of each of them. The mend for a relay that was frozen sees its late timer only; here the relay runs.

Fix: if less than half of the hosts that were heard lately have been heard within 1.9 s (a heartbeat less than a lease, so that it is noticed before the first lease ends), the relay lets no lease end. Once it hears half of them again, hosts get a lease's time. Silent hosts are forgotten after 15 s, but not by a relay that has no contact to the sources itself: it knows nothing. So a zone whose hosts all die still goes, after 18 s in place of 3 s.

Why keeping them is right: a host's own end, its drain and its leave are its announcements and are merged as before, through any relay that it reaches; the destination on the host refuses what comes after its drain; a request to an address that was given to another one fails by X-Expect-Instance. A request to a host that is really gone fails to connect, isn't run and goes elsewhere. What it costs: where half of the hosts or more die together, requests try them for up to 15 s longer; each proxy leaves them out by itself meanwhile.

AZoneWhoseHostsAllDieGoes passes before and after: it guards the limit.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -89,6 +89,10 @@
      "An upstream died under its requests."},
     {kAnnouncementIgnored, Level::kWarning, "announcement-ignored",
      "An upstream's announcement was malformed, late or foreign."},
+    {kHostsUnheard, Level::kWarning, "hosts-unheard",
+     "A relay no longer hears most hosts; it takes none of them for gone."},
+    {kHostsHeard, Level::kInfo, "hosts-heard",
+     "A relay hears most hosts that it knows again, or forgot the others."},
     {kClaimKept, Level::kWarning, "claim-kept",
      "A claim was given back, but not each member has taken it; resends of its "
      "key may be refused."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -52,6 +52,8 @@
   kEndpointExpired = 402,
   kEndpointCrashed = 403,
   kAnnouncementIgnored = 404,
+  kHostsUnheard = 405,
+  kHostsHeard = 406,
   kClaimKept = 410,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -96,6 +96,10 @@
   void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
   void OnQuarantine(const rpc::Envelope& envelope);
   void ExpireEndpoints(const base::Now& now);
+  // Whether at least half of the hosts that were heard lately still are. If
+  // most fall silent together, that tells more of this relay than of them.
+  bool HearsHosts(base::MonoTime now);
+  void NoteHearing(bool hears);
   void SendRegistryDigests(const base::Now& now);
   void SendEvidence(const base::Now& now);
   void SendQuarantine(const std::vector<rpc::QuarantineEntry>& entries,
@@ -143,6 +147,10 @@
   base::MonoTime next_heartbeat_;
   base::MonoTime next_digest_;
   base::MonoTime next_expiry_;
+  // Hosts that were heard lately, and when.
+  std::map<std::string, base::MonoTime> heard_;
+  // Invariant: what HearsHosts said when leases were checked last.
+  bool hears_hosts_ = true;
   base::MonoTime next_evidence_;
   rpc::ZoneAck last_zone_ack_;
 };
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -18,6 +18,13 @@
 constexpr base::Duration kExpiryInterval = std::chrono::milliseconds(250);
 // A check of leases that is later than this says that this process was stopped.
 constexpr base::Duration kLateExpiry = std::chrono::seconds(1);
+// A heartbeat less than a lease: whoever falls silent together is missed before
+// the first lease of them ends.
+constexpr base::Duration kHostSilence =
+    registry::kEndpointLease - std::chrono::milliseconds(1100);
+// Hosts that are silent for longer are forgotten by a relay that is in contact
+// itself, so that a zone whose hosts have all died is told as gone.
+constexpr base::Duration kHostMemory = std::chrono::seconds(15);
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 
 }  // namespace
@@ -95,6 +102,7 @@
 
 void RelayNode::OnEndpointHeartbeat(const rpc::Envelope& envelope,
                                     const base::Now& now) {
+  heard_[envelope.from()] = now.mono_;
   const bool matches = endpoints_.Heartbeat(
       envelope.from(), envelope.endpoint_heartbeat().digest(), now.mono_);
   if (!matches) {
@@ -178,6 +186,30 @@
   SendToProxies(content);
 }
 
+bool RelayNode::HearsHosts(base::MonoTime now) {
+  if (link_.Connected(now)) {
+    std::erase_if(heard_, [now](const auto& host) {
+      return now - host.second > kHostMemory;
+    });
+  }
+  const auto hears = [now](const auto& host) {
+    return now - host.second <= kHostSilence;
+  };
+  const size_t heard =
+      static_cast<size_t>(std::count_if(heard_.begin(), heard_.end(), hears));
+  return 2 * heard >= heard_.size();
+}
+
+void RelayNode::NoteHearing(bool hears) {
+  if (hears == hears_hosts_) {
+    return;
+  }
+  hears_hosts_ = hears;
+  LogEvent(
+      hears ? EventId::kHostsHeard : EventId::kHostsUnheard,
+      {{"zone", options_.zone_}, {"hosts", std::to_string(heard_.size())}});
+}
+
 void RelayNode::ExpireEndpoints(const base::Now& now) {
   if (now.mono_ < next_expiry_) {
     return;
@@ -188,6 +220,16 @@
     return;
   }
   next_expiry_ = now.mono_ + kExpiryInterval;
+  const bool heard_before = hears_hosts_;
+  NoteHearing(HearsHosts(now.mono_));
+  if (!hears_hosts_) {
+    return;
+  }
+  if (!heard_before) {
+    // Those that are not heard yet get the time of a lease.
+    next_expiry_ = now.mono_ + registry::kEndpointLease;
+    return;
+  }
   const std::vector<rpc::Endpoint> expired =
       endpoints_.ExpireLeases(options_.zone_, now.mono_);
   for (const rpc::Endpoint& endpoint : expired) {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -214,5 +214,76 @@
   BOOST_TEST(unseen == 0);
 }
 
+// Two hosts of zone-1 with an upstream each, whose heartbeats cross.
+class ZoneWithTwoUpstreams {
+ public:
+  explicit ZoneWithTwoUpstreams(uint64_t seed) : zones_(seed) {
+    (void)UnseenSteps(std::chrono::milliseconds(3200));
+    Net().Freeze("proxy-1-2");
+    (void)UnseenSteps(std::chrono::milliseconds(1300));
+    Net().Thaw("proxy-1-2");
+    (void)UnseenSteps(std::chrono::seconds(1));
+  }
+  FakeMesh& Net() { return zones_.Mesh().Net(); }
+
+  // Runs while the upstreams announce; steps in which a host of their zone or
+  // of the other one doesn't see both.
+  int UnseenSteps(base::Duration length) {
+    int unseen = 0;
+    Net().Run(length, [this, &unseen] {
+      zones_.Announce();
+      zones_.Mesh()
+          .Proxy("proxy-1-2")
+          .Local()
+          .Announce({"b", "v1", "127.0.0.1:2", 20, "y"}, Net().Now().mono_);
+      unseen += Sees("proxy-1-1") && Sees("proxy-2-1") ? 0 : 1;
+    });
+    return unseen;
+  }
+
+ private:
+  bool Sees(const std::string& proxy) {
+    return zones_.Seen(proxy) &&
+           zones_.Mesh().Proxy(proxy).Endpoints().HasReady("b", "v1");
+  }
+
+  MeshWithTwoZones zones_;
+};
+
+// Guards against a zone whose endpoints all count as gone because its relay
+// was cut off from its hosts, which were well.
+BOOST_AUTO_TEST_CASE(ARelayThatIsCutOffTakesNoHostForGone) {
+  for (int round = 0; round < 20; ++round) {
+    const bool from_all = round % 2 == 0;
+    ZoneWithTwoUpstreams zone(static_cast<uint64_t>(round) + 8);
+    // At each phase of the heartbeats.
+    BOOST_REQUIRE(zone.UnseenSteps(std::chrono::milliseconds(100 * round)) ==
+                  0);
+    if (from_all) {
+      zone.Net().Isolate("relay-1");
+    } else {
+      zone.Net().Cut("relay-1", "proxy-1-1");
+      zone.Net().Cut("relay-1", "proxy-1-2");
+    }
+    BOOST_TEST(zone.UnseenSteps(std::chrono::seconds(from_all ? 25 : 10)) == 0,
+               "round " << round << ": cut off");
+    zone.Net().Heal();
+    BOOST_TEST(zone.UnseenSteps(std::chrono::seconds(8)) == 0,
+               "round " << round << ": healed");
+  }
+}
+
+// Guards against hosts that are kept for ever: a relay that hears the sources
+// but no host for long takes them for gone.
+BOOST_AUTO_TEST_CASE(AZoneWhoseHostsAllDieGoes) {
+  MeshWithTwoZones zones(9);
+  zones.RunAnnouncing(std::chrono::seconds(3));
+  BOOST_REQUIRE(zones.Seen("proxy-2-1"));
+  zones.Mesh().Crash("proxy-1-1");
+  zones.Mesh().Crash("proxy-1-2");
+  zones.Mesh().Net().Run(std::chrono::seconds(25));
+  BOOST_TEST(!zones.Seen("proxy-2-1"));
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
