An own lack of descriptors is not the other side's failure

What callers saw: on a host without a free descriptor (EMFILE, ENFILE; the same for local ports, ENOBUFS and ENOMEM) endpoints were left out, requests that endpoints worked on were given up with 502 connect-failed, and an upstream whose connection broke was reported as crashed, its request as a suspect.

Cause: ConnectionPool::Take gave kConnectFailed for each error, which ejects the endpoint (Entry) or leads to the crash probe (Destination). AcceptsConnections and StillListens gave false for each error, so a probe that was never made counted as one without an answer.

Probes have three results; one that was not made gives up nobody, leaves out nobody (TellUnheard) and reports no crash. A log line, connection-not-made, names the address and the cause.

Evidence, on Linux with RLIMIT_NOFILE of the test lowered to the lowest free descriptor, or a probe that can't be made. AProbeAfterOneThatCouldNotBeMadeIsJudgedAnew tests the new function only and was not run before. ENOBUFS, ENOMEM and EADDRNOTAVAIL, and what Entry and Destination make of the code, were not played; they are by reading.

Why it works: errors of connect are sorted at one place, where they are known, and nobody behind it can take the third result for the second.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -115,6 +115,8 @@
      "A request that was read ended without a whole answer."},
     {kAnswerCut, Level::kWarning, "answer-cut",
      "The answer of an upstream or of another daemon broke off."},
+    {kConnectionNotMade, Level::kWarning, "connection-not-made",
+     "This host lacks descriptors, ports or memory for a connection."},
     {kSettingsReloaded, Level::kInfo, "settings-reloaded",
      "The settings file was read again."},
     {kLogLinesDropped, Level::kWarning, "log-lines-dropped",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -65,6 +65,7 @@
   kCallerLeft = 510,
   kCallCut = 511,
   kAnswerCut = 512,
+  kConnectionNotMade = 513,
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
   kTaskFailed = 522,
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -317,9 +317,9 @@
 http::Task<bool> Destination::NoteBroken(std::shared_ptr<Upstream> upstream,
                                          std::string fingerprint) {
   // An upstream that no longer accepts connections has died.
-  const bool alive = co_await http::StillListens(
+  const http::Probed found = co_await http::StillListens(
       loop_, upstream->info_.address_, kCrashProbeTimeout, kEndOfProcess);
-  if (alive) {
+  if (found != http::Probed::kNotReached) {
     co_return false;
   }
   if (upstream->crash_id_.empty()) {
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-http::Task<bool> ConnectionProbe::Reach(const std::string& peer,
-                                        base::Duration timeout) {
+http::Task<http::Probed> ConnectionProbe::Reach(const std::string& peer,
+                                                base::Duration timeout) {
   return http::AcceptsConnections(loop_, peer, timeout);
 }
 
@@ -75,9 +75,12 @@
 
 http::Task<void> PeerWatch::Probe(std::string peer) {
   const base::MonoTime began = clock_.Read().mono_;
-  const bool reached = co_await probe_.Reach(peer, request::kProbePatience);
-  if (reached) {
+  const http::Probed found =
+      co_await probe_.Reach(peer, request::kProbePatience);
+  if (found == http::Probed::kReached) {
     silent_.Heard(peer, clock_.Read().mono_);
+  } else if (found == http::Probed::kNotMade) {
+    silent_.NotProbed(peer);
   } else if (silent_.Unreachable(peer, began)) {
     GiveUp(peer);
   }
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -14,6 +14,7 @@
 
 #include "base/time.h"
 #include "http/cancel.h"
+#include "http/client.h"
 #include "http/event_loop.h"
 #include "request/silent_peers.h"
 
@@ -23,9 +24,9 @@
 class PeerProbe {
  public:
   virtual ~PeerProbe() = default;
-  // True once the peer has answered; false after `timeout`.
-  virtual http::Task<bool> Reach(const std::string& peer,
-                                 base::Duration timeout) = 0;
+  // kReached once the peer has answered; kNotReached after `timeout`.
+  virtual http::Task<http::Probed> Reach(const std::string& peer,
+                                         base::Duration timeout) = 0;
 };
 
 // Probes by a connection of its own.
@@ -33,8 +34,8 @@
  public:
   // The loop must outlive the probe.
   explicit ConnectionProbe(http::EventLoop& loop) : loop_(loop) {}
-  http::Task<bool> Reach(const std::string& peer,
-                         base::Duration timeout) override;
+  http::Task<http::Probed> Reach(const std::string& peer,
+                                 base::Duration timeout) override;
 
  private:
   http::EventLoop& loop_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -47,8 +47,10 @@
   ConnectionPool(EventLoop& loop, ClientOptions options);
   ~ConnectionPool();
 
-  // An idle connection, or a new one. Errors: kConnectFailed, kCallerGone if
-  // cancelled. The request has not been sent to anybody then.
+  // An idle connection, or a new one. Errors: kConnectFailed, kOverloaded if
+  // this process has no means for a connection, which says nothing of the
+  // address, kCallerGone if cancelled. The request has not been sent to anybody
+  // then.
   Task<tl::expected<ClientConnectionPtr, ResultCode>> Take(
       const std::string& address,
       base::MonoTime deadline,
@@ -73,18 +75,26 @@
   bool sweeping_ = false;
 };
 
+// What a probe has found.
+enum class Probed {
+  kReached,
+  kNotReached,
+  // This process had no means for a connection; nothing is known.
+  kNotMade,
+};
+
 // Whether a TCP connection to the address can be established in time.
-Task<bool> AcceptsConnections(EventLoop& loop,
-                              const std::string& address,
-                              base::Duration timeout);
+Task<Probed> AcceptsConnections(EventLoop& loop,
+                                const std::string& address,
+                                base::Duration timeout);
 
 // Whether a server that has broken a connection off is still there. One that is
 // about to end may take a connection yet, and closes it when it does: so the
 // connection must last for `lasts`, or else a second one be established.
-Task<bool> StillListens(EventLoop& loop,
-                        const std::string& address,
-                        base::Duration timeout,
-                        base::Duration lasts);
+Task<Probed> StillListens(EventLoop& loop,
+                          const std::string& address,
+                          base::Duration timeout,
+                          base::Duration lasts);
 
 // How an exchange failed, and whether the request may have been received.
 struct ExchangeFailure {
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -2,8 +2,10 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <system_error>
 #include <utility>
 
+#include "base/events.h"
 #include "http/address.h"
 #include "http/client.h"
 #include "http/client_connection.h"
@@ -15,6 +17,24 @@
 // after this long at most.
 constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
 
+// Descriptors, local ports or memory are used up: a failure of this process or
+// its host, not of the other side.
+bool IsOwnLack(const ErrorCode& error) {
+  const std::error_code code = error;
+  return code == std::errc::too_many_files_open ||
+         code == std::errc::too_many_files_open_in_system ||
+         code == std::errc::no_buffer_space ||
+         code == std::errc::not_enough_memory ||
+         code == std::errc::address_not_available;
+}
+
+Probed Found(const ErrorCode& error) {
+  if (!error) {
+    return Probed::kReached;
+  }
+  return IsOwnLack(error) ? Probed::kNotMade : Probed::kNotReached;
+}
+
 Task<ErrorCode> Connect(ClientConnection& connection, base::MonoTime until) {
   ErrorCode error = asio::error::invalid_argument;
   const std::optional<Tcp::endpoint> endpoint =
@@ -24,6 +44,11 @@
     co_await connection.stream_.async_connect(
         *endpoint, asio::redirect_error(asio::use_awaitable, error));
   }
+  if (IsOwnLack(error)) {
+    base::LogEvent(
+        base::EventId::kConnectionNotMade,
+        {{"address", connection.address_}, {"cause", error.message()}});
+  }
   co_return error;
 }
 
@@ -83,7 +108,8 @@
     co_return tl::unexpected(ResultCode::kCallerGone);
   }
   if (error) {
-    co_return tl::unexpected(ResultCode::kConnectFailed);
+    co_return tl::unexpected(IsOwnLack(error) ? ResultCode::kOverloaded
+                                              : ResultCode::kConnectFailed);
   }
   ConfigureSocket(connection->stream_.socket(), options_.most_untaken_);
   co_return connection;
@@ -132,30 +158,30 @@
   idle_.erase(address);
 }
 
-Task<bool> AcceptsConnections(EventLoop& loop,
-                              const std::string& address,
-                              base::Duration timeout) {
+Task<Probed> AcceptsConnections(EventLoop& loop,
+                                const std::string& address,
+                                base::Duration timeout) {
   ClientConnection connection(loop.Context(), address);
   const ErrorCode error =
       co_await Connect(connection, base::MonoNow() + timeout);
-  co_return !error;
+  co_return Found(error);
 }
 
-Task<bool> StillListens(EventLoop& loop,
-                        const std::string& address,
-                        base::Duration timeout,
-                        base::Duration lasts) {
+Task<Probed> StillListens(EventLoop& loop,
+                          const std::string& address,
+                          base::Duration timeout,
+                          base::Duration lasts) {
   ClientConnection connection(loop.Context(), address);
   ErrorCode error = co_await Connect(connection, base::MonoNow() + timeout);
   if (error) {
-    co_return false;
+    co_return Found(error);
   }
   char byte = 0;
   connection.stream_.expires_after(lasts);
   co_await connection.stream_.async_read_some(
       asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
   if (!error || error == beast::error::timeout) {
-    co_return true;
+    co_return Probed::kReached;
   }
   co_return co_await AcceptsConnections(loop, address, timeout);
 }
--- a/src/request/silent_peers.cc
+++ b/src/request/silent_peers.cc
@@ -36,6 +36,13 @@
   }
 }
 
+void SilentPeers::NotProbed(const std::string& peer) {
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    found->second.probe_made_ = false;
+  }
+}
+
 void SilentPeers::Forgive(base::MonoTime now) {
   for (auto& [address, peer] : peers_) {
     peer.heard_ = now;
@@ -52,8 +59,9 @@
     const base::MonoTime since = std::max(oldest->second, peer.heard_);
     const bool probed = now - peer.probed_ < kProbeInterval;
     if (now - since >= kPeerSilence && !probed) {
-      peer.unheard_ = peer.probed_ >= since;
+      peer.unheard_ = peer.probe_made_ && peer.probed_ >= since;
       peer.probed_ = now;
+      peer.probe_made_ = true;
       silent.push_back(address);
     }
   }
--- a/src/request/silent_peers.h
+++ b/src/request/silent_peers.h
@@ -44,6 +44,10 @@
   // The peer has shown that it is reachable.
   void Heard(const std::string& peer, base::MonoTime now);
 
+  // The probe that was taken last could not be made. The next one comes as
+  // late as after a probe that was.
+  void NotProbed(const std::string& peer);
+
   // Takes no notice of the time before `now`, in which this process did not
   // look: what peers said meanwhile may not have been read yet.
   void Forgive(base::MonoTime now);
@@ -66,6 +70,8 @@
     std::map<uint64_t, base::MonoTime> waiting_;
     base::MonoTime heard_;
     base::MonoTime probed_;
+    // Whether a probe was made at probed_.
+    bool probe_made_ = false;
     bool unheard_ = false;
   };
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -716,6 +717,102 @@
   loop.Stop();
 }
 
+// Leaves this process without a free descriptor.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
+    const int lowest = dup(STDERR_FILENO);
+    BOOST_REQUIRE(lowest >= 0);
+    close(lowest);
+    rlimit none = before_;
+    none.rlim_cur = static_cast<rlim_t>(lowest);
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+  }
+  ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+ private:
+  rlimit before_ = {};
+};
+
+http::Task<void> TakeOne(http::ConnectionPool& pool,
+                         const std::string& address,
+                         std::promise<ResultCode>& taken) {
+  http::CancelSignal cancel;
+  const base::MonoTime deadline = base::MonoNow() + std::chrono::seconds(2);
+  const auto connection = co_await pool.Take(address, deadline, cancel);
+  taken.set_value(connection ? ResultCode::kOk : connection.error());
+}
+
+http::Task<void> ProbeTwice(http::EventLoop& loop,
+                            const std::string& address,
+                            std::promise<std::vector<http::Probed>>& found) {
+  constexpr base::Duration kTimeout = std::chrono::seconds(1);
+  constexpr base::Duration kLasts = std::chrono::milliseconds(50);
+  const http::Probed accepts =
+      co_await http::AcceptsConnections(loop, address, kTimeout);
+  const http::Probed listens =
+      co_await http::StillListens(loop, address, kTimeout, kLasts);
+  found.set_value({accepts, listens});
+}
+
+std::vector<http::Probed> Probe(http::EventLoop& loop,
+                                const std::string& address) {
+  std::promise<std::vector<http::Probed>> found;
+  loop.Spawn(ProbeTwice(loop, address, found));
+  return found.get_future().get();
+}
+
+// Guards against a host that is taken for gone because this process has no free
+// descriptor for a probe.
+BOOST_AUTO_TEST_CASE(AProbeForWhichThisProcessHasNoDescriptorIsNotMade) {
+  int port = 0;
+  const int listener = ListenAnywhere(port);
+  const std::string address = "127.0.0.1:" + std::to_string(port);
+  http::EventLoop loop;
+  loop.Start();
+  using Both = std::vector<http::Probed>;
+  // The loop itself takes its descriptors with its first connection.
+  const Both reached(2, http::Probed::kReached);
+  BOOST_TEST((Probe(loop, address) == reached));
+  {
+    const NoDescriptors none;
+    const Both both(2, http::Probed::kNotMade);
+    BOOST_TEST((Probe(loop, address) == both));
+  }
+  close(listener);
+  const Both refused(2, http::Probed::kNotReached);
+  BOOST_TEST((Probe(loop, address) == refused));
+  loop.Stop();
+}
+
+// Guards against a host that is left out because this process has no free
+// descriptor for a connection to it.
+BOOST_AUTO_TEST_CASE(AConnectionForWhichThisProcessHasNoDescriptorIsNotFailed) {
+  int port = 0;
+  const int listener = ListenAnywhere(port);
+  const std::string address = "127.0.0.1:" + std::to_string(port);
+  http::EventLoop loop;
+  http::ConnectionPool pool(loop, {});
+  loop.Start();
+  std::promise<ResultCode> without;
+  {
+    const NoDescriptors none;
+    loop.Spawn(TakeOne(pool, address, without));
+    BOOST_TEST(Describe(without.get_future().get()).name_ == "overloaded");
+  }
+  std::promise<ResultCode> with;
+  loop.Spawn(TakeOne(pool, address, with));
+  BOOST_TEST(Describe(with.get_future().get()).name_ == "ok");
+  close(listener);
+  std::promise<ResultCode> refused;
+  loop.Spawn(TakeOne(pool, address, refused));
+  BOOST_TEST(Describe(refused.get_future().get()).name_ == "connect-failed");
+  loop.Stop();
+}
+
 // Guards the bound on vanished servers: a request that nobody takes ends its
 // connection, long before its deadline.
 BOOST_AUTO_TEST_CASE(ARequestThatNobodyTakesEndsItsConnection) {
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -112,12 +112,20 @@
   FixedProbe(http::EventLoop& loop, base::Duration answers_after)
       : loop_(loop), answers_after_(answers_after) {}
 
-  http::Task<bool> Reach(const std::string&, base::Duration timeout) override {
+  http::Task<http::Probed> Reach(const std::string&,
+                                 base::Duration timeout) override {
     ++probes_;
+    if (answers_after_ == kNeverMade) {
+      co_return http::Probed::kNotMade;
+    }
     co_await http::Sleep(loop_.Context(), std::min(answers_after_, timeout));
-    co_return answers_after_ < timeout;
+    co_return answers_after_ < timeout ? http::Probed::kReached
+                                       : http::Probed::kNotReached;
   }
 
+  // In place of a time: no probe can be made.
+  static constexpr base::Duration kNeverMade{-1};
+
   std::atomic<int> probes_{0};
 
  private:
@@ -169,6 +177,29 @@
   BOOST_TEST(!request.GivenUp());
 }
 
+// Guards against a peer that is given up, or left out, because this process has
+// no free descriptor for a probe.
+BOOST_AUTO_TEST_CASE(AProbeThatCouldNotBeMadeSaysNothing) {
+  WatchedRequest request(FixedProbe::kNeverMade);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  BOOST_TEST(request.Probes() > 5);
+  // Not at each tick of the watch.
+  BOOST_TEST(request.Probes() <= 11);
+  BOOST_TEST(request.Unheard() == 0);
+  BOOST_TEST(!request.GivenUp());
+}
+
+BOOST_AUTO_TEST_CASE(AProbeAfterOneThatCouldNotBeMadeIsJudgedAnew) {
+  SilentPeers peers;
+  peers.Begin(1, "a", AtMs(0));
+  BOOST_TEST((peers.TakeProbes(AtMs(120)) == Names{"a"}));
+  peers.NotProbed("a");
+  BOOST_TEST((peers.TakeProbes(AtMs(370)) == Names{"a"}));
+  BOOST_TEST(!peers.Unheard("a"));
+  BOOST_TEST((peers.TakeProbes(AtMs(620)) == Names{"a"}));
+  BOOST_TEST(peers.Unheard("a"));
+}
+
 // Pattern: a zone was cut off; see above.
 BOOST_AUTO_TEST_CASE(APeerThatAnswersNoProbeIsGivenUp) {
   WatchedRequest request(std::chrono::hours(1));
