--- a/src/daemon/cut_log.cc
+++ b/src/daemon/cut_log.cc
@@ -7,25 +7,24 @@
 
 namespace buckthorngate::daemon {
 
-void LogCutCall(blackboard::CallSide side, const http::CutCall& call) {
+void LogCutCall(const std::string& side, const http::CutCall& call) {
   // Callers may leave as often as they like, and hedged requests do so: an
   // event of their own leaves the budget of the other to the daemon's faults.
   const base::EventId event = call.cause_ == http::CutCause::kCallerLeft
                                   ? base::EventId::kCallerLeft
                                   : base::EventId::kCallCut;
-  base::LogEvent(
-      event,
-      {{"request", call.id_},
-       {"side", side == blackboard::CallSide::kEntry ? "entry" : "destination"},
-       {"cause", std::string(NameOf(call.cause_))},
-       {"detail", call.detail_},
-       {"stage", std::string(NameOf(call.stage_))},
-       {"status", std::to_string(call.status_)},
-       {"sent", std::to_string(call.body_sent_)},
-       {"of",
-        call.body_length_ ? std::to_string(*call.body_length_) : "unknown"},
-       {"answered_after", call.answered_after_ ? "true" : "false"},
-       {"us", std::to_string(call.since_read_.count())}});
+  base::LogEvent(event,
+                 {{"request", call.id_},
+                  {"side", side},
+                  {"cause", std::string(NameOf(call.cause_))},
+                  {"detail", call.detail_},
+                  {"stage", std::string(NameOf(call.stage_))},
+                  {"status", std::to_string(call.status_)},
+                  {"sent", std::to_string(call.body_sent_)},
+                  {"of", call.body_length_ ? std::to_string(*call.body_length_)
+                                           : "unknown"},
+                  {"answered_after", call.answered_after_ ? "true" : "false"},
+                  {"us", std::to_string(call.since_read_.count())}});
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/cut_log.h
+++ b/src/daemon/cut_log.h
@@ -2,12 +2,14 @@
 #ifndef SRC_DAEMON_CUT_LOG_H_
 #define SRC_DAEMON_CUT_LOG_H_
 
-#include "blackboard/metrics.h"
+#include <string>
+
 #include "http/cut_call.h"
 
 namespace buckthorngate::daemon {
 
-void LogCutCall(blackboard::CallSide side, const http::CutCall& call);
+// `side` names the listener.
+void LogCutCall(const std::string& side, const http::CutCall& call);
 
 }  // namespace buckthorngate::daemon
 
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -115,7 +115,8 @@
 void ProxyRole::Impl::NoteCut(blackboard::CallSide side,
                               const http::CutCall& call) {
   board_.Numbers().CountCut(side, NameOf(call.cause_));
-  LogCutCall(side, call);
+  LogCutCall(side == blackboard::CallSide::kEntry ? "entry" : "destination",
+             call);
 }
 
 AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
--- a/src/http/head.cc
+++ b/src/http/head.cc
@@ -32,6 +32,24 @@
   return whole ? std::optional<uint64_t>(value) : std::nullopt;
 }
 
+std::string DecodePath(std::string_view path) {
+  constexpr size_t kEscapeSize = 3;
+  constexpr int kHexadecimal = 16;
+  std::string decoded;
+  size_t at = 0;
+  while (at < path.size()) {
+    const std::string_view escape = path.substr(at, kEscapeSize);
+    unsigned char byte = 0;
+    const char* const end = escape.data() + escape.size();
+    const bool escaped =
+        escape.size() == kEscapeSize && escape.front() == '%' &&
+        std::from_chars(escape.data() + 1, end, byte, kHexadecimal).ptr == end;
+    decoded += escaped ? static_cast<char>(byte) : path[at];
+    at += escaped ? kEscapeSize : 1;
+  }
+  return decoded;
+}
+
 std::string_view Headers::Find(std::string_view name) const {
   for (const Header& header : items_) {
     if (EqualsIgnoringCase(header.name_, name)) {
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -15,6 +15,9 @@
 // Nothing unless the whole text is a decimal number.
 std::optional<uint64_t> ParseNumber(std::string_view text);
 
+// Replaces each "%41" and the like; what is no such escape stays as it is.
+std::string DecodePath(std::string_view path);
+
 struct Header {
   std::string name_;
   std::string value_;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,15 +2,16 @@
 #define BOOST_TEST_MODULE platform
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <httplib.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
+#include "endless_upstream.h"
+#include "free_port.h"
 #include "platform/dialect.h"
 #include "platform/documents.h"
 #include "platform/platform_adapter.h"
@@ -124,9 +125,10 @@
   }
   rpc::PublishReply OrderMove(rpc::MoveOrder) override { return Reply(); }
   daemon::RoutingText ReadRouting() override {
-    return {code_, leader_, 7, "the text"};
+    return {code_, leader_, 7, document_};
   }
-  daemon::MoveReport ReadMove(const std::string&) override {
+  daemon::MoveReport ReadMove(const std::string& service) override {
+    asked_ = service;
     return {code_, leader_, daemon::MoveProgress::kRunning, "v2"};
   }
   ResultCode Announce(const registry::Announcement&) override { return code_; }
@@ -136,6 +138,8 @@
 
   ResultCode code_ = ResultCode::kOk;
   std::string leader_;
+  std::string document_ = "the text";
+  std::string asked_;
   uint64_t base_ = 0;
   int drains_ = 0;
 
@@ -148,24 +152,15 @@
   }
 };
 
-int FreePort() {
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
-  BOOST_REQUIRE(bind(file, generic, size) == 0);
-  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
-  close(file);
-  return ntohs(address.sin_port);
-}
-
 class ServedAdapter {
  public:
-  ServedAdapter() : port_(FreePort()), client_("127.0.0.1", port_) {
+  ServedAdapter()
+      : port_(FreePort()),
+        ready_port_(FreePort()),
+        client_("127.0.0.1", port_) {
     daemon::Settings settings;
     settings.adapter_["control"] = "127.0.0.1:" + std::to_string(port_);
+    settings.adapter_["ready"] = "127.0.0.1:" + std::to_string(ready_port_);
     adapter_ = std::make_unique<platform::PlatformAdapter>(settings, api_);
     BOOST_REQUIRE((adapter_->Start() == ResultCode::kOk));
   }
@@ -181,10 +176,12 @@
   FakeApi& Api() { return api_; }
   httplib::Client& Client() { return client_; }
   int Port() const { return port_; }
+  int ReadyPort() const { return ready_port_; }
 
  private:
   FakeApi api_;
   const int port_;
+  const int ready_port_;
   httplib::Client client_;
   std::unique_ptr<platform::PlatformAdapter> adapter_;
 };
@@ -226,5 +223,133 @@
   BOOST_TEST(served.Api().drains_ == 1);
 }
 
+ResultCode StartAt(const std::string& control) {
+  FakeApi api;
+  daemon::Settings settings;
+  if (!control.empty()) {
+    settings.adapter_["control"] = control;
+  }
+  platform::PlatformAdapter adapter(settings, api);
+  return adapter.Start();
+}
+
+BOOST_AUTO_TEST_CASE(AddressesMayBeMissingButNotBad) {
+  BOOST_TEST((StartAt("") == ResultCode::kOk));
+  for (const std::string& bad : {"somewhere", "somewhere:80", "127.0.0.1:",
+                                 "127.0.0.1:x", "127.0.0.1:99999"}) {
+    BOOST_TEST((StartAt(bad) == ResultCode::kBadSettings), bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PathsNameTheirSegmentWithEscapes) {
+  ServedAdapter served;
+  const auto ask = [&served](const std::string& path) {
+    return served.Client().Get(path)->status;
+  };
+  BOOST_TEST(ask("/rollouts/a%2Db%zz/get?x=1") == 200);
+  BOOST_TEST(served.Api().asked_ == "a-b%zz");
+  BOOST_TEST(ask("/rollouts/a/b/get") == 404);
+  BOOST_TEST(ask("/rollouts//get") == 404);
+  BOOST_TEST(ask("/rollouts/get") == 404);
+  BOOST_TEST(ask("/config/put") == 404);
+}
+
+// More than the threads and the backlog of any listener that holds a thread for
+// each connection.
+constexpr int kSlowCallers = 60;
+constexpr size_t kMoreThanSocketsTake = size_t{3} * 1024 * 1024;
+// A caller of these listeners goes elsewhere after this time.
+constexpr std::chrono::milliseconds kAnswerTime{1000};
+
+std::string Call(const std::string& method,
+                 const std::string& path,
+                 const std::string& body) {
+  return method + " " + path + " HTTP/1.1\r\nHost: h\r\n" +
+         platform::kBaseHeader +
+         ": 5\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Each kind of call is answered in time.
+void ExpectAnswersInTime(const ServedAdapter& served, const std::string& what) {
+  const auto expect = [&what](int port, const std::string& call) {
+    const RawAnswer answer = CallRaw(port, call, kAnswerTime);
+    const std::string name = call.substr(0, call.find(" HTTP"));
+    BOOST_TEST(answer.Status() == 200,
+               what << ": " << name << " gave " << answer.Status());
+    BOOST_TEST((answer.took_ < kAnswerTime),
+               what << ": " << name << " took " << answer.took_.count());
+  };
+  expect(served.Port(), Call("POST", "/config/put", kConfiguration));
+  expect(served.Port(), Call("POST", "/instances/i-1/heartbeat", kHeartbeat));
+  expect(served.ReadyPort(), Call("GET", "/ready", ""));
+}
+
+// Callers that send `bytes` to both listeners, and read nothing.
+std::vector<std::unique_ptr<MuteCaller>> HoldConnections(
+    const ServedAdapter& served,
+    const std::string& bytes) {
+  std::vector<std::unique_ptr<MuteCaller>> callers;
+  callers.reserve(size_t{2} * kSlowCallers);
+  for (int i = 0; i < kSlowCallers; ++i) {
+    callers.push_back(std::make_unique<MuteCaller>(served.Port(), bytes));
+    callers.push_back(std::make_unique<MuteCaller>(served.ReadyPort(), bytes));
+  }
+  return callers;
+}
+
+// Guards against operators, heartbeats and readiness that wait for callers that
+// send half a call, or nothing.
+BOOST_AUTO_TEST_CASE(HalfACallDelaysNobodyElse) {
+  const std::string whole = Call("POST", "/config/put", kConfiguration);
+  for (const std::string& half : {std::string(), whole.substr(0, 20),
+                                  whole.substr(0, whole.size() / 2)}) {
+    ServedAdapter served;
+    const std::vector<std::unique_ptr<MuteCaller>> callers =
+        HoldConnections(served, half);
+    ExpectAnswersInTime(served, std::to_string(half.size()) + " bytes");
+  }
+}
+
+// Guards against the same while connections stay open after an answer.
+BOOST_AUTO_TEST_CASE(ConnectionsThatAreKeptDelayNobodyElse) {
+  ServedAdapter served;
+  const std::vector<std::unique_ptr<MuteCaller>> callers =
+      HoldConnections(served, Call("GET", "/ready", ""));
+  ExpectAnswersInTime(served, "kept");
+}
+
+// Guards against the same by callers that take nothing of long answers.
+BOOST_AUTO_TEST_CASE(AnswersThatNobodyReadsDelayNobodyElse) {
+  ServedAdapter served;
+  served.Api().document_.assign(kMoreThanSocketsTake, 'a');
+  const std::vector<std::unique_ptr<MuteCaller>> callers =
+      HoldConnections(served, Call("GET", "/config/get", ""));
+  ExpectAnswersInTime(served, "unread");
+}
+
+// Guards against the same by bytes that trickle in, which no limit on the time
+// between two of them ends.
+BOOST_AUTO_TEST_CASE(BytesThatTrickleInDelayNobodyElse) {
+  ServedAdapter served;
+  const std::string head =
+      "POST /config/put HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n";
+  std::vector<std::thread> callers;
+  callers.reserve(kSlowCallers);
+  for (int i = 0; i < kSlowCallers; ++i) {
+    callers.emplace_back([&served, &head, i] {
+      const std::chrono::milliseconds pause{50};
+      const std::string first = head + (i % 2 == 0 ? "\r\n" : "X-A: ");
+      SendRawEndless(i % 3 == 0 ? served.ReadyPort() : served.Port(),
+                     {first, "a", pause}, std::chrono::seconds(4));
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  ExpectAnswersInTime(served, "trickle");
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
