--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -63,6 +63,7 @@
   bool HasBody() const override { return false; }
   http::CancelSignal& Gone() override { return gone_; }
   bool StillThere() override { return true; }
+  bool AnswerArrived() override { return true; }
   std::optional<uint64_t> Length() const override { return 0; }
   http::Task<http::BodyState> Read(std::string&, size_t) override {
     co_return http::BodyState::kEnd;
