A publication that fails in a test leaves the ends of all logs

The folder with the logs was gone, so it could not be traced; it was not seen again in 4 + 8 rounds of the same cases at once. Next time the log of the test tells.

--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -248,8 +249,26 @@
   std::filesystem::remove_all(services);
   std::filesystem::create_directories(services);
   std::ofstream(services + "/service.toml") << text;
-  return Tool(
-      {"publish", services, "--number", std::to_string(number), "--wait"});
+  const int result =
+      Tool({"publish", services, "--number", std::to_string(number), "--wait"});
+  if (result != 0) {
+    TellEndsOfLogs();
+  }
+  return result;
+}
+
+void ProcessMesh::TellEndsOfLogs() const {
+  constexpr size_t kLines = 15;
+  std::vector<std::string> names = hosts_;
+  names.push_back("tool");
+  for (const std::string& name : names) {
+    const std::vector<std::string> lines = LogLines(name, {});
+    std::cerr << name << ", the last of " << lines.size() << " lines:\n";
+    for (size_t i = lines.size() - std::min(lines.size(), kLines);
+         i < lines.size(); ++i) {
+      std::cerr << "  " << lines[i] << "\n";
+    }
+  }
 }
 
 HttpAnswer ProcessMesh::Call(
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -101,6 +101,8 @@
   pid_t Spawn(const std::string& name, const std::vector<std::string>& words);
   void WriteSettings(const std::string& host);
   int FreePort();
+  // Standard error, so that a failure can be traced after the folder is gone.
+  void TellEndsOfLogs() const;
 
   const int zones_;
   std::string folder_;
