--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -21,6 +21,7 @@
 #include "daemon/hop_codec.h"
 #include "daemon/peer_client.h"
 #include "http/server.h"
+#include "loopback_port.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
 
@@ -131,20 +132,6 @@
   BOOST_TEST(has("buckthorngate_call_seconds_max 0.030000"), page);
 }
 
-// An address on which nobody listens.
-std::string FreeAddress() {
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
-  BOOST_REQUIRE(bind(file, generic, size) == 0);
-  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
-  close(file);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 // Answers "/long" in pieces for 1.5 s, and all else after 1 s.
 class SlowPeer : public http::Handler {
  public:
@@ -180,7 +167,7 @@
     co_await call.Finish();
   }
 
-  const std::string address_ = FreeAddress();
+  const std::string address_ = "127.0.0.1:" + std::to_string(FreePort());
 
  private:
   http::EventLoop loop_;
@@ -331,18 +318,6 @@
   return address;
 }
 
-int ListenAnywhere(int& port) {
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
-  BOOST_REQUIRE(bind(file, generic, size) == 0);
-  BOOST_REQUIRE(listen(file, 8) == 0);
-  BOOST_REQUIRE(getsockname(file, generic, &size) == 0);
-  port = ntohs(address.sin_port);
-  return file;
-}
-
 constexpr size_t kEarlyBytes = size_t{1} << 20;
 
 // Answers once it has some of a body, and reads on.
