Test meshes hold their ports as long as they last

Likely cause: a mesh let go of its port numbers before its daemons took them, so that another test that began at the same moment could be given the same ones. Not proved: it can't be repeated at will.

No check changed.

--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -52,9 +52,6 @@
   for (const std::string& host : hosts_) {
     ports_[host] = {FreePort(), FreePort(), FreePort(), FreePort()};
   }
-  for (const int file : reserved_) {
-    close(file);
-  }
   for (const std::string& host : hosts_) {
     WriteSettings(host);
   }
@@ -66,6 +63,9 @@
     kill(pid, SIGKILL);
     waitpid(pid, nullptr, 0);
   }
+  for (const int file : reserved_) {
+    close(file);
+  }
   std::filesystem::remove_all(folder_);
 }
 
@@ -85,6 +85,10 @@
 
 int ProcessMesh::FreePort() {
   const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // A daemon shares the port, but no other mesh is given it meanwhile.
+  const int on = 1;
+  setsockopt(file, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  setsockopt(file, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -94,7 +98,7 @@
       getsockname(file, generic, &size) != 0) {
     std::abort();
   }
-  // Reserved until all numbers are chosen, so that they differ.
+  // Reserved as long as the mesh lasts.
   reserved_.push_back(file);
   return ntohs(address.sin_port);
 }
