Tests start control hosts in one place

membership_test and power_cluster had the same class for who knows a host by its address, the same addresses and the same options (control_host).

--- a/tests/lost_voter_test.cc
+++ b/tests/lost_voter_test.cc
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE lost_voter
 #include <boost/test/unit_test.hpp>
 
+#include "control_host.h"
 #include "power_cluster.h"
 
 namespace buckthorngate::tests {
@@ -23,7 +24,7 @@
       cluster.Start(host, true);
     }
     BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
-    cluster.Wipe(cluster.Leader() % PowerCluster::kSeeds + 1);
+    cluster.Wipe(cluster.Leader() % kSeedHosts + 1);
     BOOST_REQUIRE(cluster.Run(
         seconds(10), [&] { return cluster.Counts() == std::pair(4, 0); }));
     for (int host = 1; host <= cluster.Hosts(); ++host) {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "control_host.h"
 #include "distribution/relay_node.h"
 #include "distribution/source_node.h"
 #include "fake_mesh.h"
@@ -101,42 +102,15 @@
   BOOST_TEST(!planner.Plan(members, At(0)).has_value());
 }
 
-// Who knows a host as a seed knows its address only. As in the daemon, messages
-// of the consensus mean the identity that had the address before.
-class AliasNode : public base::Node {
- public:
-  explicit AliasNode(base::Node& node) : node_(node) {}
-
-  void OnMessage(const rpc::Envelope& envelope, const base::Now& now) override {
-    if (!envelope.has_raft()) {
-      node_.OnMessage(envelope, now);
-    }
-  }
-  void OnTimer(const base::Now&) override {}
-  std::vector<rpc::Envelope> Flush(const base::Now&) override { return {}; }
-
- private:
-  base::Node& node_;
-};
-
 // Control hosts that know three seeds and nothing else.
 class SeededHosts {
  public:
-  explicit SeededHosts(uint64_t seed) : net_(seed), next_seed_(seed * 100) {
-    for (int i = 1; i <= 3; ++i) {
-      seeds_.push_back(AddressOf(i));
-    }
-  }
-
-  static std::string AddressOf(int host) {
-    return "10.0.0." + std::to_string(host) + ":7600";
-  }
+  explicit SeededHosts(uint64_t seed) : net_(seed), next_seed_(seed * 100) {}
 
   // `first` as on the very first start; else with an empty disk later on.
   void Start(int host, bool first) {
-    const std::string address = AddressOf(host);
-    const bool voter = first && std::find(seeds_.begin(), seeds_.end(),
-                                          address) != seeds_.end();
+    const std::string address = ControlAddress(host);
+    const bool voter = first && host <= kSeedHosts;
     if (ids_.count(host) == 0) {
       ids_[host] = membership::NodeId(
           "source",
@@ -144,32 +118,21 @@
       journals_[host] = std::make_unique<storage::MemoryJournal>();
       voters_[host] = voter;
     }
-    distribution::SourceOptions options;
-    options.id_ = ids_[host];
-    options.seeds_ = seeds_;
-    options.address_ = address;
-    options.seed_ = ++next_seed_;
-    for (const std::string& seed : seeds_) {
-      if (voters_[host]) {
-        rpc::Member& member = *options.members_.add_members();
-        member.set_id(membership::NodeId("source", seed));
-        member.set_address(seed);
-      }
-    }
     nodes_[host] = std::move(*distribution::SourceNode::Create(
-        std::move(options), *journals_[host], net_.Now()));
+        ControlOptions(ids_[host], address, voters_[host], ++next_seed_),
+        *journals_[host], net_.Now()));
     net_.Add(ids_[host], nodes_[host].get());
     // Others know the host by its address only.
     const std::string alias = membership::NodeId("source", address);
     if (alias != ids_[host]) {
-      aliases_[host] = std::make_unique<AliasNode>(*nodes_[host]);
+      aliases_[host] = std::make_unique<AddressNode>(*nodes_[host]);
       net_.Add(alias, aliases_[host].get());
     }
   }
 
   void Stop(int host) {
     net_.Remove(ids_[host]);
-    net_.Remove(membership::NodeId("source", AddressOf(host)));
+    net_.Remove(membership::NodeId("source", ControlAddress(host)));
     journals_[host]->Crash();
     nodes_.erase(host);
   }
@@ -268,12 +231,11 @@
  private:
   FakeMesh net_;
   uint64_t next_seed_;
-  std::vector<std::string> seeds_;
   std::map<int, std::string> ids_;
   std::map<int, bool> voters_;
   std::map<int, std::unique_ptr<storage::MemoryJournal>> journals_;
   std::map<int, std::unique_ptr<distribution::SourceNode>> nodes_;
-  std::map<int, std::unique_ptr<AliasNode>> aliases_;
+  std::map<int, std::unique_ptr<AddressNode>> aliases_;
 };
 
 BOOST_AUTO_TEST_CASE(TheSeedsBecomeTheFirstVotersInEachOrderOfStarts) {
@@ -330,7 +292,7 @@
     hosts.Start(9, /*first=*/false);
     const auto replaced = [&hosts] {
       return hosts.Counts() == std::pair(3, 0) &&
-             hosts.IsMember(SeededHosts::AddressOf(9));
+             hosts.IsMember(ControlAddress(9));
     };
     BOOST_TEST(hosts.Await(replaced),
                "seed " << seed << ": " << hosts.Counts().first << " voters, "
--- a/tests/power_cluster.cc
+++ b/tests/power_cluster.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "control_host.h"
 #include "membership/node_id.h"
 
 namespace buckthorngate::tests {
@@ -14,23 +15,6 @@
 constexpr base::Duration kReadInterval = std::chrono::milliseconds(50);
 constexpr char kService[] = "orders";
 
-// As in the daemon, who knows only the address of a host reaches it for all
-// but the messages of the consensus.
-class AddressNode : public base::Node {
- public:
-  explicit AddressNode(base::Node& node) : node_(node) {}
-  void OnMessage(const rpc::Envelope& envelope, const base::Now& now) override {
-    if (!envelope.has_raft()) {
-      node_.OnMessage(envelope, now);
-    }
-  }
-  void OnTimer(const base::Now&) override {}
-  std::vector<rpc::Envelope> Flush(const base::Now&) override { return {}; }
-
- private:
-  base::Node& node_;
-};
-
 }  // namespace
 
 uint64_t FromEnvironment(const char* name, uint64_t otherwise) {
@@ -46,41 +30,22 @@
 }
 
 PowerCluster::PowerCluster(uint64_t seed, int hosts)
-    : hosts_(hosts), random_(seed), net_(seed), next_seed_(seed * 1000) {
-  for (int host = 1; host <= kSeeds; ++host) {
-    seeds_.push_back(AddressOf(host));
-  }
-}
-
-std::string PowerCluster::AddressOf(int host) {
-  return "10.0.0." + std::to_string(host) + ":7600";
-}
+    : hosts_(hosts), random_(seed), net_(seed), next_seed_(seed * 1000) {}
 
 void PowerCluster::Start(int host, bool first) {
-  const std::string address = AddressOf(host);
+  const std::string address = ControlAddress(host);
   if (ids_.count(host) == 0) {
-    const bool voter = first && host <= kSeeds;
+    const bool voter = first && host <= kSeedHosts;
     ids_[host] = membership::NodeId(
         membership::kSourceRole,
         voter ? address : membership::FreshHostId(address, ++next_seed_));
     journals_[host] = std::make_unique<DiskJournal>(power_, random_);
     voters_[host] = voter;
   }
-  distribution::SourceOptions options;
-  options.id_ = ids_[host];
-  options.seeds_ = seeds_;
-  options.address_ = address;
-  options.seed_ = ++next_seed_;
-  for (const std::string& seed : seeds_) {
-    if (voters_[host]) {
-      rpc::Member& member = *options.members_.add_members();
-      member.set_id(membership::NodeId(membership::kSourceRole, seed));
-      member.set_address(seed);
-    }
-  }
   tl::expected<std::unique_ptr<distribution::SourceNode>, ResultCode> node =
-      distribution::SourceNode::Create(std::move(options), *journals_[host],
-                                       net_.Now());
+      distribution::SourceNode::Create(
+          ControlOptions(ids_[host], address, voters_[host], ++next_seed_),
+          *journals_[host], net_.Now());
   if (!node) {
     Break("host " + std::to_string(host) +
           " does not start: " + std::string(Describe(node.error()).name_));
@@ -117,7 +82,8 @@
   }
   net_.Thaw(ids_[host]);
   net_.Remove(ids_[host]);
-  net_.Remove(membership::NodeId(membership::kSourceRole, AddressOf(host)));
+  net_.Remove(
+      membership::NodeId(membership::kSourceRole, ControlAddress(host)));
   if (power) {
     journals_[host]->LosePower();
   } else {
@@ -138,7 +104,7 @@
   net_.Cut(ids_.at(a), ids_.at(b));
   for (const auto& [from, to] : {std::pair(a, b), std::pair(b, a)}) {
     net_.Cut(ids_.at(from),
-             membership::NodeId(membership::kSourceRole, AddressOf(to)));
+             membership::NodeId(membership::kSourceRole, ControlAddress(to)));
   }
 }
 
@@ -180,7 +146,7 @@
 
 bool PowerCluster::Repaired() const {
   const auto [voters, learners] = Counts();
-  if (voters < kSeeds || voters + learners != hosts_) {
+  if (voters < kSeedHosts || voters + learners != hosts_) {
     return false;
   }
   const rpc::Membership& membership =
--- a/tests/power_cluster.h
+++ b/tests/power_cluster.h
@@ -29,9 +29,6 @@
 
 class PowerCluster {
  public:
-  // The first of them are the seeds, and the first voters.
-  static constexpr int kSeeds = 3;
-
   explicit PowerCluster(uint64_t seed, int hosts = 4);
 
   // An empty disk gets an identity: that of a first voter on a first start.
@@ -82,7 +79,6 @@
   int AnyHost() {
     return static_cast<int>(random_.Below(static_cast<uint64_t>(hosts_))) + 1;
   }
-  static std::string AddressOf(int host);
 
  private:
   struct Change {
@@ -112,7 +108,6 @@
   FakeMesh net_;
   Power power_;
   uint64_t next_seed_;
-  std::vector<std::string> seeds_;
   std::map<int, std::string> ids_;
   std::map<int, bool> voters_;
   std::map<int, std::unique_ptr<DiskJournal>> journals_;
