One operator who sends again, for all tests of lost and full disks

power_loss_test and full_disk_test had the same loop (a change each 500 ms for 15 s) and the same times; both stand in power_cluster now.

--- a/tests/full_disk_test.cc
+++ b/tests/full_disk_test.cc
@@ -21,21 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr base::Duration kRecovery = seconds(15);
-// A host counts as lost for this long after its disk is well again.
-constexpr base::Duration kCatchUp = seconds(6);
-
-// Sends changes until one more is acknowledged.
-bool Publish(PowerCluster& cluster) {
-  const uint64_t wanted = cluster.AckedNumber() + 1;
-  const auto done = [&] { return cluster.AckedNumber() >= wanted; };
-  for (int i = 0; i < 30 && !done(); ++i) {
-    cluster.SendChange();
-    cluster.Run(milliseconds(500), done);
-  }
-  return done();
-}
-
 void FillForSomeSeconds(PowerCluster& cluster, int host) {
   cluster.Disk(host).SetFull(true);
   const uint64_t halves = 2 + cluster.Rng().Below(10);
@@ -58,13 +43,13 @@
       hosts.push_back(host);
     }
     BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
-    BOOST_REQUIRE(Publish(cluster));
+    BOOST_REQUIRE(cluster.Publish());
     std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
     const size_t full = 1 + cluster.Rng().Below(hosts.size());
     for (size_t i = 0; i < full; ++i) {
       FillForSomeSeconds(cluster, hosts[i]);
     }
-    BOOST_TEST(Publish(cluster), "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Publish(), "seed " << seed << cluster.View());
     const int lost = hosts.back();
     cluster.Wipe(lost);
     cluster.Run(milliseconds(cluster.Rng().Below(1000)));
--- a/tests/lost_voter_test.cc
+++ b/tests/lost_voter_test.cc
@@ -12,9 +12,6 @@
 
 using std::chrono::seconds;
 
-// As the users state it, counted from the start of the last host.
-constexpr base::Duration kRecovery = seconds(15);
-
 // Guards against a quorum that is lost for good if all hosts stop while only
 // the leader holds the entry that promotes a learner in a lost voter's place.
 BOOST_AUTO_TEST_CASE(AHostThatDoesNotKnowOfItsPromotionStillVotes) {
--- a/tests/power_cluster.cc
+++ b/tests/power_cluster.cc
@@ -13,6 +13,7 @@
 
 constexpr base::Duration kStep = std::chrono::milliseconds(10);
 constexpr base::Duration kReadInterval = std::chrono::milliseconds(50);
+constexpr base::Duration kResendInterval = std::chrono::milliseconds(500);
 constexpr char kService[] = "orders";
 
 }  // namespace
@@ -185,6 +186,22 @@
   return true;
 }
 
+bool PowerCluster::SendUntil(const std::function<void()>& send,
+                             const std::function<bool()>& done) {
+  for (base::Duration waited{0}; waited < kRecovery && !done();
+       waited += kResendInterval) {
+    send();
+    Run(kResendInterval, done);
+  }
+  return done();
+}
+
+bool PowerCluster::Publish() {
+  const uint64_t wanted = acked_number_ + 1;
+  return SendUntil([this] { SendChange(); },
+                   [this, wanted] { return acked_number_ >= wanted; });
+}
+
 bool PowerCluster::SendMove() {
   const int leader = Leader();
   if (leader == 0) {
--- a/tests/power_cluster.h
+++ b/tests/power_cluster.h
@@ -23,6 +23,11 @@
 // The number in this variable of the environment, or `otherwise`.
 uint64_t FromEnvironment(const char* name, uint64_t otherwise);
 
+// As the users state it, counted from the start of the last host.
+inline constexpr base::Duration kRecovery = std::chrono::seconds(15);
+// A lost machine counts as lost for this long after it is back.
+inline constexpr base::Duration kCatchUp = std::chrono::seconds(6);
+
 std::chrono::milliseconds Between(base::Random& random,
                                   uint64_t least_ms,
                                   uint64_t most_ms);
@@ -60,6 +65,12 @@
   // to the leader. False if there is none.
   bool SendChange();
   bool SendMove();
+  // As an operator does: again every 500 ms, within the recovery time. Whether
+  // `done` holds then.
+  bool SendUntil(const std::function<void()>& send,
+                 const std::function<bool()>& done);
+  // Sends changes until one more is acknowledged.
+  bool Publish();
   bool Acknowledged() const { return !change_.has_value(); }
   bool MoveAcknowledged() const { return move_acknowledged_; }
   uint64_t AckedNumber() const { return acked_number_; }
--- a/tests/power_loss_test.cc
+++ b/tests/power_loss_test.cc
@@ -18,11 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// As the users state it, counted from the start of the last host.
-constexpr base::Duration kRecovery = seconds(15);
-// A lost machine counts as lost for this long after it is back.
-constexpr base::Duration kCatchUp = seconds(6);
-
 enum class Before : uint8_t {
   kCalm,
   kRepaired,      // A disk was lost; the host is back for longer than kCatchUp.
@@ -99,10 +94,7 @@
 
   bool Publish(uint64_t count) {
     for (uint64_t i = 0; i < count; ++i) {
-      const uint64_t wanted = cluster_.AckedNumber() + 1;
-      if (!SendUntilAcknowledged(
-              [this] { cluster_.SendChange(); },
-              [this, wanted] { return cluster_.AckedNumber() >= wanted; })) {
+      if (!cluster_.Publish()) {
         return false;
       }
     }
@@ -111,20 +103,8 @@
 
   bool OrderMove() {
     return random_.Below(2) == 0 ||
-           SendUntilAcknowledged(
-               [this] { cluster_.SendMove(); },
-               [this] { return cluster_.MoveAcknowledged(); });
-  }
-
-  // As an operator does: again every 500 ms, within the recovery time.
-  bool SendUntilAcknowledged(const std::function<void()>& send,
-                             const std::function<bool()>& done) {
-    for (base::Duration waited{0}; waited < kRecovery && !done();
-         waited += milliseconds(500)) {
-      send();
-      cluster_.Run(milliseconds(500), done);
-    }
-    return done();
+           cluster_.SendUntil([this] { cluster_.SendMove(); },
+                              [this] { return cluster_.MoveAcknowledged(); });
   }
 
   void Prepare() {
