Ports and raw connections of tests stand in one place

http_test, hop_test, endless_upstream and process_harness each had their own sockaddr_in, bind and listen; hop_test had a second RawSocket, and three places the loop that closes a server. They call loopback and close_server now. A port that a server takes over isn't listened on for a moment any more (FreePort). What failed a check before (no port, no connection) throws and fails the test. No assertion changes; http_test, http_client_test, hop_test, platform_test, blocking_server_test, trace_test, process_test and endless_test passed.

--- a/tests/blocking_server_test.cc
+++ b/tests/blocking_server_test.cc
@@ -14,7 +14,7 @@
 
 #include "daemon/blocking_server.h"
 #include "endless_upstream.h"
-#include "loopback_port.h"
+#include "loopback.h"
 
 namespace buckthorngate::tests {
 namespace {
--- a/tests/endless_upstream.cc
+++ b/tests/endless_upstream.cc
@@ -1,7 +1,6 @@
 // Bytes that never end, on raw sockets.
 #include "endless_upstream.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -14,6 +13,8 @@
 #include <string_view>
 #include <utility>
 
+#include "loopback.h"
+
 namespace buckthorngate::tests {
 namespace {
 
@@ -21,18 +22,11 @@
 
 constexpr std::chrono::milliseconds kAnnounceInterval{500};
 constexpr std::chrono::milliseconds kPoll{10};
+constexpr int kBacklog = 64;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 // Units that are sent at once where there is no pause.
 constexpr size_t kBurstBytes = size_t{32} * 1024;
 
-sockaddr_in Loopback(int port) {
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  return address;
-}
-
 // A socket that is not connected if that fails: its caller gets nothing.
 int Connect(int port) {
   const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -146,17 +140,7 @@
 }
 
 EndlessUpstream::EndlessUpstream(std::map<std::string, EndlessAnswer> answers)
-    : answers_(std::move(answers)),
-      listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  constexpr int kBacklog = 64;
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(listener_, generic, size) != 0 || listen(listener_, kBacklog) != 0 ||
-      getsockname(listener_, generic, &size) != 0) {
-    std::abort();
-  }
-  port_ = ntohs(address.sin_port);
+    : answers_(std::move(answers)), listener_(ListenAnywhere(port_, kBacklog)) {
   acceptor_ = std::thread([this] { Accept(); });
 }
 
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -2,7 +2,6 @@
 #define BOOST_TEST_MODULE hop
 #include <boost/test/unit_test.hpp>
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,12 +15,13 @@
 
 #include "blackboard/blackboard.h"
 #include "blackboard/metrics.h"
+#include "close_server.h"
 #include "daemon/destination.h"
 #include "daemon/hop.h"
 #include "daemon/hop_codec.h"
 #include "daemon/peer_client.h"
 #include "http/server.h"
-#include "loopback_port.h"
+#include "loopback.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
 
@@ -310,14 +310,6 @@
              page);
 }
 
-sockaddr_in Loopback(int port) {
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  return address;
-}
-
 constexpr size_t kEarlyBytes = size_t{1} << 20;
 
 // Answers once it has some of a body, and reads on.
@@ -365,31 +357,17 @@
 
 // Sends a body of `pieces` in 2 s and only then reads; the bytes that came.
 size_t UploadThenRead(int port, int pieces) {
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int small = 16 * 1024;
-  setsockopt(file, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-  const sockaddr_in address = Loopback(port);
-  BOOST_REQUIRE(connect(file, reinterpret_cast<const sockaddr*>(&address),
-                        sizeof(address)) == 0);
+  RawSocket caller(port, /*receive_bytes=*/16 * 1024);
   const std::string piece(4096, 'y');
   const std::string head =
       "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
       std::to_string(piece.size() * static_cast<size_t>(pieces)) + "\r\n\r\n";
-  (void)send(file, head.data(), head.size(), MSG_NOSIGNAL);
+  caller.Send(head);
   for (int i = 0; i < pieces; ++i) {
-    (void)send(file, piece.data(), piece.size(), MSG_NOSIGNAL);
+    caller.Send(piece);
     std::this_thread::sleep_for(std::chrono::milliseconds(2000) / pieces);
   }
-  const timeval timeout = {3, 0};
-  setsockopt(file, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-  std::vector<char> buffer(size_t{64} * 1024);
-  size_t count = 0;
-  ssize_t got = 0;
-  while ((got = recv(file, buffer.data(), buffer.size(), 0)) > 0) {
-    count += static_cast<size_t>(got);
-  }
-  close(file);
-  return count;
+  return caller.CountAll();
 }
 
 // Guards against an answer that is lost at a caller that sends all of its body
@@ -401,19 +379,12 @@
   http::EventLoop loop;
   UploadHandler handler(loop, "127.0.0.1:" + std::to_string(upstream_port));
   http::Server server(loop, handler);
-  int port = 0;
-  close(ListenAnywhere(port));
+  const int port = FreePort();
   BOOST_REQUIRE(
       (server.Listen("127.0.0.1:" + std::to_string(port)) == ResultCode::kOk));
   loop.Start();
   BOOST_TEST(UploadThenRead(port, 100) >= kEarlyBytes);
-  size_t open = 1;
-  while (open > 0) {
-    loop.RunAndWait([&] {
-      server.Close();
-      open = server.Connections();
-    });
-  }
+  CloseServer(loop, server);
   loop.Stop();
   upstream.join();
   close(listener);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -16,7 +16,7 @@
 
 #include "endless_upstream.h"
 #include "http/client.h"
-#include "loopback_port.h"
+#include "loopback.h"
 
 namespace buckthorngate::tests {
 namespace {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -18,80 +18,13 @@
 #include <utility>
 #include <vector>
 
+#include "close_server.h"
 #include "http/server.h"
-#include "loopback_port.h"
+#include "loopback.h"
 
 namespace buckthorngate::tests {
 namespace {
 
-constexpr int kReadTimeoutMs = 3000;
-
-sockaddr_in Loopback(int port) {
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  return address;
-}
-
-class RawSocket {
- public:
-  explicit RawSocket(int port)
-      : file_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    const sockaddr_in address = Loopback(port);
-    BOOST_REQUIRE(connect(file_, reinterpret_cast<const sockaddr*>(&address),
-                          sizeof(address)) == 0);
-    const timeval timeout = {kReadTimeoutMs / 1000, 0};
-    setsockopt(file_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-  }
-  ~RawSocket() { Close(); }
-  RawSocket(const RawSocket&) = delete;
-  RawSocket& operator=(const RawSocket&) = delete;
-
-  void Send(const std::string& bytes) {
-    (void)send(file_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-  }
-  void Close() {
-    if (file_ >= 0) {
-      close(file_);
-      file_ = -1;
-    }
-  }
-  // Closes so that the other side is told of a reset.
-  void Reset() {
-    const linger at_once = {1, 0};
-    setsockopt(file_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-    Close();
-  }
-  // Reads until the text has come, or the connection ends.
-  std::string ReadUntil(const std::string& text) {
-    char buffer[4096];
-    while (received_.find(text) == std::string::npos) {
-      const ssize_t got = recv(file_, buffer, sizeof(buffer), 0);
-      if (got <= 0) {
-        break;
-      }
-      received_.append(buffer, static_cast<size_t>(got));
-    }
-    return received_;
-  }
-  // Reads until the connection ends or is silent; the number of bytes.
-  size_t CountAll() {
-    std::vector<char> buffer(size_t{256} * 1024);
-    size_t count = 0;
-    ssize_t got = 0;
-    while ((got = recv(file_, buffer.data(), buffer.size(), 0)) > 0) {
-      count += static_cast<size_t>(got);
-    }
-    return count;
-  }
-  std::string ReadAll() { return ReadUntil("\r\n\r\nno such text"); }
-
- private:
-  int file_;
-  std::string received_;
-};
-
 // Echoes the target; "/slow" waits until its caller has left.
 class EchoHandler : public http::Handler {
  public:
@@ -126,21 +59,13 @@
 
 class ServedEcho {
  public:
-  ServedEcho() : handler_(loop_), server_(loop_, handler_) {
-    const int file = ListenAnywhere(port_);
-    close(file);
+  ServedEcho() : handler_(loop_), server_(loop_, handler_), port_(FreePort()) {
     BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
                    ResultCode::kOk));
     loop_.Start();
   }
   ~ServedEcho() {
-    size_t open = 1;
-    while (open > 0) {
-      loop_.RunAndWait([&] {
-        server_.Close();
-        open = server_.Connections();
-      });
-    }
+    CloseServer(loop_, server_);
     loop_.Stop();
   }
   std::string Exchange(const std::string& bytes) {
@@ -155,7 +80,7 @@
   http::EventLoop loop_;
   EchoHandler handler_;
   http::Server server_;
-  int port_ = 0;
+  const int port_;
 };
 
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAllAnsweredInOrder) {
@@ -294,9 +219,7 @@
  public:
   explicit CutRecorder(
       base::Duration write_timeout = std::chrono::milliseconds(300))
-      : handler_(loop_), server_(loop_, handler_) {
-    const int file = ListenAnywhere(port_);
-    close(file);
+      : handler_(loop_), server_(loop_, handler_), port_(FreePort()) {
     BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
                    ResultCode::kOk));
     http::ServerLimits limits;
@@ -309,15 +232,7 @@
     Close();
     loop_.Stop();
   }
-  void Close() {
-    size_t open = 1;
-    while (open > 0) {
-      loop_.RunAndWait([&] {
-        server_.Close();
-        open = server_.Connections();
-      });
-    }
-  }
+  void Close() { CloseServer(loop_, server_); }
   std::vector<http::CutCall> Told() {
     std::vector<http::CutCall> cuts;
     loop_.RunAndWait([&] { cuts = cuts_; });
@@ -362,7 +277,7 @@
   CuttingHandler handler_;
   http::Server server_;
   std::vector<http::CutCall> cuts_;
-  int port_ = 0;
+  const int port_;
 };
 
 void DoNothing(RawSocket&) {}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -11,7 +11,7 @@
 #include <httplib.h>
 
 #include "endless_upstream.h"
-#include "loopback_port.h"
+#include "loopback.h"
 #include "platform/dialect.h"
 #include "platform/documents.h"
 #include "platform/platform_adapter.h"
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -1,12 +1,10 @@
 // Real daemons as child processes.
 #include "process_harness.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <httplib.h>
 #include <signal.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,6 +16,8 @@
 #include <thread>
 #include <utility>
 
+#include "loopback.h"
+
 namespace buckthorngate::tests {
 namespace {
 
@@ -50,7 +50,7 @@
     }
   }
   for (const std::string& host : hosts_) {
-    ports_[host] = {FreePort(), FreePort(), FreePort(), FreePort()};
+    ports_[host] = {TakePort(), TakePort(), TakePort(), TakePort()};
   }
   for (const std::string& host : hosts_) {
     WriteSettings(host);
@@ -83,24 +83,10 @@
   }
 }
 
-int ProcessMesh::FreePort() {
-  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  // A daemon shares the port, but no other mesh is given it meanwhile.
-  const int on = 1;
-  setsockopt(file, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  setsockopt(file, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t size = sizeof(address);
-  if (bind(file, generic, size) != 0 ||
-      getsockname(file, generic, &size) != 0) {
-    std::abort();
-  }
-  // Reserved as long as the mesh lasts.
-  reserved_.push_back(file);
-  return ntohs(address.sin_port);
+int ProcessMesh::TakePort() {
+  int port = 0;
+  reserved_.push_back(ReservePort(port));
+  return port;
 }
 
 void ProcessMesh::WriteSettings(const std::string& host) {
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -100,7 +100,8 @@
  private:
   pid_t Spawn(const std::string& name, const std::vector<std::string>& words);
   void WriteSettings(const std::string& host);
-  int FreePort();
+  // A port that is held as long as the mesh lasts.
+  int TakePort();
   // Standard error, so that a failure can be traced after the folder is gone.
   void TellEndsOfLogs() const;
 
