--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/http_status.h"
 #include "daemon/settings.h"
 #include "http/head.h"
 
@@ -17,9 +18,6 @@
 constexpr time_t kKeepAliveSeconds = 5;
 constexpr uint64_t kDefaultSlots = 20;
 constexpr uint64_t kMaxSlots = 100'000;
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
 
 uint32_t SlotsOf(const std::string& text) {
   const uint64_t slots = http::ParseNumber(text).value_or(0);
@@ -73,12 +71,12 @@
                        !announcement.version_.empty() &&
                        IsIpAddress(announcement.address_);
     if (!valid) {
-      AnswerText(response, kBadRequest,
+      AnswerText(response, base::kStatusBadRequest,
                  std::string(Describe(ResultCode::kMissingKey).message_));
       return;
     }
     handlers_.announce_(announcement);
-    AnswerText(response, kOk, "ok");
+    AnswerText(response, base::kStatusOk, "ok");
   }
 
   void Configure() {
@@ -96,12 +94,12 @@
     server_.Post("/drain", [this](const httplib::Request& request,
                                   httplib::Response& response) {
       handlers_.drain_(request.get_param_value("address"));
-      AnswerText(response, kOk, "ok");
+      AnswerText(response, base::kStatusOk, "ok");
     });
     server_.Post("/leave", [this](const httplib::Request& request,
                                   httplib::Response& response) {
       handlers_.leave_(request.get_param_value("address"));
-      AnswerText(response, kOk, "ok");
+      AnswerText(response, base::kStatusOk, "ok");
     });
   }
 
@@ -112,14 +110,14 @@
     });
     server_.Get("/healthz",
                 [](const httplib::Request&, httplib::Response& response) {
-                  AnswerText(response, kOk, "ok");
-                });
-    server_.Get("/readyz",
-                [this](const httplib::Request&, httplib::Response& response) {
-                  const bool ready = handlers_.ready_();
-                  AnswerText(response, ready ? kOk : kUnavailable,
-                             ready ? "ready" : "not ready");
+                  AnswerText(response, base::kStatusOk, "ok");
                 });
+    server_.Get("/readyz", [this](const httplib::Request&,
+                                  httplib::Response& response) {
+      const bool ready = handlers_.ready_();
+      AnswerText(response, ready ? base::kStatusOk : base::kStatusUnavailable,
+                 ready ? "ready" : "not ready");
+    });
   }
 
   const AdminHandlers handlers_;
--- a/src/daemon/blocking_server.cc
+++ b/src/daemon/blocking_server.cc
@@ -9,17 +9,13 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include "base/events.h"
+#include "base/http_status.h"
 #include "daemon/cut_log.h"
 #include "http/event_loop.h"
 
 namespace buckthorngate::daemon {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kInternalError = 500;
-constexpr int kUnavailable = 503;
-
 // Each call may hold so much beside the limit of all together, so that small
 // calls go on while large ones use that up.
 constexpr size_t kFreeBytes = size_t{64} * 1024;
@@ -59,9 +55,9 @@
 
 std::string WhyRefused(int status) {
   switch (status) {
-    case kRequestTimeout:
+    case base::kStatusRequestTimeout:
       return "body takes too long";
-    case kUnavailable:
+    case base::kStatusUnavailable:
       return "too many bytes under way, or about to stop";
     default:
       return "body is not whole";
@@ -133,7 +129,7 @@
       co_return;
     }
     if (stopping_) {
-      co_await Refuse(call, kUnavailable);
+      co_await Refuse(call, base::kStatusUnavailable);
       co_return;
     }
     ++handed_over_;
@@ -141,8 +137,10 @@
     co_await job->done_.Wait(base::MonoTime::max());
     job->call_.body_ = std::string();
     if (!held.Set(job->answer_.body_.size())) {
-      LogRefused(kUnavailable, WhyRefused(kUnavailable));
-      job->answer_ = Refusal(kUnavailable, WhyRefused(kUnavailable));
+      LogRefused(base::kStatusUnavailable,
+                 WhyRefused(base::kStatusUnavailable));
+      job->answer_ = Refusal(base::kStatusUnavailable,
+                             WhyRefused(base::kStatusUnavailable));
     }
     co_await Send(call, job->answer_);
     --handed_over_;
@@ -166,17 +164,17 @@
     http::BodyState state = http::BodyState::kMore;
     while (state == http::BodyState::kMore) {
       if (base::MonoNow() >= until) {
-        co_return kRequestTimeout;
+        co_return base::kStatusRequestTimeout;
       }
       const size_t most =
           body.size() +
           std::clamp(body.size(), kFirstPieceBytes, http::kPieceBytes);
       if (!held.Set(most)) {
-        co_return kUnavailable;
+        co_return base::kStatusUnavailable;
       }
       state = co_await call.Read(body, most);
     }
-    co_return state == http::BodyState::kEnd ? 0 : kBadRequest;
+    co_return state == http::BodyState::kEnd ? 0 : base::kStatusBadRequest;
   }
 
   void RunOnPool(std::shared_ptr<Job> job) {
@@ -191,7 +189,7 @@
       return handler_.Handle(call);
     } catch (const std::exception& exception) {
       base::LogEvent(base::EventId::kTaskFailed, {{"what", exception.what()}});
-      return Refusal(kInternalError, "internal error");
+      return Refusal(base::kStatusServerError, "internal error");
     }
   }
 
--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/events.h"
+#include "base/http_status.h"
 #include "daemon/destination_upstream.h"
 #include "daemon/hop_codec.h"
 #include "request/call_tree.h"
@@ -24,7 +25,6 @@
 constexpr base::Duration kEndOfProcess = std::chrono::milliseconds(50);
 // Waiting requests are looked after at least this often.
 constexpr base::Duration kQueueTick = std::chrono::milliseconds(50);
-constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -278,7 +278,7 @@
   } else {
     // A fast failure says nothing about the time that work takes.
     slot->Release(answer.code_ != ResultCode::kOk ||
-                  answer.head_.status_ >= kServerError);
+                  answer.head_.status_ >= base::kStatusServerError);
   }
   co_return answer;
 }
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/events.h"
+#include "base/http_status.h"
 #include "config/service_file.h"
 #include "daemon/entry_call.h"
 #include "request/hop_headers.h"
@@ -15,7 +16,6 @@
 using request::AttemptOutcome;
 
 constexpr double kTreeSizeWeight = 0.1;
-constexpr int kServerError = 500;
 constexpr double kMilli = 1000.0;
 // An endpoint that turned a request away is left alone for this long; at full
 // load a slot becomes free every few milliseconds.
@@ -140,7 +140,7 @@
   const base::MonoTime now = entry_.clock_.Read().mono_;
   const bool gone = outcome.code_ == ResultCode::kCallerGone;
   const bool failed = !gone && (outcome.code_ != ResultCode::kOk ||
-                                outcome.status_ >= kServerError);
+                                outcome.status_ >= base::kStatusServerError);
   request::EndpointStats& stats = *attempt.endpoint_->stats_;
   stats.End(now - attempt.began_, failed || gone, now);
   if (attempt.answer_.load_) {
--- a/src/daemon/entry_hedge.cc
+++ b/src/daemon/entry_hedge.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/http_status.h"
 #include "daemon/entry_call.h"
 
 namespace buckthorngate::daemon {
@@ -11,7 +12,6 @@
 // A safe read that takes this many times its usual latency is hedged.
 constexpr int kHedgeFactor = 4;
 constexpr base::Duration kLeastHedgeDelay = std::chrono::milliseconds(20);
-constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -26,7 +26,7 @@
 
 bool Entry::Call::Succeeded(const Attempt& attempt) {
   return attempt.done_ && attempt.answer_.code_ == ResultCode::kOk &&
-         attempt.answer_.head_.status_ < kServerError;
+         attempt.answer_.head_.status_ < base::kStatusServerError;
 }
 
 void Entry::Call::EndLoser(Attempt& loser) {
--- a/src/daemon/refusal.cc
+++ b/src/daemon/refusal.cc
@@ -4,20 +4,12 @@
 #include <array>
 #include <charconv>
 
+#include "base/http_status.h"
 #include "request/hop_headers.h"
 
 namespace buckthorngate::daemon {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 std::string FormatSeconds(base::Duration time, bool fractional) {
   constexpr std::chrono::seconds kSecond{1};
   if (!fractional) {
@@ -37,20 +29,20 @@
 int StatusOf(ResultCode code, bool not_run) {
   switch (code) {
     case ResultCode::kNoRoute:
-      return kNotFound;
+      return base::kStatusNotFound;
     case ResultCode::kKeyMissing:
-      return kBadRequest;
+      return base::kStatusBadRequest;
     case ResultCode::kKeyReused:
-      return kUnprocessable;
+      return base::kStatusUnprocessable;
     case ResultCode::kClaimOutcomeUnknown:
-      return kConflict;
+      return base::kStatusConflict;
     case ResultCode::kEndpointOverloaded:
     case ResultCode::kUpstreamShed:
-      return not_run ? kTooManyRequests : kBadGateway;
+      return not_run ? base::kStatusTooManyRequests : base::kStatusBadGateway;
     case ResultCode::kDeadlineExceeded:
-      return not_run ? kUnavailable : kGatewayTimeout;
+      return not_run ? base::kStatusUnavailable : base::kStatusGatewayTimeout;
     default:
-      return not_run ? kUnavailable : kBadGateway;
+      return not_run ? base::kStatusUnavailable : base::kStatusBadGateway;
   }
 }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,13 +5,13 @@
 #include <limits>
 #include <utility>
 
+#include "base/http_status.h"
 #include "http/client_connection.h"
 
 namespace buckthorngate::http {
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr int kFirstFinalStatus = 200;
 // Answers to earlier requests that may come first, and their bodies together.
 constexpr int kMostSkipped = 4;
 constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
@@ -248,7 +248,7 @@
     }
     AnswerHead head;
     head.status_ = static_cast<int>(parser.get().result_int());
-    if (head.status_ < kFirstFinalStatus) {
+    if (head.status_ < base::kStatusFirstFinal) {
       ++interim;
       continue;
     }
--- a/src/http/head.cc
+++ b/src/http/head.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/http_status.h"
+
 namespace buckthorngate::http {
 namespace {
 
@@ -11,10 +13,6 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-constexpr int kFirstFinalStatus = 200;
-
 }  // namespace
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
@@ -105,8 +103,8 @@
 }
 
 bool NeverHasBody(int status) {
-  return status < kFirstFinalStatus || status == kNoContent ||
-         status == kNotModified;
+  return status < base::kStatusFirstFinal || status == base::kStatusNoContent ||
+         status == base::kStatusNotModified;
 }
 
 }  // namespace buckthorngate::http
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -8,12 +8,11 @@
 #include <system_error>
 #include <utility>
 
+#include "base/http_status.h"
+
 namespace buckthorngate::http {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kTooLarge = 413;
-constexpr int kHeadersTooLarge = 431;
 constexpr size_t kReadBytes = 4096;
 // Room for a head in the buffer, beyond the limit that is enforced.
 constexpr size_t kBufferSlack = size_t{128} * 1024;
@@ -25,12 +24,12 @@
 
 int StatusOfError(const ErrorCode& error) {
   if (error == bhttp::error::header_limit) {
-    return kHeadersTooLarge;
+    return base::kStatusHeadersTooLarge;
   }
   if (error == bhttp::error::body_limit) {
-    return kTooLarge;
+    return base::kStatusTooLarge;
   }
-  return kBadRequest;
+  return base::kStatusBadRequest;
 }
 
 std::string TextOf(const std::exception_ptr& failure) {
--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -4,19 +4,19 @@
 #include <algorithm>
 #include <string>
 
+#include "base/http_status.h"
+
 namespace buckthorngate::request {
 namespace {
 
 constexpr base::Duration kLeastTimeForRetry = std::chrono::milliseconds(2);
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 bool Failed(const AttemptOutcome& outcome, bool errors_too) {
-  return (errors_too && outcome.status_ == kServerError) ||
-         outcome.code_ != ResultCode::kOk || outcome.status_ == kBadGateway ||
-         outcome.status_ == kUnavailable || outcome.status_ == kGatewayTimeout;
+  return (errors_too && outcome.status_ == base::kStatusServerError) ||
+         outcome.code_ != ResultCode::kOk ||
+         outcome.status_ == base::kStatusBadGateway ||
+         outcome.status_ == base::kStatusUnavailable ||
+         outcome.status_ == base::kStatusGatewayTimeout;
 }
 
 }  // namespace
