--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -136,6 +136,14 @@
   return outcome;
 }
 
+AttemptOutcome Entry::Call::Account(const Attempt& attempt) {
+  const AttemptOutcome outcome = OutcomeOf(attempt);
+  may_have_run_ = may_have_run_ || !outcome.not_run_;
+  reached_ += outcome.reached_ ? 1 : 0;
+  Note(attempt, outcome);
+  return outcome;
+}
+
 void Entry::Call::Note(const Attempt& attempt, const AttemptOutcome& outcome) {
   const base::MonoTime now = entry_.clock_.Read().mono_;
   const bool gone = outcome.code_ == ResultCode::kCallerGone;
@@ -300,10 +308,7 @@
     const http::CancelScope link(call_.Gone(),
                                  [next] { next->cancel_.Raise(); });
     attempt = co_await RunHedged(next);
-    outcome = OutcomeOf(*attempt);
-    may_have_run_ = may_have_run_ || !outcome.not_run_;
-    reached_ += outcome.reached_ ? 1 : 0;
-    Note(*attempt, outcome);
+    outcome = Account(*attempt);
     if (!MayRetry(outcome)) {
       break;
     }
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -69,6 +69,8 @@
   // Static: an attempt that lost may outlast its call.
   static http::Task<void> RunHop(Hop& hop, AttemptPtr attempt);
   request::AttemptOutcome OutcomeOf(const Attempt& attempt) const;
+  // Counts an attempt that has ended, for this request and its endpoint.
+  request::AttemptOutcome Account(const Attempt& attempt);
   void Note(const Attempt& attempt, const request::AttemptOutcome& outcome);
   void NoteEvidence(const Attempt& attempt,
                     const request::AttemptOutcome& outcome,
--- a/src/daemon/entry_hedge.cc
+++ b/src/daemon/entry_hedge.cc
@@ -31,10 +31,7 @@
 
 void Entry::Call::EndLoser(Attempt& loser) {
   if (loser.done_) {
-    const request::AttemptOutcome outcome = OutcomeOf(loser);
-    may_have_run_ = may_have_run_ || !outcome.not_run_;
-    reached_ += outcome.reached_ ? 1 : 0;
-    Note(loser, outcome);
+    (void)Account(loser);
   } else {
     loser.endpoint_->stats_->End(base::Duration(0), /*failed=*/true,
                                  entry_.clock_.Read().mono_);
