--- a/src/blackboard/metrics.cc
+++ b/src/blackboard/metrics.cc
@@ -17,8 +17,6 @@
 using Most = acc::accumulator_set<double, acc::stats<acc::tag::max>>;
 
 constexpr size_t kShards = 8;
-constexpr std::array<std::string_view, kCallSides> kSideNames = {"entry",
-                                                                 "destination"};
 
 void Line(std::string& out, const std::string& name, double value) {
   out += name + " " + std::to_string(value) + "\n";
@@ -26,6 +24,10 @@
 
 }  // namespace
 
+std::string_view NameOf(CallSide side) {
+  return side == CallSide::kEntry ? "entry" : "destination";
+}
+
 struct Metrics::Latencies {
   struct Shard {
     std::mutex mutex_;
@@ -85,8 +87,7 @@
     const auto& [side, cause] = key;
     Line(out,
          "buckthorngate_cut_requests_total{side=\"" +
-             std::string(kSideNames.at(static_cast<size_t>(side))) +
-             "\",cause=\"" + cause + "\"}",
+             std::string(NameOf(side)) + "\",cause=\"" + cause + "\"}",
          static_cast<double>(count));
   }
   return out;
@@ -109,10 +110,10 @@
          calls_.Render("buckthorngate_call_seconds", "");
   Line(out, "buckthorngate_call_seconds_max", LongestCall());
   out += "# TYPE buckthorngate_request_seconds histogram\n";
-  for (size_t side = 0; side < kCallSides; ++side) {
-    out += requests_.at(side).Render(
-        "buckthorngate_request_seconds",
-        "side=\"" + std::string(kSideNames.at(side)) + "\"");
+  for (const CallSide side : {CallSide::kEntry, CallSide::kDestination}) {
+    out += requests_.at(static_cast<size_t>(side))
+               .Render("buckthorngate_request_seconds",
+                       "side=\"" + std::string(NameOf(side)) + "\"");
   }
   out += RenderCuts();
   Line(out, "buckthorngate_retries_total",
--- a/src/blackboard/metrics.h
+++ b/src/blackboard/metrics.h
@@ -21,6 +21,7 @@
 // Whose request it is: a caller's, or another daemon's.
 enum class CallSide : uint8_t { kEntry, kDestination };
 inline constexpr size_t kCallSides = 2;
+std::string_view NameOf(CallSide side);
 
 // Safe for concurrent use.
 class Metrics {
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -115,8 +115,7 @@
 void ProxyRole::Impl::NoteCut(blackboard::CallSide side,
                               const http::CutCall& call) {
   board_.Numbers().CountCut(side, NameOf(call.cause_));
-  LogCutCall(side == blackboard::CallSide::kEntry ? "entry" : "destination",
-             call);
+  LogCutCall(std::string(NameOf(side)), call);
 }
 
 AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
