--- a/src/daemon/claim_client.cc
+++ b/src/daemon/claim_client.cc
@@ -21,16 +21,14 @@
   const Key key{record.owner(), action};
   const std::shared_ptr<Waiting> waiting = std::make_shared<Waiting>(loop_);
   waiting_[key] = waiting;
-  node_loop_.Run([this, action, record](const base::Now& now) {
-    node_.StartClaim(action, record, now);
-  });
+  Ask(action, record);
   co_await waiting->decided_.Wait(clock_.Read().mono_ + kOutcomeTimeout);
   waiting_.erase(key);
   if (waiting->outcome_) {
     co_return std::move(*waiting->outcome_);
   }
   if (action == rpc::ClaimRequest::CLAIM) {
-    Release(std::move(record));
+    Ask(rpc::ClaimRequest::RELEASE, record);
   }
   request::ClaimOutcome late;
   late.owner_ = key.first;
@@ -39,10 +37,10 @@
   co_return late;
 }
 
-void ClaimClient::Release(rpc::ClaimRecord record) {
-  record.set_released(true);
-  node_loop_.Run([this, record = std::move(record)](const base::Now& now) {
-    node_.StartClaim(rpc::ClaimRequest::RELEASE, record, now);
+void ClaimClient::Ask(rpc::ClaimRequest::Action action,
+                      const rpc::ClaimRecord& record) {
+  node_loop_.Run([this, action, record](const base::Now& now) {
+    node_.StartClaim(action, record, now);
   });
 }
 
--- a/src/daemon/claim_client.h
+++ b/src/daemon/claim_client.h
@@ -41,7 +41,7 @@
     std::optional<request::ClaimOutcome> outcome_;
   };
 
-  void Release(rpc::ClaimRecord record);
+  void Ask(rpc::ClaimRequest::Action action, const rpc::ClaimRecord& record);
 
   const base::Clock& clock_;
   http::EventLoop& loop_;
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -257,7 +257,6 @@
     co_return;
   }
   rpc::ClaimRecord record = claim_;
-  record.set_released(true);
   co_await entry_.claims_.Run(rpc::ClaimRequest::RELEASE, std::move(record));
 }
 
--- a/src/request/claim_coordinator.cc
+++ b/src/request/claim_coordinator.cc
@@ -40,6 +40,7 @@
                              base::Outbox& outbox) {
   const Key key{record.owner(), action};
   if (action == rpc::ClaimRequest::RELEASE) {
+    record.set_released(true);
     pending_.erase({record.owner(), rpc::ClaimRequest::CLAIM});
   }
   Pending& pending = pending_[key] = Pending();
@@ -186,9 +187,8 @@
   const bool asked = pending.members_ != 0;
   if (key.second == rpc::ClaimRequest::CLAIM && code != ResultCode::kOk &&
       asked) {
-    rpc::ClaimRecord record = std::move(*pending.request_.mutable_record());
-    record.set_released(true);
-    Start(rpc::ClaimRequest::RELEASE, std::move(record), now, outbox);
+    Start(rpc::ClaimRequest::RELEASE,
+          std::move(*pending.request_.mutable_record()), now, outbox);
   }
 }
 
--- a/src/request/claim_coordinator.h
+++ b/src/request/claim_coordinator.h
@@ -53,8 +53,9 @@
   // Ignores an older group than the one that is known.
   void SetGroup(const rpc::ClaimGroup& group);
 
-  // `record.owner` must be unique to the request and action. A release ends
-  // its owner's claim: it has no outcome any more, even if it is granted.
+  // `record.owner` must be unique to the request and action. A release marks
+  // the record and ends its owner's claim, which has no outcome any more, even
+  // if it is granted.
   void Start(rpc::ClaimRequest::Action action,
              rpc::ClaimRecord record,
              const base::Now& now,
