--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -78,7 +78,9 @@
   // Whether another request may follow on the connection.
   bool MayKeep() const;
   base::Duration WriteTimeout() const;
-  void FillHead(const AnswerHead& head, bhttp::fields& fields) const;
+  // Status and headers of an answer, and whether the connection is kept.
+  template <class Message>
+  void FillHead(const AnswerHead& head, Message& message);
   Task<void> DiscardRest();
   // Lets the other side read the last answer before the socket closes.
   Task<void> Linger();
--- a/src/http/server_connection_answer.cc
+++ b/src/http/server_connection_answer.cc
@@ -57,19 +57,19 @@
   return keep_ && server_ != nullptr && !server_->draining_;
 }
 
-void Server::Connection::FillHead(const AnswerHead& head,
-                                  bhttp::fields& fields) const {
-  CopyHeaders(head.headers_, fields);
+template <class Message>
+void Server::Connection::FillHead(const AnswerHead& head, Message& message) {
+  message.version(kHttp11);
+  message.result(static_cast<unsigned>(head.status_));
+  CopyHeaders(head.headers_, message);
+  keep_ = MayKeep();
+  message.keep_alive(keep_);
 }
 
 Task<bool> Server::Connection::Answer(const AnswerHead& head,
                                       std::string_view body) {
   bhttp::response<bhttp::span_body<const char>> message;
-  message.version(kHttp11);
-  message.result(static_cast<unsigned>(head.status_));
   FillHead(head, message);
-  keep_ = MayKeep();
-  message.keep_alive(keep_);
   message.body() = {body.data(), body.size()};
   cut_.status_ = head.status_;
   if (!NeverHasBody(head.status_)) {
@@ -92,11 +92,7 @@
     const AnswerHead& head,
     std::optional<uint64_t> length) {
   bhttp::response<bhttp::empty_body> message;
-  message.version(kHttp11);
-  message.result(static_cast<unsigned>(head.status_));
   FillHead(head, message);
-  keep_ = MayKeep();
-  message.keep_alive(keep_);
   cut_.status_ = head.status_;
   if (length) {
     message.content_length(*length);
@@ -115,11 +111,7 @@
 Task<bool> Server::Connection::Begin(const AnswerHead& head,
                                      std::optional<uint64_t> length) {
   answer_.emplace();
-  answer_->version(kHttp11);
-  answer_->result(static_cast<unsigned>(head.status_));
   FillHead(head, *answer_);
-  keep_ = MayKeep();
-  answer_->keep_alive(keep_);
   if (length) {
     answer_->content_length(*length);
   } else {
