--- a/src/daemon/blocking_server.cc
+++ b/src/daemon/blocking_server.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <exception>
-#include <thread>
 #include <utility>
 
 #include <boost/asio/thread_pool.hpp>
@@ -108,7 +107,8 @@
       server_.Drain();
     });
     pool_.join();
-    AwaitAnswers();
+    loop_.AwaitZero([this] { return handed_over_; },
+                    base::MonoNow() + kLastAnswersTime, kStopPoll);
     loop_.RunAndWait([this] { server_.Close(); });
     loop_.Stop();
   }
@@ -224,17 +224,6 @@
                     {"what", what}});
   }
 
-  void AwaitAnswers() {
-    const base::MonoTime until = base::MonoNow() + kLastAnswersTime;
-    size_t left = 1;
-    while (left > 0 && base::MonoNow() < until) {
-      loop_.RunAndWait([this, &left] { left = handed_over_; });
-      if (left > 0) {
-        std::this_thread::sleep_for(kStopPoll);
-      }
-    }
-  }
-
   BlockingHandler& handler_;
   const BlockingLimits limits_;
   bool started_ = false;
@@ -242,7 +231,7 @@
   // the loop.
   size_t held_bytes_ = 0;
   // Calls that threads have taken and that are not answered.
-  size_t handed_over_ = 0;
+  int64_t handed_over_ = 0;
   bool stopping_ = false;
   http::EventLoop loop_;
   http::Server server_;
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -202,13 +202,8 @@
 
 void ProxyRole::Impl::AwaitIdle(const std::function<int64_t()>& busy,
                                 std::chrono::steady_clock::time_point give_up) {
-  int64_t running = 1;
-  while (running > 0 && std::chrono::steady_clock::now() < give_up) {
-    loop_.RunAndWait([&] { running = busy(); });
-    if (running > 0) {
-      std::this_thread::sleep_for(kDrainPoll);
-    }
-  }
+  loop_.AwaitZero(busy, std::chrono::time_point_cast<base::Duration>(give_up),
+                  kDrainPoll);
 }
 
 void ProxyRole::Impl::Drain() {
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -42,6 +42,18 @@
   result.wait();
 }
 
+void EventLoop::AwaitZero(const std::function<int64_t()>& count,
+                          base::MonoTime until,
+                          base::Duration poll) {
+  int64_t left = 1;
+  while (left > 0 && base::MonoNow() < until) {
+    RunAndWait([&] { left = count(); });
+    if (left > 0) {
+      std::this_thread::sleep_for(poll);
+    }
+  }
+}
+
 void EventLoop::Spawn(Task<void> task) {
   asio::co_spawn(context_, std::move(task),
                  [](const std::exception_ptr& error) {
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -2,6 +2,7 @@
 #ifndef SRC_HTTP_EVENT_LOOP_H_
 #define SRC_HTTP_EVENT_LOOP_H_
 
+#include <cstdint>
 #include <functional>
 #include <thread>
 
@@ -26,6 +27,12 @@
   // As Post, and waits until the task has run. Not from the loop's thread.
   void RunAndWait(const std::function<void()>& task);
 
+  // Asks for a count on the loop's thread, every `poll`, until it is 0 or
+  // `until` has come. Not from the loop's thread.
+  void AwaitZero(const std::function<int64_t()>& count,
+                 base::MonoTime until,
+                 base::Duration poll);
+
   // Starts a coroutine; on the loop's thread, or before Start.
   void Spawn(Task<void> task);
 
