--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -67,6 +67,18 @@
   std::string body_;
 };
 
+http::RequestHead RequestOf(const std::string& method) {
+  http::RequestHead request;
+  request.method_ = method;
+  request.target_ = "/";
+  return request;
+}
+
+// Whichever answer comes belongs to the request.
+bool AnyAnswer(const http::AnswerHead& /*head*/) {
+  return true;
+}
+
 // One exchange for an answer with the id `number`. A function of its own: a
 // coroutine outlives the closure of a lambda.
 http::Task<void> RunExchange(http::ConnectionPool& pool,
@@ -83,9 +95,7 @@
     co_return;
   }
   http::Exchange exchange(pool, *connection, cancel);
-  http::RequestHead request;
-  request.method_ = "GET";
-  request.target_ = "/";
+  const http::RequestHead request = RequestOf("GET");
   const std::string id = std::to_string(number);
   const std::function<bool(const http::AnswerHead&)> belongs =
       [id](const http::AnswerHead& head) {
@@ -194,11 +204,8 @@
     const auto connection =
         co_await connections.Take(address, deadline, cancel);
     http::Exchange exchange(connections, *connection, cancel);
-    http::RequestHead request;
-    request.method_ = "GET";
-    request.target_ = "/";
-    const std::function<bool(const http::AnswerHead&)> belongs =
-        [](const http::AnswerHead&) { return true; };
+    const http::RequestHead request = RequestOf("GET");
+    const std::function<bool(const http::AnswerHead&)> belongs = AnyAnswer;
     const auto head = co_await exchange.Run(request, "", deadline, belongs);
     exchange.StreamAnswer();
     http::BodyState state = http::BodyState::kMore;
@@ -333,11 +340,8 @@
     const auto connection =
         co_await connections.Take(address, deadline, cancel);
     http::Exchange exchange(connections, *connection, cancel);
-    http::RequestHead request;
-    request.method_ = "POST";
-    request.target_ = "/";
-    const std::function<bool(const http::AnswerHead&)> belongs =
-        [](const http::AnswerHead&) { return true; };
+    const http::RequestHead request = RequestOf("POST");
+    const std::function<bool(const http::AnswerHead&)> belongs = AnyAnswer;
     // More than the buffers of both sides take.
     constexpr size_t kFlood = size_t{64} << 20;
     const std::string body(kFlood, 'x');
