--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -108,6 +108,50 @@
   }
 }
 
+// Guards against an odd entry among those of endpoints that ends the process or
+// is used: nested very deeply, a number too large, a port out of range.
+BOOST_AUTO_TEST_CASE(OddHeartbeatsNameNoEndpointAndHarmNothing) {
+  constexpr size_t kLevels = 200'000;
+  const std::string good = kHeartbeat;
+  const std::string deep =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  std::string deep_objects;
+  for (size_t i = 0; i < kLevels; ++i) {
+    deep_objects += "{\"a\":";
+  }
+  deep_objects += "1" + std::string(kLevels, '}');
+  std::vector<std::string> bads = {
+      deep,
+      std::string(kLevels, '['),
+      deep_objects,
+      Replace(good, "\"slots\":18", "\"slots\":" + deep),
+      Replace(good, "\"ready\"", deep_objects),
+  };
+  for (const char* number :
+       {"4294967296", "4294967301", "18446744073709551615",
+        "18446744073709551616", "1e30", "1e400", "-1e400"}) {
+    bads.push_back(
+        Replace(good, "\"slots\":18", "\"slots\":" + std::string(number)));
+  }
+  for (const char* number : {"18446744073709551616", "1e30", "1e400"}) {
+    bads.push_back(
+        Replace(good, "\"sequence\":4", "\"sequence\":" + std::string(number)));
+  }
+  for (const char* port : {"0", "65536", "99999", "4294967376", "-1", "1e3",
+                           "99999999999999999999"}) {
+    bads.push_back(
+        Replace(good, "10.0.0.9:8080", "10.0.0.9:" + std::string(port)));
+  }
+  for (const std::string& bad : bads) {
+    BOOST_TEST(!platform::DecodeHeartbeat(bad, "i-1").has_value(),
+               bad.substr(0, 200));
+  }
+  // A field that nobody reads harms nothing.
+  const std::string extra =
+      Replace(good, "\"slots\":18", "\"slots\":18,\"x\":" + deep);
+  BOOST_TEST(platform::DecodeHeartbeat(extra, "i-1").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MovesAreToldInThePlatformsWords) {
   daemon::MoveReport report;
   report.to_ = "v2";
