--- a/tests/full_disk_test.cc
+++ b/tests/full_disk_test.cc
@@ -63,6 +63,45 @@
   }
 }
 
+// Guards against changes that are refused or stay unanswered for good after the
+// disks of all hosts were full for a few seconds each, one after another.
+BOOST_AUTO_TEST_CASE(ChangesAreTakenAfterAllDisksWereFullOneAfterAnother) {
+  constexpr base::Duration kAckTime = seconds(4);
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    PowerCluster cluster(seed, seed % 2 == 0 ? 3 : 4);
+    std::vector<int> hosts;
+    for (int host = 1; host <= cluster.Hosts(); ++host) {
+      cluster.Start(host, true);
+      hosts.push_back(host);
+    }
+    BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
+    BOOST_REQUIRE(cluster.Publish());
+    std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
+    for (const int host : hosts) {
+      cluster.Disk(host).SetFull(true);
+      for (uint64_t halves = 4 + cluster.Rng().Below(6); halves > 0; --halves) {
+        cluster.SendChange();
+        cluster.Run(milliseconds(500));
+      }
+      cluster.Disk(host).SetFull(false);
+      cluster.Run(milliseconds(cluster.Rng().Below(800)));
+    }
+    // The first second is for the last disk to be found well again.
+    cluster.Run(seconds(1));
+    const uint64_t before = cluster.AckedNumber();
+    for (int halves = 0; halves < 2 * kAckTime / seconds(1); ++halves) {
+      cluster.SendChange();
+      cluster.Run(milliseconds(500));
+    }
+    BOOST_TEST(cluster.AckedNumber() > before,
+               "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Publish(), "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Run(kRecovery, [&] { return cluster.ReadsBack(); }),
+               "seed " << seed << cluster.View());
+    BOOST_TEST(cluster.Broken() == "", "seed " << seed);
+  }
+}
+
 // Guards against a relay that serves no proxy any more after its disk was full.
 BOOST_AUTO_TEST_CASE(ARelayServesAgainAfterItsDiskWasFull) {
   TestMesh mesh(11);
