Another version gets nothing before its move is known

Cause: of a service without a known move, a proxy sent requests to endpoints of all versions.

AnotherVersionGetsNothingBeforeItsMoveIsKnown has a new interface and could not be run before; the choice was kAnyVersion before.

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -33,7 +33,7 @@
 
 request::VersionChoice Entry::Call::ChooseVersions() const {
   if (service_state_ == nullptr) {
-    return {request::kAnyVersion, ""};
+    return {view_->VersionInUse(service_name_), ""};
   }
   const rpc::Move& move = service_state_->move();
   const bool spent = rollout::OnTrial(move) &&
--- a/src/request/mesh_view.cc
+++ b/src/request/mesh_view.cc
@@ -39,6 +39,12 @@
   return found == versions->second->end() ? nullptr : &found->second;
 }
 
+const std::string& MeshView::VersionInUse(const std::string& service) const {
+  static const std::string any = kAnyVersion;
+  const auto found = versions_in_use_.find(service);
+  return found == versions_in_use_.end() ? any : found->second;
+}
+
 MeshViewBuilder::MeshViewBuilder(std::string own_zone)
     : own_zone_(std::move(own_zone)) {}
 
@@ -76,6 +82,26 @@
   return view;
 }
 
+void MeshViewBuilder::NoteVersionInUse(const std::string& service,
+                                       const ServiceView& view) {
+  const auto held = versions_in_use_.find(service);
+  if (held != versions_in_use_.end() && view.count(held->second) != 0) {
+    return;
+  }
+  versions_in_use_.erase(service);
+  size_t most = 0;
+  for (const auto& [version, endpoints] : view) {
+    // Of two with as many endpoints, always the same one.
+    const bool more = endpoints.endpoints_.size() > most;
+    const bool as_many = endpoints.endpoints_.size() == most;
+    if (version != kAnyVersion &&
+        (more || (as_many && version < versions_in_use_[service]))) {
+      most = endpoints.endpoints_.size();
+      versions_in_use_[service] = version;
+    }
+  }
+}
+
 std::shared_ptr<const MeshView> MeshViewBuilder::Build(
     bool may_serve,
     const config::ConfigState& config,
@@ -93,11 +119,13 @@
   for (const std::string& service : endpoints.TakeChangedServices()) {
     std::shared_ptr<const ServiceView>& held = services_[service];
     held = BuildService(endpoints.LiveOf(service), held.get(), now);
+    NoteVersionInUse(service, *held);
     if (held->empty()) {
       services_.erase(service);
     }
   }
   view->services_ = services_;
+  view->versions_in_use_ = versions_in_use_;
   most_daemons_ = std::max(most_daemons_, CountReady(services_));
   view->daemons_ = most_daemons_;
   for (const auto& [fingerprint, entry] : quarantine) {
--- a/src/request/mesh_view.h
+++ b/src/request/mesh_view.h
@@ -44,6 +44,8 @@
   std::shared_ptr<const RouteTable> routes_;
   // Unchanged services are shared between views.
   std::unordered_map<std::string, std::shared_ptr<const ServiceView>> services_;
+  // Of services whose endpoints tell versions.
+  std::unordered_map<std::string, std::string> versions_in_use_;
   std::unordered_set<std::string> quarantined_;
   // Suspects are served but never retried.
   std::unordered_set<std::string> suspects_;
@@ -51,6 +53,9 @@
   // Null if no endpoint of the version may get work.
   const VersionView* Find(const std::string& service,
                           const std::string& version) const;
+  // The version that serves while no move of the service is known; kAnyVersion
+  // if its endpoints tell none. Another one gets nothing before its move.
+  const std::string& VersionInUse(const std::string& service) const;
 };
 
 // Builds views; keeps the statistics of endpoints from view to view, and
@@ -75,6 +80,10 @@
 
   const std::string own_zone_;
   std::unordered_map<std::string, std::shared_ptr<const ServiceView>> services_;
+  void NoteVersionInUse(const std::string& service, const ServiceView& view);
+
+  // Invariant: a version stays while the service has endpoints of it.
+  std::unordered_map<std::string, std::string> versions_in_use_;
   std::shared_ptr<const RouteTable> routes_;
   uint64_t routes_revision_ = 0;
   size_t most_daemons_ = 1;
--- a/tests/version_test.cc
+++ b/tests/version_test.cc
@@ -7,8 +7,11 @@
 #include <optional>
 #include <string>
 
+#include "registry/endpoint_registry.h"
 #include "request/endpoint_picker.h"
+#include "request/mesh_view.h"
 #include "request/version_choice.h"
+#include "rollout/exposure_cap.h"
 #include "rollout/move_policy.h"
 
 namespace buckthorngate::tests {
@@ -132,6 +135,80 @@
   BOOST_TEST(!far(true));
 }
 
+rpc::Endpoint ReadyEndpoint(const std::string& host,
+                            const std::string& version) {
+  rpc::Endpoint endpoint;
+  endpoint.set_host(host);
+  endpoint.set_zone("zone");
+  endpoint.set_incarnation(1);
+  endpoint.set_sequence(1);
+  endpoint.set_service("a");
+  endpoint.set_version(version);
+  endpoint.set_id(host + "/127.0.0.1:1");
+  endpoint.set_state(rpc::ENDPOINT_STATE_READY);
+  return endpoint;
+}
+
+// Guards against requests to endpoints of a new version that are there before
+// the move's order, or before a proxy has heard of it.
+BOOST_AUTO_TEST_CASE(AnotherVersionGetsNothingBeforeItsMoveIsKnown) {
+  const base::MonoTime now = AtMs(1000);
+  config::ConfigState config;
+  registry::EndpointRegistry endpoints;
+  request::MeshViewBuilder views("zone");
+  const auto in_use = [&] {
+    return views.Build(true, config, endpoints, {}, now)->VersionInUse("a");
+  };
+  BOOST_TEST(in_use() == request::kAnyVersion);
+  endpoints.Merge(ReadyEndpoint("one", "v1"), now);
+  BOOST_TEST(in_use() == "v1");
+  for (const char* host : {"two", "three", "four"}) {
+    endpoints.Merge(ReadyEndpoint(host, "v2"), now);
+  }
+  BOOST_TEST(in_use() == "v1");
+  rpc::Endpoint left = ReadyEndpoint("one", "v1");
+  left.set_sequence(2);
+  left.set_state(rpc::ENDPOINT_STATE_GONE);
+  endpoints.Merge(left, now);
+  BOOST_TEST(in_use() == "v2");
+  // A proxy that starts then goes by what most endpoints run.
+  request::MeshViewBuilder started("zone");
+  registry::EndpointRegistry heard;
+  heard.Merge(ReadyEndpoint("one", "v1"), now);
+  heard.Merge(ReadyEndpoint("two", "v1"), now);
+  heard.Merge(ReadyEndpoint("three", "v2"), now);
+  BOOST_TEST(started.Build(true, config, heard, {}, now)->VersionInUse("a") ==
+             "v1");
+}
+
+// Guards against a bound that is begun anew by a step, or lost in calls that
+// do not arrive.
+BOOST_AUTO_TEST_CASE(AProxyBoundsWhatANewVersionGets) {
+  constexpr uint64_t kMove = 7;
+  rollout::ExposureCap cap;
+  BOOST_TEST(!cap.Allows(kMove));
+  for (int i = 0; i < 10'000; ++i) {
+    const bool new_version = cap.Allows(kMove);
+    cap.Begin(kMove, new_version);
+    if (i % 3 == 0) {
+      cap.Cancel(kMove, new_version);
+    }
+    BOOST_REQUIRE(cap.NewCalls() * 1000 <=
+                  cap.Calls() * rollout::kMostExposedPermille + 1000);
+  }
+  BOOST_TEST(cap.NewCalls() * 1000 >= cap.Calls() * 90);
+  BOOST_TEST(!cap.Allows(kMove + 1));
+  rpc::Move move;
+  move.set_to("v2");
+  move.set_declared_ms(5);
+  rpc::Move stepped = move;
+  stepped.set_step(9);
+  stepped.set_share_permille(1000);
+  BOOST_TEST(rollout::MoveId(move) == rollout::MoveId(stepped));
+  stepped.set_to("v3");
+  BOOST_TEST(rollout::MoveId(move) != rollout::MoveId(stepped));
+}
+
 // A move that is final once done, at the whole share without cap, of a service
 // without traffic unless calls are added.
 class OrderedMove {
