--- a/src/blackboard/blackboard.cc
+++ b/src/blackboard/blackboard.cc
@@ -34,6 +34,19 @@
   return result;
 }
 
+std::string Blackboard::RenderMoves() {
+  std::string out = "# TYPE buckthorngate_move_calls gauge\n";
+  const std::shared_ptr<const ServiceMap> services = services_.Read();
+  for (const auto& [name, state] : *services) {
+    const std::string line = "buckthorngate_move_calls{service=\"" + name;
+    out += line + "\",version=\"all\"} " +
+           std::to_string(state->exposure_.Calls()) + "\n";
+    out += line + "\",version=\"new\"} " +
+           std::to_string(state->exposure_.NewCalls()) + "\n";
+  }
+  return out;
+}
+
 std::string Blackboard::RenderRetries() {
   using Count = std::atomic<uint64_t> RetryCounts::*;
   constexpr std::pair<const char*, Count> kCounts[] = {
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -75,6 +75,8 @@
   ServiceState& Service(const std::string& name);
   // The retry counts of all services, in Prometheus text exposition format.
   std::string RenderRetries();
+  // What the versions of the last move of each service got, in the same format.
+  std::string RenderMoves();
 
   rollout::EvidenceCollector& Evidence() { return evidence_; }
   request::CallTree& Calls() { return calls_; }
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -133,7 +133,8 @@
     RemoveUpstream(address);
   };
   handlers.metrics_ = [this] {
-    return board_.Numbers().Render() + board_.RenderRetries();
+    return board_.Numbers().Render() + board_.RenderRetries() +
+           board_.RenderMoves();
   };
   handlers.ready_ = [this] { return Ready(); };
   return handlers;
