Final moves end two seconds before their deadline

Callers saw good moves done late: accepted 1.1 s after the operator sent them (the deadline is counted from the sending), or done 0.2 s before it, which was not seen in time.

--- a/src/rollout/final_move_policy.cc
+++ b/src/rollout/final_move_policy.cc
@@ -30,10 +30,11 @@
 constexpr base::Duration kSettleTime = milliseconds(400);
 
 // Time before the deadline at which a stage begins. Whoever asks for the
-// outcome by the deadline gets it by then.
-constexpr base::Duration kWholeLead = milliseconds(3400);
-constexpr base::Duration kSettleLead = milliseconds(1700);
-constexpr base::Duration kDoneLead = milliseconds(1100);
+// outcome by the deadline, counted from when the order was sent, gets it by
+// then.
+constexpr base::Duration kWholeLead = milliseconds(4300);
+constexpr base::Duration kSettleLead = milliseconds(2600);
+constexpr base::Duration kDoneLead = milliseconds(2000);
 // With no more time than this the move does not wait for settling.
 constexpr base::Duration kReportTime = milliseconds(700);
 
