--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -23,11 +23,6 @@
 // A service that turned nothing away for this long has room for second tries
 // of what failed in its application code.
 constexpr base::Duration kCalmTime = std::chrono::seconds(2);
-// A call that takes this many times as long as the old version's usually do is
-// reported before it ends.
-constexpr int kOverdueFactor = 3;
-constexpr base::Duration kLeastOverdue = std::chrono::milliseconds(50);
-constexpr double kLatencyWeight = 0.1;
 
 }  // namespace
 
@@ -80,29 +75,6 @@
   return attempt;
 }
 
-void Entry::Call::BeginEvidence(Attempt& attempt) {
-  if (service_state_ == nullptr || !service_state_->has_move()) {
-    return;
-  }
-  const rpc::Move& move = service_state_->move();
-  attempt.move_ = rollout::MoveId(move);
-  attempt.new_version_ = attempt.version_ == move.to();
-  service_->exposure_.Begin(*attempt.move_, attempt.new_version_);
-  rollout::CallBegin begin;
-  begin.service_ = service_name_;
-  begin.version_ = attempt.version_;
-  begin.route_ = RouteName();
-  begin.step_ = move.step();
-  begin.began_ = attempt.began_;
-  const base::Duration usual(service_->old_latency_us_.load());
-  const bool cold = attempt.endpoint_->stats_->WarmsUp(attempt.began_);
-  if (usual.count() > 0 && !cold) {
-    begin.overdue_ =
-        attempt.began_ + std::max(usual * kOverdueFactor, kLeastOverdue);
-  }
-  attempt.evidence_ = entry_.board_.Evidence().Begin(begin);
-}
-
 HopRequest Entry::Call::MakeHopRequest(const Attempt& attempt) const {
   const rpc::Endpoint& endpoint = attempt.endpoint_->endpoint_;
   HopRequest request;
@@ -210,71 +182,6 @@
   NoteEvidence(attempt, outcome, failed);
 }
 
-rollout::CallEnd Entry::Call::JudgeEnd(const Attempt& attempt,
-                                       const AttemptOutcome& outcome,
-                                       bool failed,
-                                       base::MonoTime now) const {
-  if (outcome.not_run_) {
-    return rollout::CallEnd::kIgnored;
-  }
-  const bool gone = outcome.code_ == ResultCode::kCallerGone;
-  const bool late = gone || outcome.code_ == ResultCode::kDeadlineExceeded ||
-                    outcome.status_ == base::kStatusGatewayTimeout;
-  if (late && attempt.endpoint_->stats_->WarmsUp(now)) {
-    // Slow for a reason that will pass.
-    return rollout::CallEnd::kIgnored;
-  }
-  if (gone) {
-    return rollout::JudgeGone(now - began_, now - attempt.began_,
-                              deadline_ - began_);
-  }
-  return failed ? rollout::CallEnd::kFailed : rollout::CallEnd::kAnswered;
-}
-
-void Entry::Call::NoteEvidence(const Attempt& attempt,
-                               const AttemptOutcome& outcome,
-                               bool failed) {
-  if (!attempt.move_) {
-    return;
-  }
-  if (!outcome.reached_ && outcome.not_run_) {
-    service_->exposure_.Cancel(*attempt.move_, attempt.new_version_);
-  }
-  const base::MonoTime now = entry_.clock_.Read().mono_;
-  rollout::CallOutcome ended;
-  ended.end_ = JudgeEnd(attempt, outcome, failed, now);
-  ended.ended_ = now;
-  ended.crashed_ = outcome.crashed_;
-  ended.cold_ = attempt.endpoint_->stats_->WarmsUp(now);
-  entry_.board_.Evidence().End(attempt.evidence_, ended);
-  const bool answered = ended.end_ == rollout::CallEnd::kAnswered;
-  if (answered && !attempt.new_version_ && !ended.cold_) {
-    const double usual = static_cast<double>(service_->old_latency_us_.load());
-    const double latency = static_cast<double>((now - attempt.began_).count());
-    service_->old_latency_us_ = static_cast<int64_t>(
-        usual == 0.0 ? latency : usual + kLatencyWeight * (latency - usual));
-  }
-  if (answered || ended.end_ == rollout::CallEnd::kFailed) {
-    NoteBrake(attempt, !answered);
-  }
-}
-
-void Entry::Call::NoteBrake(const Attempt& attempt, bool failed) {
-  if (!request::MayBrake(*service_state_)) {
-    return;
-  }
-  const uint64_t step = service_state_->move().step();
-  if (!service_->brake_.Note(step, attempt.new_version_, failed)) {
-    return;
-  }
-  rpc::BrakeNotice notice;
-  notice.set_service(service_name_);
-  notice.set_version(attempt.version_);
-  notice.set_step(step);
-  notice.set_reason("failures in a row on route " + RouteName());
-  entry_.on_brake_(notice);
-}
-
 bool Entry::Call::Repeatable() const {
   const rpc::Route& route = *match_.route_;
   // What a route of the mesh allows goes before what the method means.
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -79,6 +79,15 @@
   // Counts an attempt that has ended, for this request and its endpoint.
   request::AttemptOutcome Account(const Attempt& attempt);
   void Note(const Attempt& attempt, const request::AttemptOutcome& outcome);
+  bool MayRetry(const request::AttemptOutcome& outcome);
+  // Tells the service's budget that the request is about to be sent.
+  void NoteFirstTry();
+  // Takes the price of a retry from the service's budget, if it has that much.
+  bool PayForRetry(const request::AttemptOutcome& outcome);
+  http::Task<void> Answer(Attempt& attempt);
+  void RefreshView();
+
+  // entry_evidence.cc: what attempts tell of a move's versions.
   // Tells the move of the attempt's service that it begins, or how it ended.
   void BeginEvidence(Attempt& attempt);
   void NoteEvidence(const Attempt& attempt,
@@ -90,13 +99,6 @@
                             bool failed,
                             base::MonoTime now) const;
   void NoteBrake(const Attempt& attempt, bool failed);
-  bool MayRetry(const request::AttemptOutcome& outcome);
-  // Tells the service's budget that the request is about to be sent.
-  void NoteFirstTry();
-  // Takes the price of a retry from the service's budget, if it has that much.
-  bool PayForRetry(const request::AttemptOutcome& outcome);
-  http::Task<void> Answer(Attempt& attempt);
-  void RefreshView();
 
   // entry_hedge.cc: a second try beside a slow one.
   // Runs the attempt, and a second one beside it if it is slow; returns the
