--- a/src/rollout/final_move_policy.cc
+++ b/src/rollout/final_move_policy.cc
@@ -51,6 +51,8 @@
 // Services with fewer calls than this since the order need no proof: a bad
 // version gets few of them.
 constexpr uint64_t kThinCalls = 30;
+// A leader that has just begun has seen few calls of any service.
+constexpr base::Duration kThinWatch = seconds(5);
 constexpr uint64_t kLeastFreshCalls = 10;
 constexpr double kLeastTrust = -1.0;
 constexpr double kSufferingRate = 0.15;
@@ -75,12 +77,13 @@
 }
 
 bool Thin(const MoveView& view) {
-  return CallsOf(view) < kThinCalls && view.bad_answers_ == 0;
+  return view.watched_ >= kThinWatch && CallsOf(view) < kThinCalls &&
+         view.bad_answers_ == 0;
 }
 
 bool Trusted(const MoveView& view) {
-  if (Thin(view)) {
-    return true;
+  if (CallsOf(view) < kThinCalls) {
+    return Thin(view);
   }
   const double least = kMinorRoute * static_cast<double>(CallsOf(view));
   return std::all_of(view.routes_->begin(), view.routes_->end(),
--- a/src/rollout/move_controller.cc
+++ b/src/rollout/move_controller.cc
@@ -174,6 +174,7 @@
     }
     const rpc::Move& move = service->move();
     Tracked& tracked = Track(move, now);
+    tracked.watched_from_ = tracked.watched_from_.value_or(now);
     AddWindow(tracked, move, window, now);
     for (const auto& [proxy, notice] : brakes) {
       if (notice.service() == name && notice.version() == move.to() &&
@@ -208,6 +209,7 @@
   view.since_brake_ = now - tracked.last_brake_;
   view.bad_answers_ = BadAnswers(tracked.routes_);
   view.bad_answers_to_pause_ = tracked.bad_answers_to_pause_;
+  view.watched_ = now - tracked.watched_from_.value_or(now);
   view.since_evidence_ = now - tracked.last_evidence_;
   return view;
 }
--- a/src/rollout/move_controller.h
+++ b/src/rollout/move_controller.h
@@ -80,6 +80,8 @@
     // younger than it is, never for older.
     base::MonoTime began_;
     base::MonoTime last_evidence_;
+    // Not set until the first decision here.
+    std::optional<base::MonoTime> watched_from_;
     uint64_t bad_answers_to_pause_ = kBadAnswersToPause;
     // Set while a proposed step waits to be committed.
     std::optional<base::MonoTime> proposed_;
--- a/src/rollout/move_policy.h
+++ b/src/rollout/move_policy.h
@@ -54,6 +54,8 @@
   uint64_t bad_answers_ = 0;
   // So many of them end the share for a while, whatever the old version does.
   uint64_t bad_answers_to_pause_ = kBadAnswersToPause;
+  // How long this controller has gathered evidence of the move.
+  base::Duration watched_{0};
   // Since any proxy last reported calls of the service.
   base::Duration since_evidence_{0};
 };
--- a/tests/version_test.cc
+++ b/tests/version_test.cc
@@ -221,6 +221,7 @@
     move_.set_share_permille(1000);
     move_.set_uncapped(true);
     view_.left_ = std::chrono::seconds(1);
+    view_.watched_ = std::chrono::seconds(5);
   }
 
   std::optional<rollout::MoveDecision> Decide(
@@ -304,5 +305,20 @@
   }
 }
 
+// Guards against a new leader that takes a service for idle, because it has
+// seen few of its calls yet, and ends the move without proof.
+BOOST_AUTO_TEST_CASE(ALeaderThatHasJustBegunProvesNothing) {
+  OrderedMove ordered;
+  ordered.view_.watched_ = std::chrono::milliseconds(250);
+  for (const uint32_t share : {30u, 1000u}) {
+    for (const bool uncapped : {false, true}) {
+      ordered.move_.set_share_permille(share);
+      ordered.move_.set_uncapped(uncapped);
+      const auto next = ordered.Decide(std::chrono::seconds(2));
+      BOOST_TEST((next ? next->share_permille_ : share) <= 30u);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
