--- a/src/rollout/final_move_policy.cc
+++ b/src/rollout/final_move_policy.cc
@@ -216,12 +216,12 @@
       move.phase() == rpc::MOVE_PHASE_DONE) {
     return std::nullopt;
   }
-  const std::optional<MoveDecision> harm = DecideOnHarm(view, hold_reason);
+  std::optional<MoveDecision> harm = DecideOnHarm(view, hold_reason);
   if (harm) {
     return harm;
   }
   const bool trusted = Trusted(view);
-  const std::optional<MoveDecision> pause = DecidePause(view);
+  std::optional<MoveDecision> pause = DecidePause(view);
   if (pause) {
     return pause;
   }
