Rates are raised, and disks filled, in one place each

The sums of failures and of bad answers were raised by two copies of one loop; two cases of full_disk_test started hosts and filled disks alike.

--- a/src/rollout/harm_test.cc
+++ b/src/rollout/harm_test.cc
@@ -114,20 +114,29 @@
   }
 }
 
-void HarmTest::AddFailures(const rpc::RouteEvidence& window) {
-  const double old_rate = old_.FailureRate();
-  const double p0 = std::min(old_rate + kFailureTolerance, kMaxRate - 0.01);
+void HarmTest::RaiseRates(std::span<double> sums,
+                          std::span<const double> excess,
+                          double p0,
+                          uint64_t hits,
+                          uint64_t calls,
+                          const char* kind) {
   const bool before = Harmful();
   size_t likeliest = 0;
-  for (size_t i = 0; i < kFailureAlternatives; ++i) {
-    const double p1 = std::min(p0 + kFailureExcess[i], kMaxRate);
-    Raise(failure_sums_[i], LogRatio(window.failures(), window.calls(), p1, p0),
-          "failures");
-    likeliest = failure_sums_[i] > failure_sums_[likeliest] ? i : likeliest;
+  for (size_t i = 0; i < sums.size(); ++i) {
+    const double p1 = std::min(p0 + excess[i], kMaxRate);
+    Raise(sums[i], LogRatio(hits, calls, p1, p0), kind);
+    likeliest = sums[i] > sums[likeliest] ? i : likeliest;
   }
   if (!before && Harmful()) {
-    alarm_rate_ = std::min(p0 + kFailureExcess[likeliest], kMaxRate);
+    alarm_rate_ = std::min(p0 + excess[likeliest], kMaxRate);
   }
+}
+
+void HarmTest::AddFailures(const rpc::RouteEvidence& window) {
+  const double old_rate = old_.FailureRate();
+  const double p0 = std::min(old_rate + kFailureTolerance, kMaxRate - 0.01);
+  RaiseRates(failure_sums_, kFailureExcess, p0, window.failures(),
+             window.calls(), "failures");
   const double bad = std::min(old_rate + kVisibleFailures, kMaxRate);
   const double good = std::min(old_rate, bad - 0.01);
   safe_ += LogRatio(window.failures(), window.calls(), good, bad);
@@ -150,17 +159,8 @@
   bad_answers_ += count.bad_;
   const double old_rate = old_.BadRate();
   const double p0 = std::min(old_rate + kBadTolerance, kMaxRate - 0.01);
-  const bool before = Harmful();
-  size_t likeliest = 0;
-  for (size_t i = 0; i < kBadAlternatives; ++i) {
-    const double p1 = std::min(p0 + kBadExcess[i], kMaxRate);
-    Raise(bad_sums_[i], LogRatio(count.bad_, count.calls_, p1, p0),
-          kBadAnswersKind);
-    likeliest = bad_sums_[i] > bad_sums_[likeliest] ? i : likeliest;
-  }
-  if (!before && harm_ == kBadAnswersKind) {
-    alarm_rate_ = std::min(p0 + kBadExcess[likeliest], kMaxRate);
-  }
+  RaiseRates(bad_sums_, kBadExcess, p0, count.bad_, count.calls_,
+             kBadAnswersKind);
   if (!old_.HasLatencies()) {
     return;
   }
--- a/src/rollout/harm_test.h
+++ b/src/rollout/harm_test.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "rollout/evidence.h"
@@ -70,6 +71,14 @@
   void AddCrashes(const rpc::RouteEvidence& window);
   void AddOldAfterAlarm(const rpc::RouteEvidence& window);
   void Raise(double& sum, double ratio, const char* kind);
+  // Raises the sums of rates that exceed `p0`; notes the likeliest of them if
+  // they find harm.
+  void RaiseRates(std::span<double> sums,
+                  std::span<const double> excess,
+                  double p0,
+                  uint64_t hits,
+                  uint64_t calls,
+                  const char* kind);
 
   OldVersion old_;
   std::array<double, kFailureAlternatives> failure_sums_ = {};
--- a/tests/full_disk_test.cc
+++ b/tests/full_disk_test.cc
@@ -21,15 +21,31 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void FillForSomeSeconds(PowerCluster& cluster, int host) {
-  cluster.Disk(host).SetFull(true);
-  const uint64_t halves = 2 + cluster.Rng().Below(10);
+// Starts all hosts and publishes a change; returns the hosts in some order.
+std::vector<int> StartHosts(PowerCluster& cluster) {
+  std::vector<int> hosts;
+  for (int host = 1; host <= cluster.Hosts(); ++host) {
+    cluster.Start(host, true);
+    hosts.push_back(host);
+  }
+  BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
+  BOOST_REQUIRE(cluster.Publish());
+  std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
+  return hosts;
+}
+
+// Sends a change each half of a second.
+void SendChanges(PowerCluster& cluster, uint64_t halves) {
   for (uint64_t i = 0; i < halves; ++i) {
     cluster.SendChange();
     cluster.Run(milliseconds(500));
   }
+}
+
+void FillDisk(PowerCluster& cluster, int host, uint64_t halves) {
+  cluster.Disk(host).SetFull(true);
+  SendChanges(cluster, halves);
   cluster.Disk(host).SetFull(false);
-  cluster.Run(kCatchUp);
 }
 
 // Guards against hosts that take no part any more after their disks were full,
@@ -37,17 +53,11 @@
 BOOST_AUTO_TEST_CASE(EachHostIsOfUseAgainAfterItsDiskWasFull) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     PowerCluster cluster(seed);
-    std::vector<int> hosts;
-    for (int host = 1; host <= cluster.Hosts(); ++host) {
-      cluster.Start(host, true);
-      hosts.push_back(host);
-    }
-    BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
-    BOOST_REQUIRE(cluster.Publish());
-    std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
+    const std::vector<int> hosts = StartHosts(cluster);
     const size_t full = 1 + cluster.Rng().Below(hosts.size());
     for (size_t i = 0; i < full; ++i) {
-      FillForSomeSeconds(cluster, hosts[i]);
+      FillDisk(cluster, hosts[i], 2 + cluster.Rng().Below(10));
+      cluster.Run(kCatchUp);
     }
     BOOST_TEST(cluster.Publish(), "seed " << seed << cluster.View());
     const int lost = hosts.back();
@@ -69,30 +79,15 @@
   constexpr base::Duration kAckTime = seconds(4);
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     PowerCluster cluster(seed, seed % 2 == 0 ? 3 : 4);
-    std::vector<int> hosts;
-    for (int host = 1; host <= cluster.Hosts(); ++host) {
-      cluster.Start(host, true);
-      hosts.push_back(host);
-    }
-    BOOST_REQUIRE(cluster.Run(seconds(10), [&] { return cluster.Repaired(); }));
-    BOOST_REQUIRE(cluster.Publish());
-    std::shuffle(hosts.begin(), hosts.end(), cluster.Rng().Engine());
+    const std::vector<int> hosts = StartHosts(cluster);
     for (const int host : hosts) {
-      cluster.Disk(host).SetFull(true);
-      for (uint64_t halves = 4 + cluster.Rng().Below(6); halves > 0; --halves) {
-        cluster.SendChange();
-        cluster.Run(milliseconds(500));
-      }
-      cluster.Disk(host).SetFull(false);
+      FillDisk(cluster, host, 4 + cluster.Rng().Below(6));
       cluster.Run(milliseconds(cluster.Rng().Below(800)));
     }
     // The first second is for the last disk to be found well again.
     cluster.Run(seconds(1));
     const uint64_t before = cluster.AckedNumber();
-    for (int halves = 0; halves < 2 * kAckTime / seconds(1); ++halves) {
-      cluster.SendChange();
-      cluster.Run(milliseconds(500));
-    }
+    SendChanges(cluster, kAckTime / milliseconds(500));
     BOOST_TEST(cluster.AckedNumber() > before,
                "seed " << seed << cluster.View());
     BOOST_TEST(cluster.Publish(), "seed " << seed << cluster.View());
