--- /dev/null
+++ b/tests/entry_harness.cc
@@ -0,0 +1,134 @@
+// The entry side of a daemon in one process.
+#include "entry_harness.h"
+
+#include <utility>
+
+#include "test_mesh.h"
+
+namespace buckthorngate::tests {
+namespace {
+
+distribution::ProxyOptions MakeOptions() {
+  distribution::ProxyOptions options;
+  options.identity_.host_ = "entry";
+  return options;
+}
+
+// Stands for the hop to this host's own upstreams.
+class UnusedHop : public daemon::Hop {
+ public:
+  http::Task<daemon::HopAnswer> Run(daemon::HopRequest&) override {
+    co_return daemon::FailedHop(ResultCode::kNoEndpoint, /*not_run=*/true);
+  }
+};
+
+rpc::Endpoint MakeEndpoint(const std::string& host,
+                           const std::string& peer_address) {
+  rpc::Endpoint endpoint;
+  endpoint.set_id(host);
+  endpoint.set_host(host);
+  endpoint.set_peer_address(peer_address);
+  endpoint.set_service("a");
+  endpoint.set_version("v1");
+  endpoint.set_slots(4);
+  endpoint.set_sequence(1);
+  endpoint.set_state(rpc::ENDPOINT_STATE_READY);
+  return endpoint;
+}
+
+// Not a lambda, because the coroutine would outlive the lambda's closure.
+http::Task<void> HandleCall(daemon::Entry& entry, WaitingCaller& caller) {
+  co_await entry.Handle(caller);
+  caller.ended_.set_value();
+}
+
+}  // namespace
+
+WaitingCaller::WaitingCaller() {
+  head_.method_ = "GET";
+  head_.target_ = "/a";
+}
+
+http::Task<http::BodyState> WaitingCaller::Read(std::string&, size_t) {
+  co_return http::BodyState::kEnd;
+}
+
+http::Task<bool> WaitingCaller::Answer(const http::AnswerHead& head,
+                                       std::string_view) {
+  status_ = head.status_;
+  co_return true;
+}
+
+http::Task<bool> WaitingCaller::AnswerWithoutBody(const http::AnswerHead&,
+                                                  std::optional<uint64_t>) {
+  co_return false;
+}
+
+http::Task<bool> WaitingCaller::Begin(const http::AnswerHead&,
+                                      std::optional<uint64_t>) {
+  co_return false;
+}
+
+http::Task<bool> WaitingCaller::Write(std::string_view) {
+  co_return false;
+}
+
+http::Task<bool> WaitingCaller::Finish() {
+  co_return false;
+}
+
+EntryHarness::EntryHarness(const EntryHarnessOptions& options,
+                           const MakeHop& make_hop)
+    : node_(std::move(
+          distribution::ProxyNode::Create(MakeOptions(), journal_).value())),
+      node_loop_(*node_, clock_, [](const rpc::Envelope&) {}),
+      claims_(clock_, loop_, node_loop_, *node_),
+      hop_(make_hop(clock_, loop_)),
+      local_hop_(std::make_unique<UnusedHop>()),
+      entry_({"entry", 1, request::Dialect()},
+             clock_,
+             loop_,
+             board_,
+             claims_,
+             *local_hop_,
+             *hop_,
+             [](const rpc::BrakeNotice&) {}) {
+  PublishView(options);
+  loop_.Start();
+}
+
+EntryHarness::~EntryHarness() {
+  loop_.Stop();
+}
+
+void EntryHarness::PublishView(const EntryHarnessOptions& options) {
+  config::ConfigState config;
+  rpc::ServiceState state;
+  *state.mutable_service() = MakeService("a");
+  rpc::Route& route = *state.mutable_service()->mutable_routes(0);
+  route.set_hedge(options.hedge_);
+  route.set_repeatable(true);
+  route.set_timeout_ms(static_cast<uint32_t>(options.route_timeout_.count()));
+  config.Put(state);
+  config.SetRevision(1);
+  registry::EndpointRegistry endpoints;
+  const base::MonoTime now = clock_.Read().mono_;
+  const std::vector<std::string> names = {"one", "two", "three"};
+  for (size_t i = 0; i < options.peer_addresses_.size(); ++i) {
+    endpoints.Merge(MakeEndpoint(names.at(i), options.peer_addresses_[i]), now);
+  }
+  board_.View().Publish(views_.Build(true, config, endpoints, {}, now));
+}
+
+void EntryHarness::Send(WaitingCaller& caller) {
+  loop_.RunAndWait([&] { loop_.Spawn(HandleCall(entry_, caller)); });
+}
+
+int EntryHarness::Call() {
+  WaitingCaller caller;
+  Send(caller);
+  caller.ended_.get_future().wait();
+  return caller.status_;
+}
+
+}  // namespace buckthorngate::tests
--- /dev/null
+++ b/tests/entry_harness.h
@@ -0,0 +1,95 @@
+// The entry side of a daemon in one process, with endpoints of the service "a"
+// and a hop that the test supplies.
+#ifndef TESTS_ENTRY_HARNESS_H_
+#define TESTS_ENTRY_HARNESS_H_
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "daemon/entry.h"
+#include "storage/memory_journal.h"
+
+namespace buckthorngate::tests {
+
+// A caller that waits for its answer to "GET /a".
+class WaitingCaller : public http::ServerCall {
+ public:
+  WaitingCaller();
+
+  const http::RequestHead& Head() const override { return head_; }
+  void SetId(std::string_view) override {}
+  bool HasBody() const override { return false; }
+  http::CancelSignal& Gone() override { return gone_; }
+  bool StillThere() override { return true; }
+  bool AnswerArrived() override { return true; }
+  std::optional<uint64_t> Length() const override { return 0; }
+  http::Task<http::BodyState> Read(std::string& piece, size_t most) override;
+  http::Task<bool> Answer(const http::AnswerHead& head,
+                          std::string_view body) override;
+  http::Task<bool> AnswerWithoutBody(const http::AnswerHead& head,
+                                     std::optional<uint64_t> length) override;
+  http::Task<bool> Begin(const http::AnswerHead& head,
+                         std::optional<uint64_t> length) override;
+  http::Task<bool> Write(std::string_view piece) override;
+  http::Task<bool> Finish() override;
+  void NoteBodyFailure(std::string_view) override {}
+  void Abort() override {}
+
+  // Of the answer; valid once `ended_` is set.
+  int status_ = 0;
+  std::promise<void> ended_;
+
+ private:
+  http::RequestHead head_;
+  http::CancelSignal gone_;
+};
+
+struct EntryHarnessOptions {
+  std::chrono::milliseconds route_timeout_{1000};
+  bool hedge_ = false;
+  // "host:port" of the daemons on the endpoints' hosts. The endpoints' ids are
+  // "one", "two" and so on.
+  std::vector<std::string> peer_addresses_;
+};
+
+class EntryHarness {
+ public:
+  using MakeHop =
+      std::function<std::unique_ptr<daemon::Hop>(const base::Clock& clock,
+                                                 http::EventLoop& loop)>;
+
+  EntryHarness(const EntryHarnessOptions& options, const MakeHop& make_hop);
+  ~EntryHarness();
+
+  http::EventLoop& Loop() { return loop_; }
+  // Starts a request of the caller.
+  void Send(WaitingCaller& caller);
+  // Sends a request and waits for its answer; returns the status.
+  int Call();
+
+ private:
+  void PublishView(const EntryHarnessOptions& options);
+
+  base::SystemClock clock_;
+  http::EventLoop loop_;
+  storage::MemoryJournal journal_;
+  std::unique_ptr<distribution::ProxyNode> node_;
+  daemon::NodeLoop node_loop_;
+  daemon::ClaimClient claims_;
+  blackboard::Blackboard board_{1, base::MonoNow()};
+  request::MeshViewBuilder views_{"zone"};
+  const std::unique_ptr<daemon::Hop> hop_;
+  // Never used: all endpoints are on other hosts.
+  const std::unique_ptr<daemon::Hop> local_hop_;
+  daemon::Entry entry_;
+};
+
+}  // namespace buckthorngate::tests
+
+#endif  // TESTS_ENTRY_HARNESS_H_
