An attempt to an unreachable daemon stays open, and another one runs beside it

Cause: a daemon that answers no probe for 1.6 s had all requests that wait for it aborted, and sent to another endpoint; when that one's daemon was behind a full link as well, the entry had nothing left and answered 502.

Now the failure detector only notifies. The attempt stays open, the request is also sent to another endpoint (within its retry budget and max_attempts, as before), and the first answer is used; the other attempt is cancelled. A failure of our own ends the request only when no attempt is under way. Hedged attempts use the same code.

Attempts outlive their call by a few turns of the loop.

APeerThatAnswersNoProbeIsGivenUp and APeerBehindASaturatedLinkIsNotGivenUp become ...IsUnreachable and ...IsNotUnreachable with the same times, and RequestsToAPeerWithArrivingAnswersAreNotAborted checks the notification in place of the abort. New log line attempt-left-open names each such request.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -122,8 +122,8 @@
     {kRequestAdmitted, Level::kInfo, "request-admitted",
      "A request was or was not granted a slot of an endpoint on this host."},
     {kPeerUnreachable, Level::kWarning, "peer-unreachable",
-     "A daemon accepts no connections; repeatable requests are sent to other "
-     "hosts."},
+     "A daemon answers no probe; repeatable requests that wait for it are also "
+     "sent to other hosts."},
     {kCallerLeft, Level::kInfo, "caller-left",
      "The sender of a request disconnected before the response was complete."},
     {kCallCut, Level::kWarning, "call-cut",
@@ -134,6 +134,9 @@
      "This host lacks file descriptors, ports or memory for a connection."},
     {kRetryDenied, Level::kInfo, "retry-denied",
      "A request is not sent again: the retry budget of its service is spent."},
+    {kAttemptLeftOpen, Level::kWarning, "attempt-left-open",
+     "The daemon of an attempt's endpoint answers no probe; the attempt stays "
+     "open."},
     {kSettingsReloaded, Level::kInfo, "settings-reloaded",
      "The settings file was reloaded."},
     {kLogLinesDropped, Level::kWarning, "log-lines-dropped",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -70,6 +70,7 @@
   kAnswerCut = 512,
   kConnectionNotMade = 513,
   kRetryDenied = 514,
+  kAttemptLeftOpen = 515,
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
   kTaskFailed = 522,
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -3,6 +3,7 @@
 #ifndef SRC_DAEMON_ENTRY_H_
 #define SRC_DAEMON_ENTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -51,6 +52,10 @@
     caller_service_ = service;
   }
 
+  // Attempts that run in parallel to their calls; they may outlive them. None
+  // may be left when the hops are destroyed.
+  size_t ParallelAttempts() const { return parallel_attempts_; }
+
  private:
   class Call;
   friend class Call;
@@ -69,6 +74,7 @@
   std::string caller_service_;
   base::Random random_;
   uint64_t next_request_ = 1;
+  size_t parallel_attempts_ = 0;
 };
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -24,6 +24,11 @@
 // Application errors are retried only if the service refused no request as
 // overloaded for this long, and thus has capacity for retries.
 constexpr base::Duration kMinTimeSinceOverload = std::chrono::seconds(2);
+// Decides on a retry while nothing but unreachable daemons has the request.
+constexpr AttemptOutcome kUnreachableOutcome = {
+    .code_ = ResultCode::kConnectFailed,
+    .not_run_ = false,
+    .reached_ = true};
 
 }  // namespace
 
@@ -69,6 +74,8 @@
   last_endpoint_ = endpoint->endpoint_.id();
   attempt->request_ = MakeHopRequest(*attempt);
   attempt->request_.cancel_ = &attempt->cancel_;
+  attempt->link_.emplace(call_.Gone(),
+                         [cancel = &attempt->cancel_] { cancel->Raise(); });
   ++attempts_;
   ++calls_;
   endpoint->stats_->Begin();
@@ -145,7 +152,7 @@
 AttemptOutcome Entry::Call::RecordAttempt(const Attempt& attempt) {
   const AttemptOutcome outcome = OutcomeOf(attempt);
   may_have_run_ = may_have_run_ || !outcome.not_run_;
-  reached_ += outcome.reached_ ? 1 : 0;
+  reached_ += outcome.reached_ && !attempt.counted_early_ ? 1 : 0;
   RecordEndpointOutcome(attempt, outcome);
   return outcome;
 }
@@ -320,16 +327,21 @@
       }
       break;
     }
-    const http::CancelScope link(call_.Gone(),
-                                 [next] { next->cancel_.Raise(); });
-    attempt = co_await RunHedged(next);
-    outcome = RecordAttempt(*attempt);
+    attempt = co_await RunAttempt(next);
+    outcome =
+        attempt == nullptr ? kUnreachableOutcome : RecordAttempt(*attempt);
     if (!MayRetry(outcome)) {
       break;
     }
     // A newer view has a more recent list of endpoints.
     RefreshView();
   }
+  if (outcome.code_ != ResultCode::kOk && !open_.empty()) {
+    // No failure of this daemon may replace an answer that may still arrive.
+    attempt = co_await AwaitOpenAttempts();
+    outcome = RecordAttempt(*attempt);
+  }
+  CancelOpenAttempts();
   entry_.board_.Calls().Add(request_id_, calls_);
   if (attempt != nullptr && outcome.code_ == ResultCode::kOk) {
     co_await Answer(*attempt);
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -28,7 +28,7 @@
 
  private:
   // One attempt at one endpoint. Shared with the coroutine that runs it, which
-  // may outlive the call if the attempt is hedged and loses.
+  // may outlive the call if the answer of another attempt is used.
   struct Attempt {
     std::shared_ptr<const request::MeshView> view_;
     const request::EndpointView* endpoint_ = nullptr;
@@ -40,12 +40,19 @@
     // With `move_id_`: id of the attempt in EvidenceCollector.
     uint64_t evidence_id_ = 0;
     bool new_version_ = false;
-    // The order of declaration matters: the request refers to the signal, and
-    // the answer to state that the request retains.
+    // The order of declaration matters: the answer refers to the signal.
     http::CancelSignal cancel_;
+    // Cancels the attempt when the caller disconnects. Reset before the call
+    // ends.
+    std::optional<http::CancelScope> link_;
     HopRequest request_;
     HopAnswer answer_;
     bool done_ = false;
+    // The endpoint's daemon is unreachable. The endpoint may still be working
+    // on the request, and its answer may still arrive.
+    bool unreachable_ = false;
+    // Counted in Call::reached_ before it is done.
+    bool counted_early_ = false;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
 
@@ -113,16 +120,35 @@
   // Counts a success or failure in the brake and sends a notice if it trips.
   void UpdateBrake(const Attempt& attempt, bool failed);
 
-  // entry_hedge.cc: hedged requests.
-  // Runs the attempt, and a second one in parallel if the first is slow;
-  // returns the one whose answer is used.
-  http::Task<AttemptPtr> RunHedged(AttemptPtr first);
+  // entry_parallel.cc: attempts that run in parallel, because the request is
+  // hedged or because a daemon is unreachable.
+  // Runs the attempt, and a second one in parallel if the first is slow, until
+  // one of open_ has succeeded or all of them are done or unreachable. Returns
+  // the attempt that decides what happens next; null if it is only known that
+  // daemons are unreachable.
+  http::Task<AttemptPtr> RunAttempt(AttemptPtr first);
+  // Adds the attempt to open_ and starts it without waiting for it.
+  void Start(const AttemptPtr& attempt);
+  // Starts a second attempt in parallel if nothing is decided after `delay`.
+  http::Task<void> HedgeAfter(base::Duration delay);
   // Time after which the attempt is hedged; 0: never.
   base::Duration HedgeDelay(const Attempt& attempt) const;
   // Whether the attempt has an answer that can be sent to the caller without
-  // waiting for the other attempt.
+  // waiting for other attempts.
   static bool Succeeded(const Attempt& attempt);
-  // Records the attempt whose answer is not used, and cancels it.
+  // Whether one of open_ has succeeded, or none may still change the decision
+  // in time: all are done or unreachable.
+  bool Decided() const;
+  // Waits until one of open_ has succeeded or all of them are done.
+  http::Task<AttemptPtr> AwaitOpenAttempts();
+  // Removes the attempts that are done from open_ and returns the one whose
+  // answer or failure counts, or null. Records the others.
+  AttemptPtr TakeDecisiveAttempt();
+  // Counts an attempt whose daemon is unreachable as one that may have run.
+  void CountUnreachable(Attempt& attempt);
+  // Records and cancels all of open_: their answers are not used.
+  void CancelOpenAttempts();
+  // Records an attempt whose answer is not used, and cancels it.
   void FinishLoser(Attempt& loser);
 
   // Whether the route or the method allows running the request more than once.
@@ -168,6 +194,12 @@
   bool may_have_run_ = false;
   rpc::ClaimRecord claim_;
   std::vector<std::string> tried_endpoints_;
+  // Attempts that run in parallel to the coroutine of the call. If their
+  // daemons are unreachable, they stay open while later ones run, and the first
+  // answer is used.
+  std::vector<AttemptPtr> open_;
+  // Notified when one of open_ is done or unreachable.
+  std::shared_ptr<http::Notifier> open_changed_;
   int attempts_ = 0;
   // Attempts that reached an upstream; only these count against the route's
   // max_attempts.
--- a/src/daemon/hop.h
+++ b/src/daemon/hop.h
@@ -59,8 +59,9 @@
   std::function<bool()> caller_connected_;
   // Called while the destination responds neither to requests nor to probes.
   std::function<void()> on_peer_unresponsive_ = [] {};
-  // State that the hop keeps alive until the answer's body is read.
-  std::shared_ptr<void> retained_state_;
+  // Called when the destination has answered no probe in time. The hop still
+  // waits for its answer.
+  std::function<void()> on_peer_unreachable_ = [] {};
 };
 
 // Result of a hop: the upstream's answer, or a failure.
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -36,14 +36,12 @@
   if (!connection) {
     co_return FailedHop(connection.error(), /*not_run=*/true);
   }
-  const std::shared_ptr<PeerWatch::PendingRequest> pending =
-      std::make_shared<PeerWatch::PendingRequest>(
-          watch_, request.peer_address_, *request.cancel_, request.repeatable_,
-          request.on_peer_unresponsive_);
-  request.retained_state_ = pending;
+  PeerWatch::PendingRequest pending(
+      watch_, request.peer_address_,
+      {request.on_peer_unresponsive_, request.on_peer_unreachable_});
   const std::shared_ptr<http::Exchange> exchange =
       std::make_shared<http::Exchange>(connections_, *connection,
-                                       pending->Cancel());
+                                       *request.cancel_);
   exchange->OnPiece(
       [this, peer = request.peer_address_] { watch_.RecordActivity(peer); });
   const http::RequestHead head = EncodeHopRequest(request, clock_.Read().mono_);
@@ -60,13 +58,10 @@
     response = co_await exchange->RunStreamed(
         loop_, head, request.body_, *request.rest_, until, matches_request);
   }
-  pending->End(/*answered=*/response.has_value());
+  pending.End(/*answered=*/response.has_value());
   if (!response) {
     HopAnswer failed =
         FailedHop(response.error().code_, response.error().not_sent_);
-    if (pending->Aborted()) {
-      failed.code_ = ResultCode::kConnectFailed;
-    }
     failed.upload_ = exchange;
     // It is unknown whether the destination has sent the request to the
     // upstream.
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -2,6 +2,7 @@
 #include "daemon/peer_watch.h"
 
 #include <utility>
+#include <vector>
 
 #include "base/events.h"
 #include "http/client.h"
@@ -30,15 +31,11 @@
 
 PeerWatch::PendingRequest::PendingRequest(PeerWatch& watch,
                                           std::string peer,
-                                          http::CancelSignal& caller,
-                                          bool may_abort,
-                                          std::function<void()> on_unresponsive)
+                                          Listener listener)
     : watch_(watch),
       peer_(std::move(peer)),
-      may_abort_(may_abort),
-      on_unresponsive_(std::move(on_unresponsive)),
-      id_(watch.next_id_++),
-      link_(caller, [this] { cancel_.Raise(); }) {
+      listener_(std::move(listener)),
+      id_(watch.next_id_++) {
   watch_.failure_detector_.Begin(id_, peer_, watch_.clock_.Read().mono_);
   watch_.pending_[id_] = this;
   if (!std::exchange(watch_.running_, true)) {
@@ -88,7 +85,7 @@
   } else if (found == http::Probed::kNotMade) {
     failure_detector_.MarkProbeNotSent(peer);
   } else if (failure_detector_.IsUnreachable(peer, began)) {
-    AbortRequests(peer);
+    NotifyUnreachable(peer);
   }
 }
 
@@ -97,22 +94,17 @@
     return;
   }
   for (const uint64_t id : failure_detector_.PendingRequests(peer)) {
-    pending_.at(id)->on_unresponsive_();
+    pending_.at(id)->listener_.on_unresponsive_();
   }
 }
 
-void PeerWatch::AbortRequests(const std::string& peer) {
-  size_t aborted = 0;
-  for (const uint64_t id : failure_detector_.PendingRequests(peer)) {
-    PendingRequest& pending = *pending_.at(id);
-    if (pending.may_abort_) {
-      ++aborted;
-      pending.aborted_ = true;
-      pending.cancel_.Raise();
-    }
-  }
+void PeerWatch::NotifyUnreachable(const std::string& peer) {
+  const std::vector<uint64_t> waiting = failure_detector_.PendingRequests(peer);
   base::LogEvent(base::EventId::kPeerUnreachable,
-                 {{"peer", peer}, {"given_up", std::to_string(aborted)}});
+                 {{"peer", peer}, {"waiting", std::to_string(waiting.size())}});
+  for (const uint64_t id : waiting) {
+    pending_.at(id)->listener_.on_unreachable_();
+  }
 }
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -1,8 +1,8 @@
 // Peer failure detection: monitors the daemons that requests wait for, and
-// aborts requests to those that have become unreachable.
+// notifies the requests whose daemon has become unresponsive or unreachable.
 //
-// A request is never aborted merely because its answer takes long: its endpoint
-// may still be working, or the answer may be in transit over a congested link.
+// The watch aborts no request: a daemon that answers no probe may be behind a
+// congested link, with the endpoint at work or the answer already in transit.
 #ifndef SRC_DAEMON_PEER_WATCH_H_
 #define SRC_DAEMON_PEER_WATCH_H_
 
@@ -13,7 +13,6 @@
 #include <string>
 
 #include "base/time.h"
-#include "http/cancel.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 #include "request/peer_failure_detector.h"
@@ -51,14 +50,19 @@
   // To be called when bytes of any answer have arrived from the peer.
   void RecordActivity(const std::string& peer);
 
+  // Called on the loop's thread while the request waits.
+  struct Listener {
+    // The peer has answered neither requests nor probes for a short time.
+    std::function<void()> on_unresponsive_ = [] {};
+    // A probe has timed out, and nothing has arrived from the peer since it was
+    // sent.
+    std::function<void()> on_unreachable_ = [] {};
+  };
+
   // One request that waits for a peer. May outlive the watch once it has ended.
   class PendingRequest {
    public:
-    PendingRequest(PeerWatch& watch,
-                   std::string peer,
-                   http::CancelSignal& caller,
-                   bool may_abort,
-                   std::function<void()> on_unresponsive);
+    PendingRequest(PeerWatch& watch, std::string peer, Listener listener);
     ~PendingRequest();
     PendingRequest(const PendingRequest&) = delete;
     PendingRequest& operator=(const PendingRequest&) = delete;
@@ -66,33 +70,24 @@
     // The request no longer waits, since the peer has answered or the exchange
     // has failed.
     void End(bool answered);
-    // Raised when the caller leaves or the request is aborted.
-    http::CancelSignal& Cancel() { return cancel_; }
-    // Whether the request was aborted because the peer is unreachable.
-    bool Aborted() const { return aborted_; }
 
    private:
     friend class PeerWatch;
 
     PeerWatch& watch_;
     const std::string peer_;
-    const bool may_abort_;
-    // Called while the peer responds neither to requests nor to probes.
-    const std::function<void()> on_unresponsive_;
+    const Listener listener_;
     const uint64_t id_;
     bool waiting_ = true;
-    bool aborted_ = false;
-    http::CancelSignal cancel_;
-    const http::CancelScope link_;
   };
 
  private:
   // Checks all peers periodically, while any request waits.
   http::Task<void> RunChecks();
-  // Probes a peer; aborts its requests if it is unreachable.
+  // Probes a peer; notifies its requests if it is unreachable.
   http::Task<void> Probe(std::string peer);
   void NotifyUnresponsive(const std::string& peer);
-  void AbortRequests(const std::string& peer);
+  void NotifyUnreachable(const std::string& peer);
 
   const base::Clock& clock_;
   http::EventLoop& loop_;
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -278,7 +278,8 @@
     loop_.RunAndWait([this, &open] {
       callers_.Close();
       peers_.Close();
-      open = callers_.Connections() + peers_.Connections();
+      open = callers_.Connections() + peers_.Connections() +
+             entry_.ParallelAttempts();
     });
     std::this_thread::sleep_for(kClosePollInterval);
   }
--- a/tests/entry_harness.cc
+++ b/tests/entry_harness.cc
@@ -98,6 +98,10 @@
 }
 
 EntryHarness::~EntryHarness() {
+  // Losing attempts outlive their call by a few turns of the loop.
+  loop_.AwaitZero(
+      [this] { return static_cast<int64_t>(entry_.ParallelAttempts()); },
+      base::MonoNow() + std::chrono::seconds(5), std::chrono::milliseconds(5));
   loop_.Stop();
 }
 
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <functional>
 #include <future>
 #include <memory>
@@ -198,24 +199,27 @@
   return request;
 }
 
-// Guards against aborting a request to a peer whose probes fail while the
-// answer to another request is still arriving from it.
-BOOST_AUTO_TEST_CASE(RequestsToAPeerWithArrivingAnswersAreNotAborted) {
+// Guards against finding a peer unreachable whose probes fail while the answer
+// to another request is still arriving from it.
+BOOST_AUTO_TEST_CASE(APeerWithArrivingAnswersIsNotUnreachable) {
   SlowServer peer;
   base::SystemClock clock;
   http::EventLoop loop;
   daemon::PeerClient client(clock, loop);
   constexpr base::Duration kLongTime = std::chrono::seconds(5);
   loop.Start();
+  std::atomic<int> unreachable_notices{0};
+  daemon::HopRequest late = MakeRequestTo(peer.address_, "/late");
+  late.on_peer_unreachable_ = [&unreachable_notices] { ++unreachable_notices; };
   SentHop streaming(client, loop, MakeRequestTo(peer.address_, "/long"),
                     kLongTime);
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
-  SentHop waiting(client, loop, MakeRequestTo(peer.address_, "/late"),
-                  kLongTime);
+  SentHop waiting(client, loop, late, kLongTime);
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
   peer.RefuseConnections();
   waiting.ended_.get_future().wait();
   streaming.ended_.get_future().wait();
+  BOOST_TEST(unreachable_notices == 0);
   BOOST_TEST((waiting.answer_.code_ == ResultCode::kOk));
   BOOST_TEST(waiting.answer_.body_ == "late");
   BOOST_TEST((streaming.answer_.code_ == ResultCode::kOk));
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -143,8 +143,9 @@
     loop_.Start();
     loop_.RunAndWait([this] {
       pending_ = std::make_unique<daemon::PeerWatch::PendingRequest>(
-          watch_, "peer", caller_, /*may_abort=*/true,
-          [this] { ++unresponsive_notices_; });
+          watch_, "peer",
+          daemon::PeerWatch::Listener{[this] { ++unresponsive_notices_; },
+                                      [this] { ++unreachable_notices_; }});
     });
   }
   ~WatchedRequest() {
@@ -152,36 +153,33 @@
     loop_.Stop();
   }
 
-  bool Aborted() {
-    bool aborted = false;
-    loop_.RunAndWait([&] { aborted = pending_->Aborted(); });
-    return aborted;
-  }
+  // Whether the request was notified that its peer is unreachable.
+  bool Unreachable() const { return unreachable_notices_ > 0; }
   int Probes() const { return probe_.probes_; }
   // How often the request was notified that its peer is unresponsive.
   int UnresponsiveNotices() const { return unresponsive_notices_; }
 
  private:
   std::atomic<int> unresponsive_notices_{0};
+  std::atomic<int> unreachable_notices_{0};
   base::SystemClock clock_;
   http::EventLoop loop_;
   FixedProbe probe_;
   daemon::PeerWatch watch_;
-  http::CancelSignal caller_;
   std::unique_ptr<daemon::PeerWatch::PendingRequest> pending_;
 };
 
-// Guards against cancelling requests to a peer whose link is saturated: packets
+// Guards against finding a peer unreachable whose link is saturated: packets
 // wait on such a link, so that it answers probes with a long delay.
-BOOST_AUTO_TEST_CASE(APeerBehindASaturatedLinkIsNotGivenUp) {
+BOOST_AUTO_TEST_CASE(APeerBehindASaturatedLinkIsNotUnreachable) {
   WatchedRequest request(std::chrono::milliseconds(1200));
   std::this_thread::sleep_for(std::chrono::milliseconds(3000));
   BOOST_TEST(request.Probes() > 1);
-  BOOST_TEST(!request.Aborted());
+  BOOST_TEST(!request.Unreachable());
 }
 
-// Guards against aborting requests to a peer, or ejecting its endpoints,
-// because this process has no free file descriptor for a probe.
+// Guards against finding a peer unreachable, or ejecting its endpoints, because
+// this process has no free file descriptor for a probe.
 BOOST_AUTO_TEST_CASE(AProbeThatCouldNotBeSentDoesNotCount) {
   WatchedRequest request(FixedProbe::kNeverSent);
   std::this_thread::sleep_for(std::chrono::milliseconds(2500));
@@ -189,7 +187,7 @@
   // Probes are not repeated at each check of the watch.
   BOOST_TEST(request.Probes() <= 11);
   BOOST_TEST(request.UnresponsiveNotices() == 0);
-  BOOST_TEST(!request.Aborted());
+  BOOST_TEST(!request.Unreachable());
 }
 
 BOOST_AUTO_TEST_CASE(AProbeAfterAnUnsentOneCountsAnew) {
@@ -204,12 +202,12 @@
 }
 
 // Guards against requests that wait for a partitioned zone, as above.
-BOOST_AUTO_TEST_CASE(APeerThatAnswersNoProbeIsGivenUp) {
+BOOST_AUTO_TEST_CASE(APeerThatAnswersNoProbeIsUnreachable) {
   WatchedRequest request(std::chrono::hours(1));
   std::this_thread::sleep_for(std::chrono::milliseconds(1400));
-  BOOST_TEST(!request.Aborted());
+  BOOST_TEST(!request.Unreachable());
   std::this_thread::sleep_for(std::chrono::milliseconds(800));
-  BOOST_TEST(request.Aborted());
+  BOOST_TEST(request.Unreachable());
 }
 
 // Guards against new requests that are sent to an unresponsive daemon before it
