--- a/tests/entry_harness.cc
+++ b/tests/entry_harness.cc
@@ -44,8 +44,8 @@
 
 }  // namespace
 
-WaitingCaller::WaitingCaller() {
-  head_.method_ = "GET";
+WaitingCaller::WaitingCaller(const std::string& method) {
+  head_.method_ = method;
   head_.target_ = "/a";
 }
 
@@ -111,7 +111,7 @@
   *state.mutable_service() = MakeService("a");
   rpc::Route& route = *state.mutable_service()->mutable_routes(0);
   route.set_hedge(options.hedge_);
-  route.set_repeatable(true);
+  route.set_repeatable(options.repeatable_route_);
   route.set_timeout_ms(static_cast<uint32_t>(options.route_timeout_.count()));
   config.Put(state);
   config.SetRevision(1);
--- a/tests/entry_harness.h
+++ b/tests/entry_harness.h
@@ -17,10 +17,10 @@
 
 namespace buckthorngate::tests {
 
-// A caller that waits for its answer to "GET /a".
+// A caller that waits for its answer to a request for "/a".
 class WaitingCaller : public http::ServerCall {
  public:
-  WaitingCaller();
+  explicit WaitingCaller(const std::string& method = "GET");
 
   const http::RequestHead& Head() const override { return head_; }
   void SetId(std::string_view) override {}
@@ -53,6 +53,8 @@
 struct EntryHarnessOptions {
   std::chrono::milliseconds route_timeout_{1000};
   bool hedge_ = false;
+  // Requests of safe methods may be repeated on any route.
+  bool repeatable_route_ = true;
   // "host:port" of the daemons on the endpoints' hosts. The endpoints' ids are
   // "one", "two" and so on.
   std::vector<std::string> peer_addresses_;
--- a/tests/unreachable_peer_test.cc
+++ b/tests/unreachable_peer_test.cc
@@ -194,5 +194,132 @@
   BOOST_TEST(mesh.AwaitCancelled(2));
 }
 
+// What happens to one attempt: when its daemon is found unreachable, and when
+// and how the attempt ends.
+struct ScriptedAttempt {
+  milliseconds unreachable_after_ = kNever;
+  milliseconds ends_after_{1};
+  ResultCode code_ = ResultCode::kOk;
+  bool not_run_ = false;
+  int status_ = 200;
+};
+
+// Plays the script of each attempt, in the order of their numbers.
+class ScriptedHop : public daemon::Hop {
+ public:
+  ScriptedHop(http::EventLoop& loop, std::vector<ScriptedAttempt> script)
+      : loop_(loop), script_(std::move(script)) {}
+
+  http::Task<daemon::HopAnswer> Run(daemon::HopRequest& request) override {
+    const ScriptedAttempt attempt = script_.at(begun_++);
+    http::Notifier cancelled(loop_);
+    const http::CancelScope scope(*request.cancel_,
+                                  [&cancelled] { cancelled.Notify(); });
+    const base::MonoTime began = base::MonoNow();
+    bool cut = false;
+    if (attempt.unreachable_after_ != kNever) {
+      cut = co_await cancelled.Wait(began + attempt.unreachable_after_);
+      if (!cut) {
+        request.on_peer_unreachable_();
+      }
+    }
+    cut = cut || co_await cancelled.Wait(began + attempt.ends_after_);
+    if (cut) {
+      daemon::HopAnswer left =
+          daemon::FailedHop(ResultCode::kCallerGone, /*not_run=*/false);
+      left.reached_ = true;
+      co_return left;
+    }
+    daemon::HopAnswer answer =
+        daemon::FailedHop(attempt.code_, attempt.not_run_);
+    answer.reached_ = !attempt.not_run_;
+    answer.head_.status_ = attempt.status_;
+    co_return answer;
+  }
+
+  // Attempts that began; on the loop's thread.
+  size_t begun_ = 0;
+
+ private:
+  http::EventLoop& loop_;
+  const std::vector<ScriptedAttempt> script_;
+};
+
+// An entry with two endpoints whose attempts are scripted.
+class EntryWithScript {
+ public:
+  explicit EntryWithScript(std::vector<ScriptedAttempt> script,
+                           bool repeatable_route = true)
+      : entry_({.route_timeout_ = kRouteTimeout,
+                .repeatable_route_ = repeatable_route,
+                .peer_addresses_ = {"one", "two"}},
+               [this, &script](const base::Clock&, http::EventLoop& loop) {
+                 std::unique_ptr<ScriptedHop> hop =
+                     std::make_unique<ScriptedHop>(loop, std::move(script));
+                 hop_ = hop.get();
+                 return hop;
+               }) {}
+
+  EntryHarness& Entry() { return entry_; }
+  size_t Begun() {
+    size_t begun = 0;
+    entry_.Loop().RunAndWait([&] { begun = hop_->begun_; });
+    return begun;
+  }
+
+ private:
+  // Owned by the entry.
+  ScriptedHop* hop_ = nullptr;
+  EntryHarness entry_;
+};
+
+// Guards against a 502 for a request that ran nowhere: the daemon that was
+// unreachable refused it, and so did the other one.
+BOOST_AUTO_TEST_CASE(ARefusalByADaemonThatWasUnreachableIsNoRun) {
+  EntryWithScript mesh(
+      {{.unreachable_after_ = milliseconds(50),
+        .ends_after_ = milliseconds(300),
+        .code_ = ResultCode::kEndpointOverloaded,
+        .not_run_ = true},
+       {.code_ = ResultCode::kEndpointOverloaded, .not_run_ = true}});
+  BOOST_TEST(mesh.Entry().Call() == 429);
+}
+
+// Guards against an endpoint's error that goes to the caller, while the answer
+// of an attempt that was left open is on its way.
+BOOST_AUTO_TEST_CASE(AnErrorDoesNotReplaceTheAnswerOfAnOpenAttempt) {
+  EntryWithScript mesh({{.unreachable_after_ = milliseconds(50),
+                         .ends_after_ = milliseconds(300)},
+                        {.status_ = 500}});
+  BOOST_TEST(mesh.Entry().Call() == 200);
+}
+
+// Guards against a second run of a request that may run once, while its daemon
+// is unreachable.
+BOOST_AUTO_TEST_CASE(ARequestThatMayNotBeRepeatedIsNotSentAgain) {
+  EntryWithScript mesh({{.unreachable_after_ = milliseconds(50),
+                         .ends_after_ = milliseconds(300)},
+                        {.ends_after_ = milliseconds(1)}},
+                       /*repeatable_route=*/false);
+  WaitingCaller caller("POST");
+  mesh.Entry().Send(caller);
+  caller.ended_.get_future().wait();
+  BOOST_TEST(caller.status_ == 200);
+  BOOST_TEST(mesh.Begun() == 1u);
+}
+
+// Guards against retries of a request whose caller has left: they spend the
+// service's retry budget.
+BOOST_AUTO_TEST_CASE(ARequestWhoseCallerHasLeftIsNotSentAgain) {
+  EntryWithScript mesh({{.ends_after_ = milliseconds(2000)},
+                        {.ends_after_ = milliseconds(2000)}});
+  WaitingCaller caller;
+  mesh.Entry().Send(caller);
+  std::this_thread::sleep_for(milliseconds(50));
+  mesh.Entry().Loop().RunAndWait([&caller] { caller.Gone().Raise(); });
+  caller.ended_.get_future().wait();
+  BOOST_TEST(mesh.Begun() == 1u);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
