An open attempt's outcome decides, once it is known

Callers of a request that two daemons refused (429, not run) got 502 if one of them had been unreachable for a while, and an endpoint's error answer went to the caller while the answer of an attempt that was left open was on its way.

Cause: an attempt to an unreachable daemon counted as one that may have run for good, and an error answer of a later attempt ended the request.

All attempts are awaited before a failure is told, so each one's own outcome says whether it ran. The time that a cancelled attempt at an unreachable daemon took counts for its endpoint's latency, as it did when it was aborted.

--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -152,7 +152,8 @@
 AttemptOutcome Entry::Call::RecordAttempt(const Attempt& attempt) {
   const AttemptOutcome outcome = OutcomeOf(attempt);
   may_have_run_ = may_have_run_ || !outcome.not_run_;
-  reached_ += outcome.reached_ && !attempt.counted_early_ ? 1 : 0;
+  reached_ += outcome.reached_ ? 1 : 0;
+  reached_ -= attempt.counted_early_ ? 1 : 0;
   RecordEndpointOutcome(attempt, outcome);
   return outcome;
 }
@@ -336,10 +337,14 @@
     // A newer view has a more recent list of endpoints.
     RefreshView();
   }
-  if (outcome.code_ != ResultCode::kOk && !open_.empty()) {
-    // No failure of this daemon may replace an answer that may still arrive.
-    attempt = co_await AwaitOpenAttempts();
-    outcome = RecordAttempt(*attempt);
+  if (!open_.empty() && (attempt == nullptr || !Succeeded(*attempt))) {
+    // A failure may not replace an answer that may still arrive.
+    const AttemptPtr late = co_await AwaitOpenAttempts();
+    const AttemptOutcome late_outcome = RecordAttempt(*late);
+    if (outcome.code_ != ResultCode::kOk || Succeeded(*late)) {
+      attempt = late;
+      outcome = late_outcome;
+    }
   }
   CancelOpenAttempts();
   entry_.board_.Calls().Add(request_id_, calls_);
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -144,7 +144,8 @@
   // Removes the attempts that are done from open_ and returns the one whose
   // answer or failure counts, or null. Records the others.
   AttemptPtr TakeDecisiveAttempt();
-  // Counts an attempt whose daemon is unreachable as one that may have run.
+  // Counts an attempt whose daemon is unreachable as one that has reached its
+  // upstream, until its outcome is known.
   void CountUnreachable(Attempt& attempt);
   // Records and cancels all of open_: their answers are not used.
   void CancelOpenAttempts();
--- a/src/daemon/entry_parallel.cc
+++ b/src/daemon/entry_parallel.cc
@@ -49,7 +49,12 @@
     (void)RecordAttempt(loser);
   } else {
     const base::MonoTime now = entry_.clock_.Read().mono_;
-    loser.endpoint_->stats_->End(base::Duration(0), /*failed=*/true, now);
+    // How long an attempt at an unreachable daemon took is known; one that was
+    // hedged may be about to answer.
+    const base::Duration took =
+        loser.unreachable_ ? now - loser.began_ : base::Duration(0);
+    loser.endpoint_->stats_->End(took, /*failed=*/true, now);
+    may_have_run_ = true;
     if (loser.move_id_) {
       entry_.board_.Evidence().End(
           loser.evidence_id_,
@@ -72,7 +77,6 @@
   if (std::exchange(attempt.counted_early_, true)) {
     return;
   }
-  may_have_run_ = true;
   ++reached_;
   const base::MonoTime now = entry_.clock_.Read().mono_;
   attempt.endpoint_->stats_->Eject(now);
