Requests that have just been sent to an unreachable daemon aren't sent again at once

When a daemon was found unreachable, requests that had been sent to it a millisecond before were sent to another endpoint as well, and each further probe (every 250 ms) notified and logged them again.

A request is notified once, and only after it has waited for one probe interval itself; the next probe ends soon after. Test: RequestsAreSelectedByTheirWaitingTime. Found by the review, by reading.

--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/peer_watch.cc
@@ -2,7 +2,6 @@
 #include "daemon/peer_watch.h"
 
 #include <utility>
-#include <vector>
 
 #include "base/events.h"
 #include "http/client.h"
@@ -16,6 +15,9 @@
 // If a check comes later than this after the one before, this process was
 // suspended or starved of CPU time, and the peers may have responded meanwhile.
 constexpr base::Duration kMaxCheckGap = std::chrono::milliseconds(200);
+// A request is notified that its peer is unreachable only once it has waited
+// for this long itself. The next probe ends soon after.
+constexpr base::Duration kMinWaitForUnreachable = request::kProbeInterval;
 
 }  // namespace
 
@@ -93,17 +95,25 @@
   if (!failure_detector_.IsUnresponsive(peer)) {
     return;
   }
-  for (const uint64_t id : failure_detector_.PendingRequests(peer)) {
+  for (const uint64_t id :
+       failure_detector_.PendingRequests(peer, base::MonoTime::max())) {
     pending_.at(id)->listener_.on_unresponsive_();
   }
 }
 
 void PeerWatch::NotifyUnreachable(const std::string& peer) {
-  const std::vector<uint64_t> waiting = failure_detector_.PendingRequests(peer);
-  base::LogEvent(base::EventId::kPeerUnreachable,
-                 {{"peer", peer}, {"waiting", std::to_string(waiting.size())}});
-  for (const uint64_t id : waiting) {
-    pending_.at(id)->listener_.on_unreachable_();
+  size_t notified = 0;
+  for (const uint64_t id : failure_detector_.PendingRequests(
+           peer, clock_.Read().mono_ - kMinWaitForUnreachable)) {
+    PendingRequest& pending = *pending_.at(id);
+    if (!std::exchange(pending.told_unreachable_, true)) {
+      ++notified;
+      pending.listener_.on_unreachable_();
+    }
+  }
+  if (notified > 0) {
+    base::LogEvent(base::EventId::kPeerUnreachable,
+                   {{"peer", peer}, {"waiting", std::to_string(notified)}});
   }
 }
 
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/peer_watch.h
@@ -55,7 +55,7 @@
     // The peer has answered neither requests nor probes for a short time.
     std::function<void()> on_unresponsive_ = [] {};
     // A probe has timed out, and nothing has arrived from the peer since it was
-    // sent.
+    // sent. Called once.
     std::function<void()> on_unreachable_ = [] {};
   };
 
@@ -79,6 +79,8 @@
     const Listener listener_;
     const uint64_t id_;
     bool waiting_ = true;
+    // on_unreachable_ was called.
+    bool told_unreachable_ = false;
   };
 
  private:
--- a/src/request/peer_failure_detector.cc
+++ b/src/request/peer_failure_detector.cc
@@ -90,12 +90,15 @@
 }
 
 std::vector<uint64_t> PeerFailureDetector::PendingRequests(
-    const std::string& peer) const {
+    const std::string& peer,
+    base::MonoTime since) const {
   std::vector<uint64_t> requests;
   const auto found = peers_.find(peer);
   if (found != peers_.end()) {
     for (const auto& [request, began] : found->second.pending_) {
-      requests.push_back(request);
+      if (began <= since) {
+        requests.push_back(request);
+      }
     }
   }
   return requests;
--- a/src/request/peer_failure_detector.h
+++ b/src/request/peer_failure_detector.h
@@ -68,8 +68,9 @@
   // kProbeTimeout: whether nothing has arrived from the peer since then either,
   // while a request waited for it all that time.
   bool IsUnreachable(const std::string& peer, base::MonoTime since) const;
-  // The requests that wait for the peer.
-  std::vector<uint64_t> PendingRequests(const std::string& peer) const;
+  // The requests that have waited for the peer since `since` or longer.
+  std::vector<uint64_t> PendingRequests(const std::string& peer,
+                                        base::MonoTime since) const;
   // Whether no request waits for any peer.
   bool Idle() const { return peers_.empty(); }
 
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -31,7 +31,8 @@
   detector.Begin(1, "a", AtMs(0));
   BOOST_TEST(detector.TakePeersToProbe(AtMs(100)).empty());
   BOOST_TEST((detector.TakePeersToProbe(AtMs(120)) == Names{"a"}));
-  BOOST_TEST((detector.PendingRequests("a") == std::vector<uint64_t>{1}));
+  const std::vector<uint64_t> waiting = {1};
+  BOOST_TEST((detector.PendingRequests("a", AtMs(120)) == waiting));
   detector.RecordActivity("a", AtMs(120));
   BOOST_TEST(detector.TakePeersToProbe(AtMs(200)).empty());
   BOOST_TEST((detector.TakePeersToProbe(AtMs(240)) == Names{"a"}));
@@ -46,6 +47,19 @@
   BOOST_TEST((detector.TakePeersToProbe(AtMs(230)) == Names{"a"}));
 }
 
+// Guards against sending requests again that have just been sent, because their
+// peer was found unreachable for others.
+BOOST_AUTO_TEST_CASE(RequestsAreSelectedByTheirWaitingTime) {
+  PeerFailureDetector detector;
+  detector.Begin(1, "a", AtMs(0));
+  detector.Begin(2, "a", AtMs(200));
+  const std::vector<uint64_t> first = {1};
+  const std::vector<uint64_t> both = {1, 2};
+  BOOST_TEST((detector.PendingRequests("a", AtMs(199)) == first));
+  BOOST_TEST((detector.PendingRequests("a", AtMs(200)) == both));
+  BOOST_TEST(detector.PendingRequests("b", AtMs(200)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(AFailedRequestDoesNotCountAsActivity) {
   PeerFailureDetector detector;
   detector.Begin(1, "a", AtMs(0));
