A request whose caller has left isn't sent again

A caller that left while its request was under way spent the service's retry budget: the request's failure (caller-gone) counted as one that another endpoint may mend. Nothing was sent, but a connection may have been dialled, and others' retries were denied.

ARequestWhoseCallerHasLeftIsNotSentAgain: 2 attempts before, 1 after.

--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -93,6 +93,9 @@
 }
 
 bool IsRetryable(const AttemptOutcome& outcome, const RetryContext& context) {
+  if (outcome.code_ == ResultCode::kCallerGone) {
+    return false;
+  }
   const int refused = context.attempts_ - context.reached_;
   const bool overloaded = outcome.code_ == ResultCode::kEndpointOverloaded &&
                           refused >= kMaxOverloadedAttempts;
