A stopping daemon answers the requests that it has read

What callers saw: at the stop of the daemon that they use, requests on kept connections were passed on to an endpoint, cut there a moment later, and their connections closed without an answer.

Cause: when the server began to drain it closed each connection that counted as idle: no request handled and an empty buffer. That was also true of a connection whose next request had been read from the socket, but whose read had not yet been handed to the connection, and of one whose head was just parsed. The request went on to the handler on a closed connection. Besides, the exit waited for the requests that the entry had begun, not for those on their way to it.

Why it works: the drain cancels the wait for a request instead of closing the socket. A wait that has already read bytes keeps them, and the request is answered with "Connection: close". The exit waits until no connection of a caller has a request that has begun to come, which includes all that the entry handles; the entry's own count is gone.

--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -96,8 +96,6 @@
   bool ShutsDownBefore(base::MonoTime deadline) const {
     return shutdown_time_.load(std::memory_order_relaxed) < deadline;
   }
-  // Number of callers' requests in flight in this daemon.
-  std::atomic<int64_t>& InFlight() { return in_flight_; }
 
  private:
   using ServiceMap =
@@ -115,7 +113,6 @@
   StallDetector stalls_;
   std::atomic<bool> draining_{false};
   std::atomic<base::MonoTime> shutdown_time_{base::MonoTime::max()};
-  std::atomic<int64_t> in_flight_{0};
 };
 
 }  // namespace buckthorngate::blackboard
--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -1,32 +1,12 @@
-// Counts and runs the requests of callers.
+// Runs the requests of callers.
 #include "daemon/entry.h"
 
-#include <atomic>
-#include <cstdint>
 #include <utility>
 
 #include "base/hash.h"
 #include "daemon/entry_call.h"
 
 namespace buckthorngate::daemon {
-namespace {
-
-// Counts a request as in flight until it ends, also if by an exception: a stop
-// of the daemon waits for the count to reach zero.
-class CountedScope {
- public:
-  explicit CountedScope(std::atomic<int64_t>& count) : count_(count) {
-    count_.fetch_add(1);
-  }
-  ~CountedScope() { count_.fetch_sub(1); }
-  CountedScope(const CountedScope&) = delete;
-  CountedScope& operator=(const CountedScope&) = delete;
-
- private:
-  std::atomic<int64_t>& count_;
-};
-
-}  // namespace
 
 Entry::Entry(EntryOptions options,
              const base::Clock& clock,
@@ -52,7 +32,6 @@
 }
 
 http::Task<void> Entry::Handle(http::ServerCall& server_call) {
-  const CountedScope in_flight(board_.InFlight());
   const base::MonoTime arrived = clock_.Read().mono_;
   Call call(*this, server_call);
   co_await call.Run();
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -244,7 +244,9 @@
   LogStopStep("slots-awaited", started);
   loop_.RunAndWait([this] { callers_.Drain(); });
   LogStopStep("callers-refused", started);
-  AwaitIdle([this] { return board_.InFlight().load(); }, deadline);
+  AwaitIdle(
+      [this] { return static_cast<int64_t>(callers_.ServingConnections()); },
+      deadline);
   // Sending an answer to another daemon may take longer than its slot is in
   // use. The port for other daemons stays open until the end: a daemon that
   // refuses connections would be considered terminated.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,6 +1,7 @@
 // Accepting connections.
 #include "http/server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "http/address.h"
@@ -78,6 +79,12 @@
   }
 }
 
+size_t Server::ServingConnections() const {
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const Connection* connection) { return connection->Serving(); }));
+}
+
 void Server::TellOpen() {
   for (Connection* const connection : connections_) {
     connection->TellOpen();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -94,6 +94,9 @@
   // end, which cuts them.
   void TellOpen();
   size_t Connections() const { return connections_.size(); }
+  // Connections on which a request may be under way; after Drain, these are
+  // the ones on which a request has begun to come or is handled.
+  size_t ServingConnections() const;
   bool Draining() const { return draining_; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   const ServerLimits& Limits() const { return limits_; }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -58,8 +58,10 @@
 }
 
 void Server::Connection::CloseIfIdle() {
-  if (!handling_ && buffer_.size() == 0) {
-    Abort();
+  // Cancelled, not closed: bytes that the wait has read by now still come, and
+  // their request is answered.
+  if (awaiting_) {
+    stream_.cancel();
   }
 }
 
@@ -103,6 +105,7 @@
     }
     co_await HandleOne();
   }
+  serving_ = false;
   if (stream_.socket().is_open()) {
     co_await Linger();
   }
@@ -113,14 +116,20 @@
   if (buffer_.size() > 0) {
     co_return true;
   }
-  if (server_ == nullptr) {
+  if (server_ == nullptr || server_->draining_) {
+    Abort();
     co_return false;
   }
   stream_.expires_after(server_->limits_.idle_timeout_);
+  awaiting_ = true;
   ErrorCode error;
   const size_t bytes = co_await stream_.async_read_some(
       buffer_.prepare(kReadBytes),
       asio::redirect_error(asio::use_awaitable, error));
+  awaiting_ = false;
+  if (error == asio::error::operation_aborted) {
+    Abort();
+  }
   if (error) {
     co_return false;
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -23,8 +23,12 @@
 
   // Serves the connection until it ends, and keeps it until then.
   static Task<void> Serve(std::shared_ptr<Connection> connection);
-  // Closes the connection if no request is under way.
+  // Closes the connection if no request is under way. One whose bytes have been
+  // read counts as under way.
   void CloseIfIdle();
+  // Whether a request may be under way; false once the connection takes none
+  // any more.
+  bool Serving() const { return serving_; }
   // Cancels the request that is under way, and closes the connection.
   void Cancel();
   // Tells of the request that is under way as cut by the server's end.
@@ -96,7 +100,10 @@
   // Bounds reads of a body beside the idle time.
   base::MonoTime read_until_ = base::MonoTime::max();
   bool watching_ = false;
+  // Waits for the first byte of a request.
+  bool awaiting_ = false;
   bool handling_ = false;
+  bool serving_ = true;
   bool keep_ = true;
   // An answer has been sent whole.
   bool answered_ = false;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -399,6 +399,116 @@
   BOOST_TEST(recorder.Await(0).empty());
 }
 
+// Answers each request, after a pause in which the next one arrives. "/drain"
+// also starts the server's drain as soon as its answer is written.
+class DrainingHandler : public http::Handler {
+ public:
+  explicit DrainingHandler(http::EventLoop& loop) : loop_(loop) {}
+  void SetServer(http::Server& server) { server_ = &server; }
+
+  http::Task<void> Handle(http::ServerCall& call) override {
+    ++began_;
+    cancelled_ += call.Gone().Raised() ? 1 : 0;
+    co_await http::Sleep(loop_.Context(), std::chrono::milliseconds(200));
+    cancelled_ += call.Gone().Raised() ? 1 : 0;
+    http::AnswerHead head;
+    head.status_ = 200;
+    const std::string answer = "<" + call.Head().target_ + ">";
+    co_await call.Answer(head, answer);
+    if (call.Head().target_ == "/drain") {
+      loop_.Post([this] { server_->Drain(); });
+    }
+  }
+
+  std::atomic<int> began_{0};
+  std::atomic<int> cancelled_{0};
+
+ private:
+  http::EventLoop& loop_;
+  http::Server* server_ = nullptr;
+};
+
+class DrainedServer {
+ public:
+  DrainedServer()
+      : handler_(loop_), server_(loop_, handler_), port_(FreePort()) {
+    handler_.SetServer(server_);
+    BOOST_REQUIRE((server_.Listen("127.0.0.1:" + std::to_string(port_)) ==
+                   ResultCode::kOk));
+    loop_.Start();
+  }
+  ~DrainedServer() {
+    CloseServer(loop_, server_);
+    loop_.Stop();
+  }
+  DrainingHandler& Handler() { return handler_; }
+  int Port() const { return port_; }
+  void Drain() {
+    loop_.RunAndWait([this] { server_.Drain(); });
+  }
+  size_t ServingConnections() {
+    size_t serving = 0;
+    loop_.RunAndWait([&] { serving = server_.ServingConnections(); });
+    return serving;
+  }
+
+ private:
+  http::EventLoop loop_;
+  DrainingHandler handler_;
+  http::Server server_;
+  const int port_;
+};
+
+// Guards against a request that is passed on although its connection has been
+// closed: a drain closed a connection whose next request had been read from the
+// socket, but had not yet been handed to the connection. The handler then ran
+// it, was cancelled, and the caller got no answer.
+BOOST_AUTO_TEST_CASE(ARequestThatWasReadWhenTheDrainBeginsIsAnswered) {
+  DrainedServer served;
+  RawSocket caller(served.Port());
+  caller.Send("GET /drain HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  caller.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string answers = caller.ReadAll();
+  BOOST_TEST(answers.find("</drain>") != std::string::npos, answers);
+  BOOST_TEST(answers.find("</next>") != std::string::npos, answers);
+  BOOST_TEST(served.Handler().began_ == 2);
+  BOOST_TEST(served.Handler().cancelled_ == 0);
+}
+
+// Guards against a daemon that exits while a request is on its way to the
+// handler: only requests that the handler had begun counted as open.
+BOOST_AUTO_TEST_CASE(ARequestWhoseHeadHasBegunCountsUntilItIsAnswered) {
+  DrainedServer served;
+  RawSocket idle(served.Port());
+  RawSocket caller(served.Port());
+  caller.Send("GET /x HTTP/1.1\r\nHo");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  served.Drain();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_TEST(served.ServingConnections() == 1u);
+  caller.Send("st: h\r\n\r\n");
+  const std::string answer = caller.ReadUntil("</x>");
+  BOOST_TEST(answer.find("</x>") != std::string::npos, answer);
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos, answer);
+  BOOST_TEST(served.ServingConnections() == 0u);
+}
+
+// Guards against a drain that leaves idle connections open.
+BOOST_AUTO_TEST_CASE(ADrainClosesIdleConnectionsAtOnce) {
+  DrainedServer served;
+  RawSocket unused(served.Port());
+  RawSocket used(served.Port());
+  used.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string answer = used.ReadUntil("</x>");
+  BOOST_TEST(answer.find("</x>") != std::string::npos, answer);
+  const base::MonoTime began = base::MonoNow();
+  served.Drain();
+  BOOST_TEST(unused.ReadAll().empty());
+  BOOST_TEST(used.ReadAll() == answer);
+  BOOST_TEST((base::MonoNow() - began < std::chrono::milliseconds(500)));
+}
+
 // Guards against a wait without a limit that ends at once: the largest time
 // overflowed in the timer's finer unit, so that a request's body was read on
 // after its request had gone, and the daemon died.
--- a/tests/loopback.cc
+++ b/tests/loopback.cc
@@ -99,6 +99,13 @@
   Close();
 }
 
+std::string RawSocket::ReadSome() {
+  char buffer[4096];
+  const ssize_t got = recv(file_, buffer, sizeof(buffer), 0);
+  return got <= 0 ? std::string()
+                  : std::string(buffer, static_cast<size_t>(got));
+}
+
 std::string RawSocket::ReadUntil(const std::string& text) {
   char buffer[4096];
   while (received_.find(text) == std::string::npos) {
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -37,6 +37,8 @@
   void Reset();
   // Reads until the text has come, or the connection ends or is silent.
   std::string ReadUntil(const std::string& text);
+  // What comes next; empty once the connection ends or is silent.
+  std::string ReadSome();
   // Reads until the connection ends or is silent; the number of bytes.
   size_t CountAll();
   std::string ReadAll() { return ReadUntil("\r\n\r\nno such text"); }
--- a/tests/stop_test.cc
+++ b/tests/stop_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "endless_upstream.h"
+#include "loopback.h"
 #include "process_harness.h"
 
 namespace buckthorngate::tests {
@@ -27,6 +28,10 @@
 name = "read"
 path = "/shop"
 timeout_ms = 5000
+[[route]]
+name = "short"
+path = "/shop/short"
+timeout_ms = 400
 )";
 
 constexpr char kStopping[] = "proxy-1-1";
@@ -124,5 +129,50 @@
   BOOST_TEST(counts.other_answers_ == 0);
 }
 
+// Sends one request after the other on one connection until that ends; counts
+// the answers.
+void CallUntilClosed(int port, std::atomic<int>& answers) {
+  RawSocket caller(port);
+  while (true) {
+    caller.Send("GET /shop/short/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    // The answers are small, so each comes at once.
+    if (caller.ReadSome().empty()) {
+      return;
+    }
+    ++answers;
+  }
+}
+
+// Guards against requests on kept connections that the daemon passes on and
+// never answers: it closed the connections while it read the requests.
+BOOST_AUTO_TEST_CASE(RequestsThatCrossTheStopAreAnsweredIfTheyArePassedOn) {
+  ProcessMesh mesh(1, 2);
+  mesh.SetDrainTime(kDrainTime);
+  mesh.StartAll();
+  mesh.StartUpstream(kOther, "shop", "v1", {"--slots", "64"});
+  BOOST_REQUIRE(mesh.Publish(1, kService) == 0);
+  BOOST_REQUIRE(mesh.AwaitServed("/shop/short/x"));
+  constexpr int kCallers = 32;
+  std::atomic<int> answers{0};
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(
+        [&] { CallUntilClosed(mesh.Ports(kStopping).callers_, answers); });
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  mesh.Signal(kStopping, SIGTERM);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  mesh.Wait(kStopping);
+  BOOST_TEST(answers > 100);
+  for (const char* event : {"call-cut", "stop-open"}) {
+    for (const std::string& line : mesh.LogLines(kStopping, {event})) {
+      BOOST_TEST(false, line);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
