A request whose caller has left is not sent again

What callers saw: after other callers had left early, requests that could have been repeated got 502, because the retry budget of their service was spent.

Why it works: the rule for retries refuses the outcome caller-gone, which an attempt has only once nobody waits for it.

--- a/src/request/retry.cc
+++ b/src/request/retry.cc
@@ -93,6 +93,7 @@
 }
 
 bool IsRetryable(const AttemptOutcome& outcome, const RetryContext& context) {
+  // Nobody waits for the answer.
   if (outcome.code_ == ResultCode::kCallerGone) {
     return false;
   }
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -189,6 +189,36 @@
       std::chrono::milliseconds(1000)));
 }
 
+// Guards against requests that are sent on after their callers have left: the
+// daemon charged its retry budget for each, so that callers who still waited
+// were refused a retry, and it closed a kept connection with each attempt.
+BOOST_AUTO_TEST_CASE(CallersThatHaveLeftUseNoRetryBudget) {
+  ServedMesh served(1, 2);
+  ProcessMesh& mesh = served.Mesh();
+  mesh.StartUpstream("proxy-1-2", "shop");
+  BOOST_REQUIRE(mesh.AwaitServed("/shop/x"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  constexpr int kCallers = 20;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&mesh] {
+      mesh.Call("proxy-1-2", "GET", "/shop/slow?ms=2000", "", {},
+                std::chrono::milliseconds(200));
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(mesh.LogLines("proxy-1-2", {"caller-left"}).size() >= 10u);
+  const auto lines = [&mesh](const std::string& event) {
+    return mesh.LogLines("proxy-1-2", {event, "caller-gone"}).size();
+  };
+  BOOST_TEST(lines("request-retried") == 0u);
+  BOOST_TEST(lines("retry-denied") == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(TheConcurrencyLimitOfARouteAppliesPerDaemon) {
   ServedMesh served(1, 2);
   ProcessMesh& mesh = served.Mesh();
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -252,6 +252,22 @@
   BOOST_TEST(!request::IsRetryable(failed, context));
 }
 
+// Guards against requests whose callers have left and that are sent to other
+// endpoints: nobody waits for the answer, and the retry is charged to the
+// budget that callers who still wait need.
+BOOST_AUTO_TEST_CASE(RequestsWithoutACallerAreNotSentAgain) {
+  request::RetryContext context;
+  context.attempts_ = 1;
+  context.time_left_ = std::chrono::seconds(1);
+  context.repeatable_ = true;
+  request::AttemptOutcome cancelled;
+  cancelled.code_ = ResultCode::kCallerGone;
+  BOOST_TEST(!request::IsRetryable(cancelled, context));
+  cancelled.not_run_ = true;
+  cancelled.reached_ = false;
+  BOOST_TEST(!request::IsRetryable(cancelled, context));
+}
+
 BOOST_AUTO_TEST_CASE(RetriesOfADeepTreeStayWithinTheBudget) {
   for (const double rate : {0.05, 0.2, 0.5}) {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
