A request's head within the limit passes through two daemons

What callers saw: 502 for a request whose head was less than a few hundred bytes below the limit for callers, whenever its endpoint was on another host.

Cause: the server for other daemons had the fixed limit of 16 KiB that is the default for callers. The daemon of the caller adds its own headers, so the next one refused the head with 431. That answer has no attempt id, so it was taken for one that belongs to an earlier request, and the request counted as one that may have run. A larger configured limit made it worse.

Evidence: AHeadOfTheLargestSizePassesThroughTwoDaemons got 502 before, 200 now, and still 431 for a head beyond the limit.

Why it works: heads from other daemons have a bound of 1 MiB. The daemon of the caller has enforced the configured limit by then.

--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -34,6 +34,16 @@
 constexpr std::chrono::milliseconds kCloseTimeout{500};
 constexpr std::chrono::milliseconds kClosePollInterval{5};
 
+// Bound of heads from other daemons. The daemon of the caller has already
+// enforced the configured limit, and added headers of its own.
+constexpr size_t kMaxPeerHeaderBytes = size_t{1024} * 1024;
+
+http::ServerLimits PeerLimits() {
+  http::ServerLimits limits;
+  limits.header_bytes_ = kMaxPeerHeaderBytes;
+  return limits;
+}
+
 http::ServerLimits ToServerLimits(const rpc::CallerLimits& limits) {
   http::ServerLimits server;
   if (limits.header_bytes() != 0) {
@@ -101,6 +111,7 @@
       admin_(MakeAdminHandlers()),
       views_(settings.zone_) {
   entry_.SetCallerService(settings.service_);
+  peers_.SetLimits(PeerLimits());
   callers_.OnMalformed([](int status, std::string_view what) {
     base::LogEvent(
         base::EventId::kCallerMalformed,
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -150,6 +150,28 @@
   BOOST_TEST(none.Header("Bg-Not-Run") == "true");
 }
 
+// Guards against a request whose head is just within a caller's limit and that
+// the next daemon refuses: the headers between daemons came on top.
+BOOST_AUTO_TEST_CASE(AHeadOfTheLargestSizePassesThroughTwoDaemons) {
+  ServedMesh served(1, 2);
+  ProcessMesh& mesh = served.Mesh();
+  // The upstream takes lines of up to 8 KiB; with the lines of the client,
+  // these are a little less than the default limit of 16 KiB.
+  const std::string value(size_t{5} * 1024, 'h');
+  std::multimap<std::string, std::string> headers = {
+      {"X-1", value},
+      {"X-2", value},
+      {"X-3", value},
+      {"X-4", std::string(820, 'h')}};
+  const HttpAnswer answer =
+      mesh.Call("proxy-1-2", "GET", "/shop/x", "", headers);
+  BOOST_TEST(answer.status_ == 200);
+  headers.emplace("X-5", std::string(300, 'h'));
+  const HttpAnswer refused =
+      mesh.Call("proxy-1-2", "GET", "/shop/x", "", headers);
+  BOOST_TEST(refused.status_ == 431);
+}
+
 BOOST_AUTO_TEST_CASE(ALargeDownloadUsesLittleMemory) {
   ServedMesh served(1, 2);
   ProcessMesh& mesh = served.Mesh();
