Heads from other daemons are bounded by the limit for callers and 64 KiB

With 1 MiB for each head, some 80 connections that send heads without end would hold the memory of a daemon of 88 MB. The headers that a daemon adds need a few hundred bytes; the rest is for daemons that hold configurations with different limits for a moment.

--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/proxy_role.cc
@@ -34,13 +34,14 @@
 constexpr std::chrono::milliseconds kCloseTimeout{500};
 constexpr std::chrono::milliseconds kClosePollInterval{5};
 
-// Bound of heads from other daemons. The daemon of the caller has already
-// enforced the configured limit, and added headers of its own.
-constexpr size_t kMaxPeerHeaderBytes = size_t{1024} * 1024;
+// Heads from other daemons may be larger than those of callers by this much:
+// the daemon of the caller has enforced the configured limit, and added headers
+// of its own.
+constexpr size_t kDaemonHeaderBytes = size_t{64} * 1024;
 
-http::ServerLimits PeerLimits() {
+http::ServerLimits PeerLimits(const http::ServerLimits& callers) {
   http::ServerLimits limits;
-  limits.header_bytes_ = kMaxPeerHeaderBytes;
+  limits.header_bytes_ = callers.header_bytes_ + kDaemonHeaderBytes;
   return limits;
 }
 
@@ -111,7 +112,7 @@
       admin_(MakeAdminHandlers()),
       views_(settings.zone_) {
   entry_.SetCallerService(settings.service_);
-  peers_.SetLimits(PeerLimits());
+  peers_.SetLimits(PeerLimits(http::ServerLimits()));
   callers_.OnMalformed([](int status, std::string_view what) {
     base::LogEvent(
         base::EventId::kCallerMalformed,
@@ -193,7 +194,10 @@
   board_.DaemonMetrics().SetRevision(node_->Config().Revision());
   const http::ServerLimits limits =
       ToServerLimits(node_->Config().Routing().limits());
-  loop_.Post([this, limits] { callers_.SetLimits(limits); });
+  loop_.Post([this, limits] {
+    callers_.SetLimits(limits);
+    peers_.SetLimits(PeerLimits(limits));
+  });
   if (node_->Endpoints().Version() == addresses_version_) {
     return;
   }
