Bound requests to the admin listener in memory and time

Anybody who reaches the admin listener could exhaust a daemon's memory with one request: a head, a body or a chunk's size without end was kept for as long as it was sent. With 4 connections that send 64 MB/s together for 2.5 s the daemon grew by 142 to 521 MiB (each kind of AFastEndlessAdminRequestIsRefused but those after it was that large already, and a trailer). Slow ones occupied all 8 threads: 17 health checks failed within 9 s (SlowEndlessAdminRequestsBlockNoOthers), and announcements wait in the same queue.

cpp-httplib 0.11 reads a line of any length and any number of fields, and its limit of a payload holds for an announced length only. With set_payload_max_length(8192) and a read timeout of 2 s (trial) 62 checks of the two tests failed still, 592 MiB were added by header fields.

The admin server now uses BlockingServer, as the platform's control calls do: a thread gets a request only once it has been read completely, within 16 KiB of head, 8 KiB of body and 5 s for each.

--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -1,14 +1,13 @@
-// Admin server on cpp-httplib: requests are few and short, so a thread pool is
-// enough.
+// Admin server: forms of upstreams and pages, handled on threads that only get
+// requests which were read completely.
 #include "daemon/admin_server.h"
 
-#include <httplib.h>
-
 #include <algorithm>
-#include <thread>
+#include <string_view>
 #include <utility>
 
 #include "base/http_status.h"
+#include "daemon/blocking_server.h"
 #include "daemon/settings.h"
 #include "http/head.h"
 
@@ -16,7 +15,10 @@
 namespace {
 
 constexpr size_t kServerThreads = 8;
-constexpr time_t kKeepAliveSeconds = 5;
+// An announcement takes less than 1 KiB.
+constexpr size_t kMaxBodyBytes = size_t{8} * 1024;
+// Time for the head of a request, for its body and between two of its bytes.
+constexpr base::Duration kReadTimeout = std::chrono::seconds(5);
 constexpr uint64_t kDefaultSlots = 20;
 constexpr uint64_t kMaxSlots = 100'000;
 
@@ -26,107 +28,129 @@
                                           : std::min(slots, kMaxSlots));
 }
 
-void SetTextResponse(httplib::Response& response,
-                     int status,
-                     const std::string& text) {
-  response.status = status;
-  response.set_content(text + "\n", "text/plain");
+// Value of the first field with this name in "a=1&b=2", decoded; empty if there
+// is none.
+std::string FindField(std::string_view form, std::string_view name) {
+  while (!form.empty()) {
+    const std::string_view field = form.substr(0, form.find('&'));
+    form.remove_prefix(std::min(form.size(), field.size() + 1));
+    const size_t equals = field.find('=');
+    if (equals != std::string_view::npos && field.substr(0, equals) == name) {
+      std::string value(field.substr(equals + 1));
+      std::replace(value.begin(), value.end(), '+', ' ');
+      return http::DecodePath(value);
+    }
+  }
+  return std::string();
+}
+
+// Value of a parameter in the target's query or in the form that is the body.
+std::string FindParameter(const BufferedRequest& call, std::string_view name) {
+  const std::string_view target = call.head_.target_;
+  const std::string_view query =
+      target.substr(std::min(target.size(), call.head_.Path().size() + 1));
+  const std::string value = FindField(query, name);
+  return value.empty() ? FindField(call.body_, name) : value;
+}
+
+BufferedResponse TextAnswer(int status, std::string text) {
+  BufferedResponse answer;
+  answer.head_.status_ = status;
+  answer.head_.headers_.Add("Content-Type", "text/plain");
+  answer.body_ = std::move(text);
+  return answer;
+}
+
+BlockingLimits Limits() {
+  BlockingLimits limits;
+  limits.name_ = "admin";
+  limits.threads_ = kServerThreads;
+  limits.server_.body_bytes_ = kMaxBodyBytes;
+  limits.server_.header_timeout_ = kReadTimeout;
+  limits.server_.idle_timeout_ = kReadTimeout;
+  limits.body_timeout_ = kReadTimeout;
+  return limits;
 }
 
 }  // namespace
 
-class AdminServer::Impl {
+class AdminServer::Impl : public BlockingHandler {
  public:
-  explicit Impl(AdminHandlers handlers) : handlers_(std::move(handlers)) {
-    server_.new_task_queue = [] {
-      return new httplib::ThreadPool(kServerThreads);
-    };
-    server_.set_tcp_nodelay(true);
-    server_.set_keep_alive_timeout(kKeepAliveSeconds);
-    RegisterRoutes();
-  }
+  explicit Impl(AdminHandlers handlers)
+      : handlers_(std::move(handlers)), server_(*this, Limits()) {}
 
   ResultCode Start(const std::string& address) {
-    if (!server_.bind_to_port(HostOf(address), PortOf(address))) {
-      return ResultCode::kBadSettings;
-    }
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-    return ResultCode::kOk;
+    return server_.Start(address);
   }
+  void Stop() { server_.Stop(); }
 
-  void Stop() {
-    if (thread_.joinable()) {
-      server_.stop();
-      thread_.join();
+  BufferedResponse Handle(const BufferedRequest& call) override {
+    const std::string& method = call.head_.method_;
+    if (method == "POST" && handlers_.announce_) {
+      return HandleUpstreamCall(call);
+    }
+    if (method == "GET" || method == "HEAD") {
+      return HandlePage(call.head_.Path());
     }
+    return TextAnswer(base::kStatusNotFound, "");
   }
 
  private:
-  void OnAnnounce(const httplib::Request& request,
-                  httplib::Response& response) {
+  BufferedResponse HandleUpstreamCall(const BufferedRequest& call) {
+    const std::string_view path = call.head_.Path();
+    if (path == "/announce") {
+      return OnAnnounce(call);
+    }
+    if (path == "/drain") {
+      handlers_.drain_(FindParameter(call, "address"));
+      return TextAnswer(base::kStatusOk, "ok\n");
+    }
+    if (path == "/leave") {
+      handlers_.leave_(FindParameter(call, "address"));
+      return TextAnswer(base::kStatusOk, "ok\n");
+    }
+    return TextAnswer(base::kStatusNotFound, "");
+  }
+
+  BufferedResponse OnAnnounce(const BufferedRequest& call) {
     registry::Announcement announcement;
-    announcement.service_ = request.get_param_value("service");
-    announcement.version_ = request.get_param_value("version");
-    announcement.address_ = request.get_param_value("address");
-    announcement.slots_ = ParseSlots(request.get_param_value("slots"));
-    announcement.instance_ = request.get_param_value("instance");
+    announcement.service_ = FindParameter(call, "service");
+    announcement.version_ = FindParameter(call, "version");
+    announcement.address_ = FindParameter(call, "address");
+    announcement.slots_ = ParseSlots(FindParameter(call, "slots"));
+    announcement.instance_ = FindParameter(call, "instance");
     const bool valid = !announcement.service_.empty() &&
                        !announcement.version_.empty() &&
                        IsIpAddress(announcement.address_);
     if (!valid) {
-      SetTextResponse(response, base::kStatusBadRequest,
-                      std::string(Describe(ResultCode::kMissingKey).message_));
-      return;
+      return TextAnswer(
+          base::kStatusBadRequest,
+          std::string(Describe(ResultCode::kMissingKey).message_) + "\n");
     }
     handlers_.announce_(announcement);
-    SetTextResponse(response, base::kStatusOk, "ok");
+    return TextAnswer(base::kStatusOk, "ok\n");
   }
 
-  void RegisterRoutes() {
-    if (handlers_.announce_) {
-      RegisterUpstreamRoutes();
+  BufferedResponse HandlePage(std::string_view path) {
+    if (path == "/metrics") {
+      BufferedResponse answer =
+          TextAnswer(base::kStatusOk, handlers_.metrics_());
+      answer.head_.headers_.Set("Content-Type", "text/plain; version=0.0.4");
+      return answer;
     }
-    RegisterPageRoutes();
-  }
-
-  void RegisterUpstreamRoutes() {
-    server_.Post("/announce", [this](const httplib::Request& request,
-                                     httplib::Response& response) {
-      OnAnnounce(request, response);
-    });
-    server_.Post("/drain", [this](const httplib::Request& request,
-                                  httplib::Response& response) {
-      handlers_.drain_(request.get_param_value("address"));
-      SetTextResponse(response, base::kStatusOk, "ok");
-    });
-    server_.Post("/leave", [this](const httplib::Request& request,
-                                  httplib::Response& response) {
-      handlers_.leave_(request.get_param_value("address"));
-      SetTextResponse(response, base::kStatusOk, "ok");
-    });
-  }
-
-  void RegisterPageRoutes() {
-    server_.Get("/metrics", [this](const httplib::Request&,
-                                   httplib::Response& response) {
-      response.set_content(handlers_.metrics_(), "text/plain; version=0.0.4");
-    });
-    server_.Get("/healthz",
-                [](const httplib::Request&, httplib::Response& response) {
-                  SetTextResponse(response, base::kStatusOk, "ok");
-                });
-    server_.Get("/readyz", [this](const httplib::Request&,
-                                  httplib::Response& response) {
-      const bool ready = handlers_.ready_();
-      SetTextResponse(response,
-                      ready ? base::kStatusOk : base::kStatusUnavailable,
-                      ready ? "ready" : "not ready");
-    });
+    if (path == "/healthz") {
+      return TextAnswer(base::kStatusOk, "ok\n");
+    }
+    if (path == "/readyz") {
+      return handlers_.ready_()
+                 ? TextAnswer(base::kStatusOk, "ready\n")
+                 : TextAnswer(base::kStatusUnavailable, "not ready\n");
+    }
+    return TextAnswer(base::kStatusNotFound, "");
   }
 
   const AdminHandlers handlers_;
-  httplib::Server server_;
-  std::thread thread_;
+  BlockingServer server_;
 };
 
 AdminServer::AdminServer(AdminHandlers handlers)
--- a/tests/blocking_server_test.cc
+++ b/tests/blocking_server_test.cc
@@ -1,4 +1,5 @@
-// The server with blocking handlers: limits on slow callers, and shutdown.
+// The server with blocking handlers: limits on slow callers, and shutdown; and
+// the admin server, which uses it.
 #define BOOST_TEST_MODULE blocking_server
 #include <boost/test/unit_test.hpp>
 
@@ -10,8 +11,10 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
+#include "daemon/admin_server.h"
 #include "daemon/blocking_server.h"
 #include "endless_upstream.h"
 #include "loopback.h"
@@ -170,5 +173,90 @@
   BOOST_TEST((stopped.wait_for(kTimeout) == std::future_status::ready));
 }
 
+std::string PostForm(const std::string& target, const std::string& form) {
+  return "POST " + target +
+         " HTTP/1.1\r\nHost: h\r\n"
+         "Content-Type: application/x-www-form-urlencoded\r\n"
+         "Content-Length: " +
+         std::to_string(form.size()) + "\r\n\r\n" + form;
+}
+
+// An admin server that keeps what it is told.
+class RunningAdmin {
+ public:
+  explicit RunningAdmin(bool with_upstreams) : port_(FreePort()) {
+    daemon::AdminHandlers handlers;
+    if (with_upstreams) {
+      handlers.announce_ = [this](const registry::Announcement& announcement) {
+        announcement_ = announcement;
+        return ResultCode::kOk;
+      };
+      handlers.drain_ = [this](const std::string& address) {
+        drained_ = address;
+      };
+      handlers.leave_ = [this](const std::string& address) { left_ = address; };
+    }
+    handlers.metrics_ = [] { return "a 1\n"; };
+    handlers.ready_ = [this] { return ready_.load(); };
+    server_ = std::make_unique<daemon::AdminServer>(std::move(handlers));
+    const std::string address = "127.0.0.1:" + std::to_string(port_);
+    BOOST_REQUIRE((server_->Start(address) == ResultCode::kOk));
+  }
+
+  int Status(const std::string& bytes) const {
+    return CallRaw(port_, bytes, kTimeout).Status();
+  }
+
+  registry::Announcement announcement_;
+  std::string drained_;
+  std::string left_;
+  std::atomic<bool> ready_{false};
+
+ private:
+  const int port_;
+  std::unique_ptr<daemon::AdminServer> server_;
+};
+
+// Guards against announcements that are read differently by the server that
+// bounds its requests than by the library before it, which decoded forms.
+BOOST_AUTO_TEST_CASE(FormsToTheAdminServerAreDecoded) {
+  RunningAdmin admin(/*with_upstreams=*/true);
+  BOOST_TEST(admin.Status(PostForm(
+                 "/announce",
+                 "service=a+b%2Fc&version=v%2B1&address=127.0.0.1%3A8080&"
+                 "slots=7&instance=%3D&service=second")) == 200);
+  BOOST_TEST(admin.announcement_.service_ == "a b/c");
+  BOOST_TEST(admin.announcement_.version_ == "v+1");
+  BOOST_TEST(admin.announcement_.address_ == "127.0.0.1:8080");
+  BOOST_TEST(admin.announcement_.slots_ == 7u);
+  BOOST_TEST(admin.announcement_.instance_ == "=");
+  BOOST_TEST(admin.Status(PostForm("/announce?service=q&version=v1",
+                                   "address=127.0.0.1:1&slots=x")) == 200);
+  BOOST_TEST(admin.announcement_.service_ == "q");
+  BOOST_TEST(admin.announcement_.slots_ == 20u);
+  BOOST_TEST(admin.Status(PostForm("/announce", "service=a&version=v1")) ==
+             400);
+  BOOST_TEST(admin.Status(PostForm(
+                 "/announce", "service=a&version=v1&address=host:1")) == 400);
+  BOOST_TEST(admin.Status(PostForm("/drain", "address=127.0.0.1:2")) == 200);
+  BOOST_TEST(admin.drained_ == "127.0.0.1:2");
+  BOOST_TEST(admin.Status(PostForm("/leave", "address=127.0.0.1:3")) == 200);
+  BOOST_TEST(admin.left_ == "127.0.0.1:3");
+}
+
+BOOST_AUTO_TEST_CASE(PagesOfTheAdminServer) {
+  RunningAdmin admin(/*with_upstreams=*/false);
+  BOOST_TEST(admin.Status(Get("/healthz")) == 200);
+  BOOST_TEST(admin.Status(Get("/readyz")) == 503);
+  admin.ready_ = true;
+  BOOST_TEST(admin.Status(Get("/readyz?now")) == 200);
+  BOOST_TEST(admin.Status(Get("/metrics")) == 200);
+  BOOST_TEST(admin.Status(Get("/other")) == 404);
+  BOOST_TEST(admin.Status(Get("/announce")) == 404);
+  // Without a proxy nobody announces.
+  BOOST_TEST(admin.Status(PostForm("/announce", "service=a")) == 404);
+  BOOST_TEST(admin.Status(PostForm("/other", "")) == 404);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -1,11 +1,13 @@
-// Endless streams of bytes from a destination: a fake one on a raw socket
-// answers the entry side's client.
+// Endless streams of bytes between daemons, and into the listeners that serve
+// no callers' requests. A fake destination on a raw socket answers the entry
+// side's client; real daemons receive endless requests.
 #define BOOST_TEST_MODULE endless_peer
 #include <boost/test/unit_test.hpp>
 
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <fstream>
 #include <future>
@@ -336,5 +338,178 @@
   peer.ExpectClosed("slow bodies");
 }
 
+// A real daemon whose listeners receive endless requests.
+class EndlessListener {
+ public:
+  EndlessListener() : mesh_(1, 1) {
+    mesh_.StartAll();
+    BOOST_REQUIRE(ProcessMesh::Await(
+        [this] { return mesh_.Admin(kHost, "/healthz").status_ == 200; }));
+  }
+
+  const HostPorts& Ports() const { return mesh_.Ports(kHost); }
+
+  struct Result {
+    std::vector<RawAnswer> answers_;
+    size_t added_bytes_ = 0;
+    milliseconds longest_other_{0};
+    int failed_others_ = 0;
+  };
+
+  // Sends the same endless request on `connections` connections; meanwhile asks
+  // for the health page as the health check does, and samples the memory.
+  Result Send(int port,
+              const EndlessAnswer& bytes,
+              int connections,
+              milliseconds timeout) {
+    Result result;
+    const size_t idle = mesh_.RssBytes(kHost);
+    result.answers_.resize(static_cast<size_t>(connections));
+    std::atomic<int> running{connections};
+    std::vector<std::thread> senders;
+    for (RawAnswer& answer : result.answers_) {
+      senders.emplace_back([&] {
+        answer = SendRawEndless(port, bytes, timeout);
+        --running;
+      });
+    }
+    while (running > 0) {
+      const Clock::time_point began = Clock::now();
+      const int status = CallRaw(Ports().admin_,
+                                 "GET /healthz HTTP/1.1\r\nHost: h\r\n"
+                                 "Connection: close\r\n\r\n",
+                                 kMaxOtherDuration)
+                             .Status();
+      result.failed_others_ += status == 200 ? 0 : 1;
+      result.longest_other_ = std::max(
+          result.longest_other_,
+          std::chrono::duration_cast<milliseconds>(Clock::now() - began));
+      const size_t rss = mesh_.RssBytes(kHost);
+      result.added_bytes_ =
+          std::max(result.added_bytes_, std::max(rss, idle) - idle);
+      std::this_thread::sleep_for(kSampleInterval);
+    }
+    for (std::thread& sender : senders) {
+      sender.join();
+    }
+    return result;
+  }
+
+  // Sends and checks that each connection is closed in time, within bounds.
+  void ExpectRefused(const std::string& name,
+                     int port,
+                     const EndlessAnswer& bytes,
+                     int connections,
+                     milliseconds timeout) {
+    const Result result = Send(port, bytes, connections, timeout);
+    const auto open =
+        std::count_if(result.answers_.begin(), result.answers_.end(),
+                      [](const RawAnswer& answer) { return !answer.closed_; });
+    BOOST_TEST(open == 0, name << ": connections are still open: " << open);
+    BOOST_TEST(result.added_bytes_ < kMaxAddedBytes,
+               name << " added " << result.added_bytes_ / 1024 << " KiB");
+    BOOST_TEST(result.failed_others_ == 0,
+               name << ": failed health checks: " << result.failed_others_);
+    BOOST_TEST_MESSAGE(name << ": " << result.answers_[0].Status() << " after "
+                            << result.answers_[0].took_.count() << " ms, added "
+                            << result.added_bytes_ / 1024
+                            << " KiB, other calls took "
+                            << result.longest_other_.count()
+                            << " ms at most, failed " << result.failed_others_);
+  }
+
+ private:
+  static constexpr char kHost[] = "proxy-1-1";
+  ProcessMesh mesh_;
+};
+
+struct EndlessRequest {
+  std::string name_;
+  std::string first_;
+  std::string unit_;
+};
+
+std::string Repeat(const std::string& unit, size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += unit;
+  }
+  return text;
+}
+
+// Requests to the admin listener that never end.
+std::vector<EndlessRequest> EndlessAdminRequests() {
+  const std::string post =
+      "POST /announce HTTP/1.1\r\nHost: h\r\n"
+      "Content-Type: application/x-www-form-urlencoded\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"binary", "", std::string("\0\xff\x01\x80", 4)},
+      {"line", "", "a"},
+      {"target", "GET /", "a"},
+      {"field name", "GET /healthz HTTP/1.1\r\n", "a"},
+      {"field", "GET /healthz HTTP/1.1\r\nX-A: ", "a"},
+      {"fields", "GET /healthz HTTP/1.1\r\n", "X-A: b\r\n"},
+      {"body", post + "Content-Length: 9223372036854775807\r\n\r\n", "a"},
+      {"short body", post + "Content-Length: 8000\r\n\r\n", "a"},
+      {"body without a length", post + "Connection: close\r\n\r\n", "a"},
+      {"chunks", chunked, Chunk(1000)},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;", "a"},
+      {"trailer", chunked + "0\r\n", "A: b\r\n"},
+      {"body of an unknown call",
+       "POST /other HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n",
+       Chunk(1000)},
+  };
+}
+
+// Guards against a request without end to the admin listener, whose body, chunk
+// framing or head was kept in memory for as long as it was sent. At most 64
+// MB/s are sent, so that a failure of this test doesn't exhaust the machine's
+// memory.
+BOOST_AUTO_TEST_CASE(AFastEndlessAdminRequestIsRefused) {
+  constexpr size_t kBurstBytes = size_t{16} * 1024;
+  constexpr int kConnections = 4;
+  EndlessListener daemon;
+  for (const EndlessRequest& request : EndlessAdminRequests()) {
+    daemon.ExpectRefused(
+        request.name_, daemon.Ports().admin_,
+        {request.first_, Repeat(request.unit_, kBurstBytes), milliseconds(1)},
+        kConnections, milliseconds(2500));
+  }
+}
+
+// Guards against slow endless requests, each of which occupied one of the 8
+// threads that serve announcements and health checks, and for as long as it was
+// sent. All kinds at once.
+BOOST_AUTO_TEST_CASE(SlowEndlessAdminRequestsBlockNoOthers) {
+  constexpr int kConnections = 3;
+  constexpr milliseconds kSlowTime{9000};
+  EndlessListener daemon;
+  std::vector<std::thread> senders;
+  const std::vector<EndlessRequest> requests = EndlessAdminRequests();
+  std::vector<RawAnswer> results(requests.size() * kConnections);
+  for (size_t i = 0; i < results.size(); ++i) {
+    senders.emplace_back([&, i] {
+      const EndlessRequest& request = requests[i / kConnections];
+      results[i] = SendRawEndless(
+          daemon.Ports().admin_,
+          {request.first_, request.unit_.substr(0, 20), kSlowPause}, kSlowTime);
+    });
+  }
+  // One more sender beside them, whose call samples the others.
+  daemon.ExpectRefused("slow head", daemon.Ports().admin_,
+                       {"GET /healthz HTTP/1.1\r\nX-A: ", "a", kSlowPause}, 1,
+                       kSlowTime);
+  for (std::thread& sender : senders) {
+    sender.join();
+  }
+  for (size_t i = 0; i < results.size(); ++i) {
+    BOOST_TEST(results[i].closed_,
+               requests[i / kConnections].name_ << " is still open");
+  }
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
