Bound the number of fields in an answer

An answer whose head consists of fields of 4 bytes each ("A:") took many times its size in memory before its 64 KiB were full: 13 such answers at once added 25040 KiB to the client of a hop and took 125 ms of its loop (kind "short-fields" of AFastEndlessAnswerStartOfAPeerIsCutAsAFailure, bound 16 MiB); each field has nodes and strings of its own. Daemons have 88 MB.

An answer's head and trailer together may now have 1000 fields, and 1024 between daemons, which add some of their own.

--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -27,6 +27,14 @@
 // Queued requests are checked for expiry at least this often.
 constexpr base::Duration kQueueCheckInterval = std::chrono::milliseconds(50);
 
+http::ClientOptions UpstreamOptions() {
+  http::ClientOptions options;
+  options.most_idle_ = kUpstreamIdleTimeout;
+  options.connect_timeout_ = kConnectTimeout;
+  options.most_fields_ = http::kMostUpstreamFields;
+  return options;
+}
+
 }  // namespace
 
 void LogUpstreamFailed(const std::string& request_id,
@@ -52,7 +60,7 @@
       loop_(loop),
       board_(board),
       on_crash_(std::move(on_crash)),
-      connections_(loop, {kUpstreamIdleTimeout, kConnectTimeout}) {}
+      connections_(loop, UpstreamOptions()) {}
 Destination::~Destination() = default;
 
 void Destination::SetUpstream(const UpstreamInfo& info) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,6 +28,9 @@
 class ClientConnection;
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
 
+// Fields of an upstream's answer.
+inline constexpr size_t kMostUpstreamFields = 1000;
+
 struct ClientOptions {
   // Connections that were idle for longer are not used again: the other side
   // may be about to close them.
@@ -40,6 +43,9 @@
   // A long answer's body may outlast its request's deadline by this much, while
   // it comes fast enough.
   base::Duration most_overtime_ = std::chrono::minutes(2);
+  // An answer's head and trailer together may have this many fields. Between
+  // daemons there are a few more than upstreams may send.
+  size_t most_fields_ = kMostUpstreamFields + 24;
 };
 
 // Idle connections by address. Used on the loop's thread only.
--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -85,6 +85,7 @@
       {"field-name", {"HTTP/1.1 200 OK\r\n", "a"}},
       {"field", {"HTTP/1.1 200 OK\r\nX-A: ", "a"}},
       {"fields", {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"}},
+      {"short-fields", {"HTTP/1.1 200 OK\r\n", "A:\r\n"}},
       {"attempts", {"HTTP/1.1 200 OK\r\n", "Bg-Attempt: other\r\n"}},
       {"breaks", {"", "\r\n"}},
       {"interim", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
