A peer's slow request body ends with the request's deadline

A daemon whose peer sent a request's body byte by byte read on until 64 KiB had come, which takes hours: only the silence between two reads was bounded, as for long bodies. No slot is held, but a connection and its buffers are, for each such request (ASlowRequestBodyOfAPeerEndsWithItsDeadline: deadline 1 s, both connections still open after 4 s).

The destination now checks the deadline between two reads, as the entry side does for callers, and then refuses the request as not run. The same test: closed after 1.6 s. AFastEndlessRequestOfAPeerIsRefused shows the fast kinds, which were bounded before: 2.3 s, 1.3 MiB.

--- a/src/daemon/destination.cc
+++ b/src/daemon/destination.cc
@@ -320,8 +320,14 @@
   request.cancel_ = &call.Gone();
   request.caller_connected_ = [&call] { return call.StillThere(); };
   if (call.HasBody()) {
-    const http::BodyState state =
-        co_await http::ReadUpTo(call, request.body_, kMaxBufferedBodyBytes);
+    http::BodyState state = http::BodyState::kMore;
+    // A body that arrives slowly must not outlast the request. Run refuses the
+    // request then.
+    while (state == http::BodyState::kMore &&
+           request.body_.size() < kMaxBufferedBodyBytes &&
+           clock_.Read().mono_ < request.deadline_) {
+      state = co_await call.Read(request.body_, kMaxBufferedBodyBytes);
+    }
     if (state == http::BodyState::kFailed) {
       co_return;
     }
--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -481,6 +481,51 @@
   }
 }
 
+// Requests to the listener for other daemons that never end.
+std::vector<EndlessRequest> EndlessPeerRequests() {
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nBg-Attempt: id/1\r\nX-Request-Id: id\r\n"
+      "Bg-Endpoint: none\r\nBg-Deadline-Ms: 1000\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"binary", "", std::string("\0\xff\x01\x80", 4)},
+      {"line", "", "a"},
+      {"field name", head, "a"},
+      {"fields", head, "X-A: b\r\n"},
+      {"length", head + "Content-Length: 9223372036854775807\r\n\r\n", "a"},
+      {"body", head + "Content-Length: 99999999999\r\n\r\n", "a"},
+      {"chunks", chunked, Chunk(1)},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;", "a"},
+      {"trailer", chunked + "0\r\n", "A: b\r\n"},
+  };
+}
+
+// Guards against a daemon that sends requests without end to another one.
+BOOST_AUTO_TEST_CASE(AFastEndlessRequestOfAPeerIsRefused) {
+  constexpr int kConnections = 4;
+  EndlessListener daemon;
+  for (const EndlessRequest& request : EndlessPeerRequests()) {
+    daemon.ExpectRefused(request.name_, daemon.Ports().peers_,
+                         {request.first_, request.unit_}, kConnections,
+                         milliseconds(4000));
+  }
+}
+
+// Guards against a request whose body arrives byte by byte: it was read for
+// hours, until 64 KiB had arrived, although its deadline had passed.
+BOOST_AUTO_TEST_CASE(ASlowRequestBodyOfAPeerEndsWithItsDeadline) {
+  EndlessListener daemon;
+  const std::vector<EndlessRequest> requests = EndlessPeerRequests();
+  for (const EndlessRequest& request : requests) {
+    if (request.name_ == "body" || request.name_ == "chunks") {
+      daemon.ExpectRefused(request.name_, daemon.Ports().peers_,
+                           {request.first_, request.unit_, kSlowPause}, 1,
+                           milliseconds(4000));
+    }
+  }
+}
+
 // Guards against slow endless requests, each of which occupied one of the 8
 // threads that serve announcements and health checks, and for as long as it was
 // sent. All kinds at once.
