--- a/tests/endless_upstream.cc
+++ b/tests/endless_upstream.cc
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds kAnnounceInterval{500};
 constexpr std::chrono::milliseconds kPollInterval{10};
 constexpr int kBacklog = 64;
+constexpr int kSendBufferBytes = 64 * 1024;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 // Bytes that are sent with one call if there is no pause between units.
 constexpr size_t kBurstBytes = size_t{32} * 1024;
@@ -39,7 +40,10 @@
   return fd;
 }
 
-bool SendAll(int fd, const std::string& bytes) {
+// Adds what the socket accepted to `count`.
+bool SendCounted(int fd,
+                 const std::string& bytes,
+                 std::atomic<uint64_t>& count) {
   size_t sent = 0;
   while (sent < bytes.size()) {
     const ssize_t sent_now =
@@ -48,10 +52,16 @@
       return false;
     }
     sent += static_cast<size_t>(sent_now);
+    count += static_cast<uint64_t>(sent_now);
   }
   return true;
 }
 
+bool SendAll(int fd, const std::string& bytes) {
+  std::atomic<uint64_t> ignored{0};
+  return SendCounted(fd, bytes, ignored);
+}
+
 // Whether the other side has closed the connection; does not block.
 bool IsClosedByPeer(int fd) {
   char byte = 0;
@@ -198,6 +208,9 @@
     }
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    // Bytes that were accepted have mostly left this host then.
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes,
+               sizeof(kSendBufferBytes));
     const std::lock_guard<std::mutex> lock(mutex_);
     fds_.insert(fd);
     ++threads_;
@@ -253,10 +266,10 @@
   ++open_;
   const bool paced = answer.pause_.count() > 0;
   const std::string piece = paced ? answer.unit_ : RepeatUnit(answer.unit_);
-  bool open = SendAll(fd, answer.first_);
+  bool open = SendCounted(fd, answer.first_, sent_bytes_);
   std::this_thread::sleep_for(answer.delay_);
   while (open && !stopping_ && !IsClosedByPeer(fd)) {
-    open = SendAll(fd, piece);
+    open = SendCounted(fd, piece, sent_bytes_);
     std::this_thread::sleep_for(answer.pause_);
   }
   --open_;
--- a/tests/endless_upstream.h
+++ b/tests/endless_upstream.h
@@ -41,6 +41,8 @@
   // Number of endless answers that are being sent now, and that were started.
   int OpenAnswers() const { return open_; }
   int BegunAnswers() const { return begun_; }
+  // Bytes that the sockets accepted from endless answers.
+  uint64_t SentBytes() const { return sent_bytes_; }
 
  private:
   void Accept();
@@ -55,6 +57,7 @@
   std::atomic<bool> stopping_{false};
   std::atomic<int> open_{0};
   std::atomic<int> begun_{0};
+  std::atomic<uint64_t> sent_bytes_{0};
   std::atomic<int> threads_{0};
   std::mutex mutex_;
   std::set<int> fds_;
