--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,8 +1,12 @@
 // The platform's documents: what fits, and what is refused with its place.
+// Callers of its listeners that are slow or never end.
 #define BOOST_TEST_MODULE platform
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -396,5 +400,63 @@
   }
 }
 
+size_t OwnRssBytes() {
+  std::ifstream file("/proc/self/statm");
+  size_t whole = 0;
+  size_t resident = 0;
+  file >> whole >> resident;
+  return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// Guards against bodies without end that fill the memory of a host with 88 MB,
+// and against bodies of calls that have none, which were kept all the same.
+BOOST_AUTO_TEST_CASE(EndlessBodiesAreNotKeptBeyondTheMemoryOfAHost) {
+  constexpr int kSenders = 4;
+  constexpr size_t kMaxAddedBytes = size_t{32} * 1024 * 1024;
+  constexpr size_t kMaxAddedByReadyBytes = size_t{4} * 1024 * 1024;
+  const std::string chunk = "1000\r\n" + std::string(0x1000, 'a') + "\r\n";
+  struct Kind {
+    std::string framing_;
+    std::string unit_;
+  };
+  ServedAdapter served;
+  for (const int port : {served.ReadyPort(), served.Port()}) {
+    for (const Kind& kind : {Kind{"Content-Length: 60000000", "a"},
+                             Kind{"Transfer-Encoding: chunked", chunk}}) {
+      const size_t idle = OwnRssBytes();
+      std::atomic<int> running{kSenders};
+      std::vector<std::thread> senders;
+      senders.reserve(kSenders);
+      for (int i = 0; i < kSenders; ++i) {
+        senders.emplace_back([&] {
+          const RawAnswer answer =
+              SendRawEndless(port,
+                             {"POST /config/put HTTP/1.1\r\nHost: h\r\n" +
+                                  kind.framing_ + "\r\n\r\n",
+                              kind.unit_},
+                             std::chrono::seconds(4));
+          BOOST_TEST(answer.closed_);
+          --running;
+        });
+      }
+      size_t peak = idle;
+      while (running > 0) {
+        peak = std::max(peak, OwnRssBytes());
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      }
+      for (std::thread& sender : senders) {
+        sender.join();
+      }
+      const std::string name =
+          (port == served.Port() ? "control, " : "ready, ") + kind.framing_;
+      BOOST_TEST(peak - idle < (port == served.Port() ? kMaxAddedBytes
+                                                      : kMaxAddedByReadyBytes),
+                 name << " added " << (peak - idle) / 1024 << " KiB");
+      BOOST_TEST_MESSAGE(name << ": added " << (peak - idle) / 1024 << " KiB");
+      ExpectAnswersInTime(served, name);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
