Idle connections keep nothing of a large head

A connection in the pool kept the read buffer and the parsed fields of its last answer: 164905 bytes after a head of 60 KB (AnIdleConnectionKeepsNoLargeHead), for up to 64 connections to each address and 8 s, so 10 MiB for each endpoint or daemon that sends such heads.

The fields are cleared and a buffer of more than 8 KiB is given back once an answer has ended. The same test: 8572 bytes.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMostSkippedBytes = size_t{4} * 1024 * 1024;
 // Interim answers (1xx) that may come first.
 constexpr int kMostInterim = 32;
+// Idle connections keep a buffer of this size for their next answer.
+constexpr size_t kIdleBufferBytes = size_t{8} * 1024;
 // Left out of the idle time that the other side announces.
 constexpr base::Duration kIdleMargin = std::chrono::milliseconds(1500);
 
@@ -288,7 +290,7 @@
     return;
   }
   finished_ = true;
-  const ClientConnection::Parser& parser = *connection_->parser_;
+  ClientConnection::Parser& parser = *connection_->parser_;
   const bool sent = sender_ == nullptr || sender_->whole_;
   const bool reusable =
       sent && parser.keep_alive() && !parser.need_eof() &&
@@ -303,7 +305,9 @@
     return;
   }
   connection_->stream_.expires_never();
-  if (streaming_) {
+  // Nothing of a large answer stays with the idle connection.
+  parser.get().clear();
+  if (streaming_ || connection_->buffer_.capacity() > kIdleBufferBytes) {
     connection_->buffer_.shrink_to_fit();
   }
   pool_.Return(connection_, idle);
