Take back the bound on the sockets' buffers

A caller that sends its whole body before it reads needs buffers for the answer meanwhile (1 MiB there), and the kernel's are the only ones.

--- a/src/http/beast.cc
+++ b/src/http/beast.cc
@@ -9,10 +9,6 @@
 namespace buckthorngate::http {
 namespace {
 
-// What the kernel may hold for a socket in each direction; Linux reserves twice
-// as much. Enough for 64 MB/s at a round trip of 2 ms.
-constexpr int kSocketBufferBytes = 128 * 1024;
-
 std::string_view View(const beast::string_view& text) {
   return {text.data(), text.size()};
 }
@@ -76,10 +72,6 @@
       user_timeout(static_cast<int>(
           std::chrono::ceil<std::chrono::milliseconds>(most_untaken).count()));
   socket.set_option(user_timeout, ignored);
-  socket.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes),
-                    ignored);
-  socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
-                    ignored);
 }
 
 }  // namespace buckthorngate::http
--- a/src/http/beast.h
+++ b/src/http/beast.h
@@ -25,10 +25,8 @@
 // Whether the error is the other side's bytes, not the connection's end.
 bool IsMalformed(const ErrorCode& error);
 
-// Sets what each socket of the path of requests needs: no delay, a bound on
-// the kernel's buffers, which would grow to several MiB for an answer that its
-// caller doesn't read, and an end to connections whose other side acknowledges
-// nothing for `most_untaken`.
+// Sets what each socket of the path of requests needs: no delay, and an end
+// to connections whose other side acknowledges nothing for `most_untaken`.
 // Linux counts the time for which it has no room, too, so `most_untaken` is to
 // be longer than any pause that is allowed to it.
 void ConfigureSocket(Tcp::socket& socket, base::Duration most_untaken);
