endless_peer_test: each request has a connection of its own

In one run beside other builds (load 15) 3 of 13 requests of AnIdleConnectionKeepsNoLargeHead failed: the first answers had ended before the last requests were sent, which then reused a connection on which the faulty peer reads no more. It now answers 300 ms after each request; all 13 must succeed, as before.

--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -45,6 +45,9 @@
 // How long a request to another peer may take meanwhile.
 constexpr milliseconds kMaxOtherDuration{500};
 constexpr milliseconds kSampleInterval{5};
+// Before it has passed, all requests are sent, each on its own connection: the
+// faulty peer reads one request from each.
+constexpr milliseconds kAllSentTime{300};
 
 size_t OwnRssBytes() {
   std::ifstream file("/proc/self/statm");
@@ -448,7 +451,9 @@
   constexpr size_t kMaxKeptBytes = size_t{16} * 1024;
   const std::string head = OkHead("X-A: " + std::string(60'000, 'a') +
                                   "\r\nContent-Length: 2\r\n\r\nok");
-  EndlessPeer peer({{"large", {head, "", kSlowPause}}});
+  EndlessAnswer large = {head, "", kSlowPause};
+  large.lead_ = kAllSentTime;
+  EndlessPeer peer({{"large", large}});
   peer.ObserveFor(kSlowPause);
   const size_t idle = HeapBytes();
   std::vector<std::unique_ptr<SentHop>> sent = peer.Send("large");
@@ -472,7 +477,9 @@
     head += "B:\r\n";
   }
   head += "Content-Length: 2\r\n\r\nok";
-  EndlessPeer peer({{"names", {head, "", kSlowPause}}});
+  EndlessAnswer names = {head, "", kSlowPause};
+  names.lead_ = kAllSentTime;
+  EndlessPeer peer({{"names", names}});
   const size_t idle = OwnRssBytes();
   std::vector<std::unique_ptr<SentHop>> sent = peer.Send("names");
   BOOST_TEST(peer.AwaitEnd(sent, kDeadline + kDeadlineSlack));
--- a/tests/endless_upstream.cc
+++ b/tests/endless_upstream.cc
@@ -266,6 +266,7 @@
   ++open_;
   const bool paced = answer.pause_.count() > 0;
   const std::string piece = paced ? answer.unit_ : RepeatUnit(answer.unit_);
+  std::this_thread::sleep_for(answer.lead_);
   bool open = SendCounted(fd, answer.first_, sent_bytes_);
   // Tests measure memory in the process that this runs in.
   std::string().swap(answer.first_);
--- a/tests/endless_upstream.h
+++ b/tests/endless_upstream.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds pause_{0};
   // Pause between `first_` and the first unit.
   std::chrono::milliseconds delay_{0};
+  // Pause before `first_`.
+  std::chrono::milliseconds lead_{0};
 };
 
 // Listens on loopback with one thread per connection.
