--- a/tests/endless_upstream.h
+++ b/tests/endless_upstream.h
@@ -20,6 +20,10 @@
   std::string unit_;
   // Pause between two units; 0: as fast as the socket accepts them.
   std::chrono::milliseconds pause_{0};
+  // Pause between `first_` and the first unit.
+  std::chrono::milliseconds delay_{0};
+  // Pause before `first_`.
+  std::chrono::milliseconds lead_{0};
 };
 
 // Listens on loopback with one thread per connection.
@@ -27,7 +31,7 @@
  public:
   // `answers` is keyed by the last segment of the path without its query; other
   // paths get a short complete answer. "{id}" in `first_` is replaced by the
-  // request's id.
+  // request's id, "{attempt}" by the id of the attempt that a daemon sent.
   explicit EndlessUpstream(std::map<std::string, EndlessAnswer> answers);
   ~EndlessUpstream();
   EndlessUpstream(const EndlessUpstream&) = delete;
@@ -39,13 +43,15 @@
   // Number of endless answers that are being sent now, and that were started.
   int OpenAnswers() const { return open_; }
   int BegunAnswers() const { return begun_; }
+  // Bytes that the sockets accepted from endless answers.
+  uint64_t SentBytes() const { return sent_bytes_; }
 
  private:
   void Accept();
   void Serve(int fd);
   // Answers one request; false if the connection is to be closed.
   bool AnswerOne(int fd, const std::string& head);
-  void SendEndless(int fd, EndlessAnswer answer, const std::string& id);
+  void SendEndless(int fd, EndlessAnswer answer);
 
   const std::map<std::string, EndlessAnswer> answers_;
   int port_ = 0;
@@ -53,6 +59,7 @@
   std::atomic<bool> stopping_{false};
   std::atomic<int> open_{0};
   std::atomic<int> begun_{0};
+  std::atomic<uint64_t> sent_bytes_{0};
   std::atomic<int> threads_{0};
   std::mutex mutex_;
   std::set<int> fds_;
