--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -192,7 +192,6 @@
     loop_.RunAndWait([&sent] {
       for (const std::unique_ptr<SentHop>& hop : sent) {
         hop->answer_ = daemon::HopAnswer();
-        hop->request_.retained_state_.reset();
       }
     });
   }
