--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -17,6 +17,8 @@
 constexpr size_t kServerThreads = 8;
 // An announcement takes less than 1 KiB.
 constexpr size_t kMaxBodyBytes = size_t{8} * 1024;
+// Bodies and answers of all calls together.
+constexpr size_t kMaxBufferedBytes = size_t{8} * 1024 * 1024;
 // Time for the head of a request, for its body and between two of its bytes.
 constexpr base::Duration kReadTimeout = std::chrono::seconds(5);
 constexpr uint64_t kDefaultSlots = 20;
@@ -69,6 +71,7 @@
   limits.server_.header_timeout_ = kReadTimeout;
   limits.server_.idle_timeout_ = kReadTimeout;
   limits.body_timeout_ = kReadTimeout;
+  limits.max_buffered_bytes_ = kMaxBufferedBytes;
   return limits;
 }
 
