A proxy without state waits for a leader's confirmation of its floor

Cause: a proxy served as soon as all relays had told their floors, although no leader had confirmed them; a publication that no relay had received before the restart is in none of these floors.

Now only a confirmed floor counts. If there is no leader, the floors of all candidate relays suffice after 10 s (event 305), so that a zone that is cut off serves again after a restart.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -82,6 +82,9 @@
     {kRelayConnected, Level::kInfo, "relay-connected", "A relay responds."},
     {kPeerExchange, Level::kInfo, "peer-exchange",
      "A newer revision was received from a peer proxy."},
+    {kFloorUnconfirmed, Level::kWarning, "floor-unconfirmed",
+     "A proxy without state serves although no leader confirmed that its "
+     "revision is the newest; the floors of all its relays are known."},
     {kEndpointReady, Level::kInfo, "endpoint-ready",
      "An upstream announced itself."},
     {kEndpointDraining, Level::kInfo, "endpoint-draining",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -47,6 +47,7 @@
   kRelayLost = 302,
   kRelayConnected = 303,
   kPeerExchange = 304,
+  kFloorUnconfirmed = 305,
   kEndpointReady = 400,
   kEndpointDraining = 401,
   kEndpointExpired = 402,
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -15,6 +15,9 @@
 constexpr base::Duration kKeepaliveInterval = std::chrono::seconds(1);
 constexpr base::Duration kExchangeInterval = std::chrono::seconds(1);
 constexpr size_t kPeersPerExchange = 3;
+// Control hosts that have all started again may need seconds to elect a leader
+// that has applied its log.
+constexpr base::Duration kUnconfirmedFloorDelay = std::chrono::seconds(10);
 constexpr size_t kCompactBytes = size_t{4} * 1024 * 1024;
 
 }  // namespace
@@ -160,8 +163,22 @@
   config_.RaiseFloor(envelope.floor().revision());
   journal_dirty_ = true;
   floors_received_.insert(envelope.from());
-  floor_known_ = envelope.floor().confirmed() ||
-                 floors_received_.size() == parents_.Candidates().size();
+  floor_known_ = envelope.floor().confirmed();
+  if (!unconfirmed_since_ &&
+      floors_received_.size() >= parents_.Candidates().size()) {
+    unconfirmed_since_ = now.mono_;
+  }
+}
+
+void ProxyNode::AcceptUnconfirmedFloors(const base::Now& now) {
+  if (floor_known_ || !unconfirmed_since_ ||
+      now.mono_ - *unconfirmed_since_ < kUnconfirmedFloorDelay) {
+    return;
+  }
+  floor_known_ = true;
+  LogEvent(EventId::kFloorUnconfirmed,
+           {{"floor", std::to_string(config_.Floor())},
+            {"relays", std::to_string(floors_received_.size())}});
 }
 
 void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
@@ -362,6 +379,7 @@
 void ProxyNode::OnTimer(const base::Now& now) {
   SendResumes(now);
   UpdateRelayConnection(now);
+  AcceptUnconfirmedFloors(now);
   local_.Expire(now.mono_);
   claims_.OnTimer(now, outbox_);
   ExchangeWithPeers(now);
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -94,6 +95,8 @@
   // own zone first.
   void UpdateTopology();
   void OnFloor(const rpc::Envelope& envelope, const base::Now& now);
+  // Serves from unconfirmed floors once kUnconfirmedFloorDelay has passed.
+  void AcceptUnconfirmedFloors(const base::Now& now);
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
   void OnQuarantine(const rpc::QuarantineNotice& notice);
@@ -131,6 +134,8 @@
   // floors of all candidate relays.
   bool floor_known_ = false;
   std::set<std::string> floors_received_;
+  // When the floors of all candidate relays were known, none of them confirmed.
+  std::optional<base::MonoTime> unconfirmed_since_;
   // Whether any relay has sent a registry.
   bool registry_received_ = false;
   bool journal_dirty_ = false;
--- a/tests/distribution_test.cc
+++ b/tests/distribution_test.cc
@@ -272,6 +272,82 @@
   }
 }
 
+// All hosts have started again, the proxies without state. The relay lacks the
+// newest accepted publication, and there is no leader to tell it so.
+class ZoneWithoutLeader {
+ public:
+  explicit ZoneWithoutLeader(uint64_t seed) : mesh_(seed) {
+    BuildMesh(mesh_, 1, 2);
+    BOOST_REQUIRE(mesh_.AwaitLeader());
+    mesh_.Publish(MakePublication(1, {MakeService("a")}));
+    mesh_.Net().Run(std::chrono::seconds(2));
+    for (const std::string& source : mesh_.SourceIds()) {
+      mesh_.Net().Cut("relay-1", source);
+    }
+    accepted_ =
+        mesh_.Publish(MakePublication(2, {MakeService("b")})).revision();
+    BOOST_REQUIRE(accepted_ > 0);
+    std::vector<std::string> all = mesh_.SourceIds();
+    all.push_back("relay-1");
+    all.insert(all.end(), mesh_.ProxyIds().begin(), mesh_.ProxyIds().end());
+    for (const std::string& id : all) {
+      mesh_.Crash(id);
+    }
+    for (const std::string& proxy : mesh_.ProxyIds()) {
+      mesh_.LoseDisk(proxy);
+    }
+    mesh_.Net().Heal();
+    mesh_.Net().Cut("source-1", "source-2");
+    mesh_.Net().Cut("source-1", "source-3");
+    mesh_.Net().Cut("source-2", "source-3");
+    for (const std::string& id : all) {
+      mesh_.Restart(id);
+    }
+  }
+  TestMesh& Mesh() { return mesh_; }
+  uint64_t Accepted() const { return accepted_; }
+  bool ServesOlder() {
+    return std::any_of(mesh_.ProxyIds().begin(), mesh_.ProxyIds().end(),
+                       [this](const std::string& id) {
+                         return mesh_.Proxy(id).MayServe() &&
+                                mesh_.Proxy(id).Config().Revision() < accepted_;
+                       });
+  }
+
+ private:
+  TestMesh mesh_;
+  uint64_t accepted_ = 0;
+};
+
+// Guards against proxies without state that serve an older revision than was
+// accepted, seconds after a restart of all hosts: the floors of all relays
+// don't include a revision that no relay had received yet.
+BOOST_AUTO_TEST_CASE(AProxyWithoutStateWaitsForALeaderToBeElected) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    ZoneWithoutLeader zone(seed);
+    bool older = false;
+    const auto watch = [&zone, &older] { older |= zone.ServesOlder(); };
+    zone.Mesh().Net().Run(std::chrono::seconds(5), watch);
+    zone.Mesh().Net().Heal();
+    zone.Mesh().Net().Run(std::chrono::seconds(5), watch);
+    BOOST_TEST(!older, "seed " << seed);
+    for (const std::string& id : zone.Mesh().ProxyIds()) {
+      BOOST_TEST(zone.Mesh().Proxy(id).MayServe());
+      BOOST_TEST(zone.Mesh().Proxy(id).Config().Revision() >= zone.Accepted());
+    }
+  }
+}
+
+// A zone whose proxies have restarted serves what its relays hold if there is
+// no leader for long.
+BOOST_AUTO_TEST_CASE(AZoneWithoutLeaderForLongServesWhatItsRelaysHold) {
+  ZoneWithoutLeader zone(1);
+  zone.Mesh().Net().Run(std::chrono::seconds(14));
+  for (const std::string& id : zone.Mesh().ProxyIds()) {
+    BOOST_TEST(zone.Mesh().Proxy(id).MayServe());
+  }
+}
+
 // Guards against a restarted leader that loses leadership because it applies a
 // long log at once and sends no heartbeats meanwhile.
 BOOST_AUTO_TEST_CASE(ASourceThatStartsAgainAppliesItsLogInTurns) {
