--- a/src/distribution/config_distributor.cc
+++ b/src/distribution/config_distributor.cc
@@ -20,6 +20,7 @@
   subscriber.acked_revision_ = resume.revision();
   subscriber.sent_revision_ = resume.revision();
   subscriber.last_contact_ = now.mono_;
+  subscriber.deferred_ = false;
   const bool same_content = resume.revision() == state.Revision() &&
                             resume.digest() == state.Digest();
   if (resume.standby() || same_content || state.Revision() == 0) {
@@ -68,7 +69,7 @@
                              const base::Now& now,
                              base::Outbox& outbox) {
   for (auto& [id, subscriber] : subscribers_) {
-    if (!subscriber.resume_.standby() &&
+    if (!subscriber.resume_.standby() && !subscriber.deferred_ &&
         subscriber.sent_revision_ < state.Revision()) {
       SendUpdate(id, subscriber, state, deltas, now, outbox);
     }
@@ -94,10 +95,11 @@
   } else if (AdmitSnapshot(now)) {
     *outbox.Add(self_, to).mutable_snapshot() = state.ToSnapshot();
   } else {
-    DeferSnapshot(to, outbox);
+    DeferSnapshot(to, subscriber, now, outbox);
     return;
   }
   subscriber.sent_revision_ = state.Revision();
+  subscriber.deferred_ = false;
   subscriber.last_sent_ = now.mono_;
 }
 
@@ -116,7 +118,11 @@
 }
 
 void ConfigDistributor::DeferSnapshot(const std::string& to,
+                                      Subscriber& subscriber,
+                                      const base::Now& now,
                                       base::Outbox& outbox) {
+  subscriber.deferred_ = true;
+  subscriber.last_sent_ = now.mono_;
   const base::Duration queue_delay = std::chrono::microseconds(
       static_cast<int64_t>(static_cast<double>(deferred_snapshots_) /
                            kSnapshotsPerSecond * 1e6));
--- a/src/distribution/config_distributor.h
+++ b/src/distribution/config_distributor.h
@@ -77,6 +77,9 @@
     uint64_t acked_revision_ = 0;
     uint64_t sent_revision_ = 0;  // 0: the next update is a snapshot.
     uint32_t result_code_ = 0;    // Of the last acknowledgement.
+    // Was told to retry later; gets nothing until it resumes or, in case that
+    // was lost, acknowledges again after kResendInterval.
+    bool deferred_ = false;
     base::MonoTime last_sent_;
     base::MonoTime last_contact_;
   };
@@ -94,7 +97,10 @@
                   const base::Now& now,
                   base::Outbox& outbox);
   bool AdmitSnapshot(const base::Now& now);
-  void DeferSnapshot(const std::string& to, base::Outbox& outbox);
+  void DeferSnapshot(const std::string& to,
+                     Subscriber& subscriber,
+                     const base::Now& now,
+                     base::Outbox& outbox);
 
   const std::string self_;
   base::Random random_;
