Registry: relays of one zone agree instead of correcting each other

Causes: (1) each relay of a zone, also one that hears no host yet, sent full lists of its zone, and receivers marked what a list lacked as gone; (2) a proxy kept such marks for ever, so that its digest never agreed and it got all entries each 2 s; (3) a relay that lacked entries made their host raise the sequence of all of them, which went to everybody; (4) each proxy followed every relay, and each heartbeat carried all members.

Now: relays and sources exchange entries both ways on a mismatch, and nothing is dropped because a list lacks it; only leases of the zone's hosts end entries, and relays of a zone tell each other which hosts they hear; a proxy mirrors its active relay without tombstones; a relay that lacks entries gets them alone, and returns newer ones; a proxy follows four relays, those of its zone first; members are sent until their digest is acknowledged; heartbeats renew no entries of an earlier start of a daemon.

--- a/src/distribution/config_distributor.cc
+++ b/src/distribution/config_distributor.cc
@@ -55,6 +55,7 @@
   subscriber.acked_revision_ =
       std::max(subscriber.acked_revision_, ack.revision());
   subscriber.result_code_ = ack.result_code();
+  subscriber.members_digest_ = ack.members_digest();
   const bool behind = ack.revision() < state.Revision();
   const bool due = now.mono_ - subscriber.last_sent_ >= kResendInterval;
   if (behind && due && !subscriber.resume_.standby()) {
--- a/src/distribution/config_distributor.h
+++ b/src/distribution/config_distributor.h
@@ -82,10 +82,16 @@
     bool deferred_ = false;
     base::MonoTime last_sent_;
     base::MonoTime last_contact_;
+    // Digest of the membership that the subscriber holds; 0: none known.
+    uint64_t members_digest_ = 0;
+    base::MonoTime last_heartbeat_;
   };
   const std::map<std::string, Subscriber>& Subscribers() const {
     return subscribers_;
   }
+  std::map<std::string, Subscriber>& MutableSubscribers() {
+    return subscribers_;
+  }
 
  private:
   // Sends a delta from the subscriber's sent_revision_, or a snapshot, or a
--- a/src/distribution/control_hosts.h
+++ b/src/distribution/control_hosts.h
@@ -13,6 +13,17 @@
 
 namespace buckthorngate::distribution {
 
+// Relays that a proxy follows. Bounds its control traffic, whatever the number
+// of control hosts.
+inline constexpr size_t kFollowedRelays = 4;
+
+// Adds the members to a heartbeat, unless the receiver holds those with this
+// digest already.
+void AddMembers(const rpc::Membership& members,
+                uint64_t index,
+                uint64_t held_digest,
+                rpc::SourceHeartbeat& heartbeat);
+
 class ControlHosts {
  public:
   // `seeds` are addresses of control hosts. If empty, discovery is off: the
@@ -28,10 +39,16 @@
   // Identities of the sources and of the relays on all hosts.
   std::vector<std::string> Sources() const;
   std::vector<std::string> Relays() const;
+  // The relays that a proxy follows: all relays of its zone and, up to
+  // kFollowedRelays in total, others that rank first for it, of different zones
+  // as far as possible.
+  std::vector<std::string> RelaysFor(const std::string& proxy,
+                                     const std::string& zone) const;
   // Whether the host of node `id` is in `zone`; false if the host is unknown.
   bool InZone(const std::string& id, const std::string& zone) const;
 
   const rpc::Membership& Members() const { return members_; }
+  uint64_t Digest() const;
   // Log index of Members(); 0 while it holds the seeds only.
   uint64_t Index() const { return index_; }
 
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -37,9 +37,12 @@
 }
 
 void ProxyNode::UpdateTopology() {
-  parents_.SetCandidates(hosts_.Relays(), [this](const std::string& relay) {
-    return same_zone_relays_.count(relay) != 0;
-  });
+  const std::string& zone = options_.identity_.zone_;
+  parents_.SetCandidates(hosts_.RelaysFor(options_.identity_.host_, zone),
+                         [this, &zone](const std::string& relay) {
+                           return same_zone_relays_.count(relay) != 0 ||
+                                  hosts_.InZone(relay, zone);
+                         });
 }
 
 tl::expected<std::unique_ptr<ProxyNode>, ResultCode> ProxyNode::Create(
@@ -87,7 +90,7 @@
       break;
     case rpc::Envelope::kEndpointHeartbeat:
       if (envelope.endpoint_heartbeat().announce_again()) {
-        local_.Reannounce();
+        SendAllLocal(envelope.from());
       }
       break;
     case rpc::Envelope::kQuarantine:
@@ -189,8 +192,8 @@
     ++view_version_;
   }
   const uint64_t before = endpoints_.Version();
-  if (update.full()) {
-    endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_);
+  if (update.full() && envelope.from() == parents_.Active()) {
+    endpoints_.Follow(update.endpoints(), options_.identity_.host_, now.mono_);
   } else {
     for (const rpc::Endpoint& endpoint : update.endpoints()) {
       endpoints_.Merge(endpoint, now.mono_);
@@ -314,10 +317,12 @@
     ack.set_result_code(last_result_code_);
     ack.set_needs_floor(!floor_known_);
     ack.set_standby(relay != parents_.Active());
+    ack.set_members_digest(hosts_.Digest());
     rpc::EndpointHeartbeat& heartbeat =
         *outbox_.Add(options_.identity_.host_, relay)
              .mutable_endpoint_heartbeat();
     heartbeat.set_digest(local_.Digest());
+    heartbeat.set_incarnation(local_.Incarnation());
   }
 }
 
@@ -342,6 +347,12 @@
   }
 }
 
+void ProxyNode::SendAllLocal(const std::string& relay) {
+  for (const rpc::Endpoint& endpoint : local_.Entries()) {
+    *outbox_.Add(options_.identity_.host_, relay).mutable_endpoint() = endpoint;
+  }
+}
+
 void ProxyNode::UpdateRelayConnection(const base::Now& now) {
   const bool connected = parents_.Connected(now.mono_);
   if (connected == relay_connected_) {
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -104,6 +104,8 @@
   void SendResumes(const base::Now& now);
   void SendKeepalive(const base::Now& now);
   void SendLocalChanges();
+  // Sends all entries of this host to a relay that lacks some of them.
+  void SendAllLocal(const std::string& relay);
   void ExchangeWithPeers(const base::Now& now);
   void UpdateRelayConnection(const base::Now& now);
   // Announces the own endpoints anew if the registry has marked one as gone, or
@@ -129,9 +131,9 @@
   uint64_t view_version_ = 0;
   uint64_t bytes_in_ = 0;
   uint64_t bytes_out_ = 0;
-  // A proxy without stored state must first learn the newest revision its zone
-  // has seen: from a floor that the leader confirmed to a relay, or from the
-  // floors of all candidate relays.
+  // A proxy without stored state must first learn the newest committed
+  // revision, from a floor that the leader confirmed to a relay. If there is no
+  // leader for long, the floors of all candidate relays suffice.
   bool floor_known_ = false;
   std::set<std::string> floors_received_;
   // When the floors of all candidate relays were known, none of them confirmed.
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -16,7 +16,9 @@
 using base::LogEvent;
 
 constexpr base::Duration kZoneAckInterval = std::chrono::milliseconds(500);
-constexpr base::Duration kZoneAckMinInterval = std::chrono::milliseconds(20);
+// Each report goes to all sources, so its rate must not follow the rate at
+// which proxies acknowledge.
+constexpr base::Duration kZoneAckMinInterval = std::chrono::milliseconds(200);
 constexpr base::Duration kKeepaliveInterval = std::chrono::seconds(1);
 // Shorter than the keepalive: a proxy must learn that this relay is cut off
 // from the sources, and fail over to another one, well before other hosts count
@@ -146,6 +148,9 @@
     case rpc::Envelope::kRegistryDigest:
       OnRegistryDigest(envelope, now);
       break;
+    case rpc::Envelope::kHostLeases:
+      OnHostLeases(envelope.host_leases(), now);
+      break;
     case rpc::Envelope::kEvidence:
       evidence_.Add(envelope.evidence());
       break;
@@ -183,10 +188,11 @@
   distributor_.OnResume(envelope.from(), envelope.resume(), config_.State(),
                         config_.Deltas(), now, outbox_);
   if (hosts_.UsesDiscovery()) {
-    SendHeartbeat(envelope.from(), now);
-    if (envelope.resume().role() == rpc::NODE_ROLE_PROXY) {
+    SendHeartbeat(envelope.from(), /*held_members_digest=*/0, now);
+    if (envelope.resume().role() == rpc::NODE_ROLE_PROXY &&
+        !envelope.resume().standby()) {
       // A proxy serves no requests until it has received a registry.
-      SendRegistry(envelope.from(), "", RegistryComplete(now.mono_));
+      SendRegistry(envelope.from(), RegistryComplete(now.mono_));
     }
   }
   if (!quarantine_.Entries().empty()) {
@@ -284,6 +290,7 @@
     ack.set_revision(revision);
     ack.set_nonce(nonce_);
     ack.set_standby(source != parents_.Active());
+    ack.set_members_digest(hosts_.Digest());
   }
 }
 
@@ -294,12 +301,21 @@
   next_heartbeat_ =
       now.mono_ + (hosts_.UsesDiscovery() ? kDiscoveryHeartbeatInterval
                                           : kKeepaliveInterval);
-  for (const auto& [id, subscriber] : distributor_.Subscribers()) {
-    SendHeartbeat(id, now);
+  for (auto& [id, subscriber] : distributor_.MutableSubscribers()) {
+    // Standby subscribers only need to know that this relay is there.
+    const bool due =
+        !subscriber.resume_.standby() ||
+        now.mono_ - subscriber.last_heartbeat_ >= kKeepaliveInterval;
+    if (due) {
+      subscriber.last_heartbeat_ = now.mono_;
+      SendHeartbeat(id, subscriber.members_digest_, now);
+    }
   }
 }
 
-void RelayNode::SendHeartbeat(const std::string& to, const base::Now& now) {
+void RelayNode::SendHeartbeat(const std::string& to,
+                              uint64_t held_members_digest,
+                              const base::Now& now) {
   rpc::SourceHeartbeat& heartbeat =
       *outbox_.Add(options_.id_, to).mutable_heartbeat();
   heartbeat.set_revision(config_.State().Revision());
@@ -308,8 +324,8 @@
     // Lets proxies leave a relay that is cut off from the sources.
     heartbeat.set_contact_age_ms(parents_.ContactAge(now.mono_) /
                                  std::chrono::milliseconds(1));
-    *heartbeat.mutable_members() = hosts_.Members();
-    heartbeat.set_members_index(hosts_.Index());
+    AddMembers(hosts_.Members(), hosts_.Index(), held_members_digest,
+               heartbeat);
   }
 }
 
@@ -344,6 +360,7 @@
   distributor_.DropUnresponsive(now);
   claims_.OnTimer(now, outbox_);
   quarantine_.Expire(now.wall_);
+  SendHostLeases(now);
   ExpireEndpoints(now);
   SendRegistryDigests(now);
   SendEvidence(now);
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -81,7 +81,9 @@
   void ConfirmFloors(const rpc::SourceHeartbeat& heartbeat);
   // Reports this relay's revision to all subscribed proxies, also on standby.
   void SendHeartbeats(const base::Now& now);
-  void SendHeartbeat(const std::string& to, const base::Now& now);
+  void SendHeartbeat(const std::string& to,
+                     uint64_t held_members_digest,
+                     const base::Now& now);
   void SendZoneAck(const base::Now& now);
 
   // relay_storage.cc: the journal.
@@ -92,11 +94,19 @@
 
   // relay_zone.cc: registry, evidence, quarantine.
   void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
+  // Returns a newer entry to the host whose announcement it supersedes, so that
+  // the host announces the endpoint above it.
+  void ReturnIfSuperseded(const std::string& host,
+                          const rpc::Endpoint& endpoint);
   void OnEndpointHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
+  void OnHostLeases(const rpc::HostLeases& leases, const base::Now& now);
   void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
   void OnQuarantine(const rpc::Envelope& envelope);
+  // Tells the other relays of the zone which hosts this one hears, so that a
+  // host that only some of them hear keeps its endpoints.
+  void SendHostLeases(const base::Now& now);
   void ExpireEndpoints(const base::Now& now);
   // Whether at least half of the recently seen hosts still send heartbeats. If
   // most stop at once, this relay's own connectivity is the likelier cause.
@@ -107,11 +117,13 @@
   void SendEvidence(const base::Now& now);
   void SendQuarantine(const std::vector<rpc::QuarantineEntry>& entries,
                       bool to_relays);
-  void SendToProxies(const rpc::Envelope& content);
+  // Sends to all subscribed proxies, or only to those that follow this relay as
+  // their active parent.
+  void SendToProxies(const rpc::Envelope& content, bool active_only);
   void SendToRelaysAndSources(const rpc::Envelope& content);
-  // With `full` the receiver drops endpoints that the list lacks. An empty
-  // `zone` selects all zones.
-  void SendRegistry(const std::string& to, const std::string& zone, bool full);
+  // Sends all endpoints to a proxy. With `full` it drops those that the list
+  // lacks.
+  void SendRegistry(const std::string& to, bool full);
   // Queues changed endpoints for the next SendQueuedEndpoints: to proxies, and
   // with `beyond_zone` to other relays and sources as well.
   void QueueEndpoints(const std::vector<rpc::Endpoint>& endpoints,
@@ -120,8 +132,10 @@
   // of a site that start together announce themselves one by one; without
   // batching, each of them would cost a message to every proxy.
   void SendQueuedEndpoints(const base::Now& now);
+  // Time since the first call.
+  base::Duration Uptime(base::MonoTime now);
   // Whether the start is long enough ago for the own zone's registry to count
-  // as complete. Only then may receivers drop endpoints that are not in it.
+  // as complete. Only then may proxies drop endpoints that are not in it.
   bool RegistryComplete(base::MonoTime now);
   bool IsRelay(const std::string& id) const;
   bool IsSource(const std::string& id) const;
@@ -151,16 +165,19 @@
   // Proxies without stored state, with the nonce that must be confirmed before
   // each gets a confirmed floor.
   std::map<std::string, uint64_t> unconfirmed_floors_;
-  // Before this time the registry may lack endpoints that have not announced
-  // themselves to this incarnation yet.
-  std::optional<base::MonoTime> registry_complete_at_;
+  std::optional<base::MonoTime> started_at_;
   base::MonoTime next_zone_ack_;
   base::MonoTime next_keepalive_;
   base::MonoTime next_heartbeat_;
   base::MonoTime next_digest_;
+  base::MonoTime next_host_leases_;
   base::MonoTime next_expiry_;
-  // Time of the last heartbeat of each recently seen host.
-  std::map<std::string, base::MonoTime> host_contacts_;
+  // Last heartbeat of each host that was heard recently.
+  struct HostContact {
+    base::MonoTime heard_;
+    uint64_t incarnation_ = 0;
+  };
+  std::map<std::string, HostContact> host_contacts_;
   // Invariant: result of HostsReachable at the last check of leases.
   bool hosts_reachable_ = true;
   base::MonoTime next_evidence_;
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -27,6 +27,7 @@
 // for this long, so that the endpoints of a zone do expire after all of its
 // hosts have failed.
 constexpr base::Duration kHostRetention = std::chrono::seconds(15);
+constexpr base::Duration kHostLeasesInterval = std::chrono::seconds(1);
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
 // Minimum time between endpoint updates; well below the time by which other
 // daemons must learn of a draining endpoint.
@@ -43,15 +44,22 @@
   return std::find(sources_.begin(), sources_.end(), id) != sources_.end();
 }
 
-bool RelayNode::RegistryComplete(base::MonoTime now) {
-  if (!registry_complete_at_) {
-    registry_complete_at_ = now + kRegistryWarmUp;
+base::Duration RelayNode::Uptime(base::MonoTime now) {
+  if (!started_at_) {
+    started_at_ = now;
   }
-  return now >= *registry_complete_at_;
+  return now - *started_at_;
+}
+
+bool RelayNode::RegistryComplete(base::MonoTime now) {
+  return Uptime(now) >= kRegistryWarmUp;
 }
 
-void RelayNode::SendToProxies(const rpc::Envelope& content) {
+void RelayNode::SendToProxies(const rpc::Envelope& content, bool active_only) {
   for (const auto& [id, subscriber] : distributor_.Subscribers()) {
+    if (active_only && subscriber.resume_.standby()) {
+      continue;
+    }
     rpc::Envelope& envelope = outbox_.Add(options_.id_, id);
     envelope = content;
     envelope.set_from(options_.id_);
@@ -89,7 +97,7 @@
   rpc::Envelope content;
   *content.mutable_registry() = std::move(queued_for_proxies_);
   content.mutable_registry()->set_zone(options_.zone_);
-  SendToProxies(content);
+  SendToProxies(content, /*active_only=*/true);
   if (queued_beyond_zone_.endpoints_size() > 0) {
     *content.mutable_registry() = std::move(queued_beyond_zone_);
     content.mutable_registry()->set_zone(options_.zone_);
@@ -103,6 +111,7 @@
                            const base::Now& now) {
   const rpc::Endpoint& endpoint = envelope.endpoint();
   if (!endpoints_.Merge(endpoint, now.mono_)) {
+    ReturnIfSuperseded(envelope.from(), endpoint);
     return;
   }
   QueueEndpoints({endpoint}, /*beyond_zone=*/true);
@@ -119,11 +128,24 @@
                    {"version", endpoint.version()}});
 }
 
+void RelayNode::ReturnIfSuperseded(const std::string& host,
+                                   const rpc::Endpoint& endpoint) {
+  const rpc::Endpoint* held = endpoints_.Find(endpoint.id());
+  const bool same = held->incarnation() == endpoint.incarnation() &&
+                    held->sequence() == endpoint.sequence() &&
+                    held->state() == endpoint.state();
+  if (same || host != endpoint.host()) {
+    return;
+  }
+  *outbox_.Add(options_.id_, host).mutable_registry()->add_endpoints() = *held;
+}
+
 void RelayNode::OnEndpointHeartbeat(const rpc::Envelope& envelope,
                                     const base::Now& now) {
-  host_contacts_[envelope.from()] = now.mono_;
-  const bool matches = endpoints_.Heartbeat(
-      envelope.from(), envelope.endpoint_heartbeat().digest(), now.mono_);
+  const rpc::EndpointHeartbeat& heartbeat = envelope.endpoint_heartbeat();
+  host_contacts_[envelope.from()] = {now.mono_, heartbeat.incarnation()};
+  const bool matches =
+      endpoints_.Heartbeat(envelope.from(), heartbeat, now.mono_);
   if (!matches) {
     outbox_.Add(options_.id_, envelope.from())
         .mutable_endpoint_heartbeat()
@@ -134,14 +156,6 @@
 void RelayNode::OnRegistry(const rpc::Envelope& envelope,
                            const base::Now& now) {
   const rpc::RegistryUpdate& update = envelope.registry();
-  if (update.full() && update.zone() != options_.zone_) {
-    if (endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_)) {
-      rpc::Envelope content;
-      *content.mutable_registry() = update;
-      SendToProxies(content);
-    }
-    return;
-  }
   std::vector<rpc::Endpoint> changed;
   for (const rpc::Endpoint& endpoint : update.endpoints()) {
     if (endpoints_.Merge(endpoint, now.mono_)) {
@@ -149,16 +163,56 @@
     }
   }
   QueueEndpoints(changed, /*beyond_zone=*/false);
+  if (!update.compare()) {
+    return;
+  }
+  const std::vector<rpc::Endpoint> newer =
+      endpoints_.NewerThan(update.endpoints(), update.zone());
+  if (newer.empty()) {
+    return;
+  }
+  rpc::RegistryUpdate& reply =
+      *outbox_.Add(options_.id_, envelope.from()).mutable_registry();
+  reply.set_zone(update.zone());
+  reply.mutable_endpoints()->Add(newer.begin(), newer.end());
 }
 
-void RelayNode::SendRegistry(const std::string& to,
-                             const std::string& zone,
-                             bool full) {
+void RelayNode::OnHostLeases(const rpc::HostLeases& leases,
+                             const base::Now& now) {
+  for (const rpc::HostLease& lease : leases.leases()) {
+    endpoints_.Renew(lease.host(), lease.incarnation(),
+                     now.mono_ - std::chrono::milliseconds(lease.age_ms()));
+  }
+}
+
+void RelayNode::SendHostLeases(const base::Now& now) {
+  if (now.mono_ < next_host_leases_) {
+    return;
+  }
+  next_host_leases_ = now.mono_ + kHostLeasesInterval;
+  rpc::HostLeases leases;
+  for (const auto& [host, contact] : host_contacts_) {
+    const base::Duration age = now.mono_ - contact.heard_;
+    if (age > registry::kEndpointLease) {
+      continue;
+    }
+    rpc::HostLease& lease = *leases.add_leases();
+    lease.set_host(host);
+    lease.set_incarnation(contact.incarnation_);
+    lease.set_age_ms(static_cast<uint32_t>(age / std::chrono::milliseconds(1)));
+  }
+  for (const std::string& relay : relays_) {
+    if (hosts_.InZone(relay, options_.zone_)) {
+      *outbox_.Add(options_.id_, relay).mutable_host_leases() = leases;
+    }
+  }
+}
+
+void RelayNode::SendRegistry(const std::string& to, bool full) {
   rpc::RegistryUpdate& update =
       *outbox_.Add(options_.id_, to).mutable_registry();
   update.set_full(full);
-  update.set_zone(zone);
-  for (rpc::Endpoint& endpoint : endpoints_.Live(zone)) {
+  for (rpc::Endpoint& endpoint : endpoints_.Live()) {
     *update.add_endpoints() = std::move(endpoint);
   }
 }
@@ -167,25 +221,18 @@
                                  const base::Now& now) {
   const rpc::RegistryDigest& digest = envelope.registry_digest();
   // A proxy's digest covers all zones; if it differs, the proxy gets a full
-  // list. Relays and sources send the digest of one zone, owned by its relay.
+  // list. A relay sends the digest of its zone.
   const bool from_proxy = distributor_.HasSubscriber(envelope.from());
   const std::string zone = from_proxy ? std::string() : digest.zone();
   if (endpoints_.Digest(zone) == digest.digest()) {
     return;
   }
-  if (from_proxy || zone == options_.zone_) {
-    if (!RegistryComplete(now.mono_)) {
-      return;
-    }
-    SendRegistry(envelope.from(), zone, /*full=*/true);
-    return;
+  if (!from_proxy) {
+    *outbox_.Add(options_.id_, envelope.from()).mutable_registry() =
+        endpoints_.Comparison(zone);
+  } else if (RegistryComplete(now.mono_)) {
+    SendRegistry(envelope.from(), /*full=*/true);
   }
-  // This relay does not own the zone: request a full list by sending its digest
-  // back.
-  rpc::RegistryDigest& answer =
-      *outbox_.Add(options_.id_, envelope.from()).mutable_registry_digest();
-  answer.set_zone(zone);
-  answer.set_digest(endpoints_.Digest(zone));
 }
 
 void RelayNode::SendRegistryDigests(const base::Now& now) {
@@ -203,17 +250,17 @@
   SendToRelaysAndSources(content);
   content.mutable_registry_digest()->set_zone("");
   content.mutable_registry_digest()->set_digest(endpoints_.Digest());
-  SendToProxies(content);
+  SendToProxies(content, /*active_only=*/true);
 }
 
 bool RelayNode::HostsReachable(base::MonoTime now) {
   if (parents_.Connected(now)) {
     std::erase_if(host_contacts_, [now](const auto& host) {
-      return now - host.second > kHostRetention;
+      return now - host.second.heard_ > kHostRetention;
     });
   }
   const auto is_reachable = [now](const auto& host) {
-    return now - host.second <= kHostTimeout;
+    return now - host.second.heard_ <= kHostTimeout;
   };
   const size_t reachable = static_cast<size_t>(std::count_if(
       host_contacts_.begin(), host_contacts_.end(), is_reachable));
@@ -240,6 +287,10 @@
     return;
   }
   next_expiry_ = now.mono_ + kExpiryInterval;
+  if (host_contacts_.empty() && Uptime(now.mono_) < kHostRetention) {
+    // Hosts that may not know this relay yet keep their endpoints.
+    return;
+  }
   const bool reachable_before = hosts_reachable_;
   UpdateHostsReachable(HostsReachable(now.mono_));
   if (!hosts_reachable_) {
@@ -298,7 +349,7 @@
           {{"fingerprint", entry.fingerprint()}, {"service", entry.service()}});
     }
   }
-  SendToProxies(content);
+  SendToProxies(content, /*active_only=*/false);
   if (to_relays) {
     for (const std::string& relay : relays_) {
       *outbox_.Add(options_.id_, relay).mutable_quarantine() =
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -213,24 +213,16 @@
 
 void SourceNode::OnRegistry(const rpc::Envelope& envelope,
                             const base::Now& now) {
-  const rpc::RegistryUpdate& update = envelope.registry();
-  if (update.full()) {
-    endpoints_.ReplaceZone(update.zone(), update.endpoints(), now.mono_);
-    return;
-  }
-  for (const rpc::Endpoint& endpoint : update.endpoints()) {
+  for (const rpc::Endpoint& endpoint : envelope.registry().endpoints()) {
     endpoints_.Merge(endpoint, now.mono_);
   }
 }
 
 void SourceNode::OnRegistryDigest(const rpc::Envelope& envelope) {
   const rpc::RegistryDigest& digest = envelope.registry_digest();
-  const uint64_t held = endpoints_.Digest(digest.zone());
-  if (held != digest.digest()) {
-    rpc::RegistryDigest& answer =
-        *outbox_.Add(options_.id_, envelope.from()).mutable_registry_digest();
-    answer.set_zone(digest.zone());
-    answer.set_digest(held);
+  if (endpoints_.Digest(digest.zone()) != digest.digest()) {
+    *outbox_.Add(options_.id_, envelope.from()).mutable_registry() =
+        endpoints_.Comparison(digest.zone());
   }
 }
 
@@ -317,8 +309,8 @@
     heartbeat.set_contact_age_ms(age_ms);
     heartbeat.set_confirmed_nonce(ConfirmNonce(id, now));
     if (hosts_.UsesDiscovery()) {
-      *heartbeat.mutable_members() = raft_->CurrentMembership();
-      heartbeat.set_members_index(raft_->MembershipIndex());
+      AddMembers(raft_->CurrentMembership(), raft_->MembershipIndex(),
+                 relay.members_digest_, heartbeat);
     }
   }
 }
--- a/src/registry/endpoint_registry.cc
+++ b/src/registry/endpoint_registry.cc
@@ -1,6 +1,7 @@
 // Merging, indexing and lease expiry of endpoint entries.
 #include "registry/endpoint_registry.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -100,21 +101,38 @@
   return live;
 }
 
-bool EndpointRegistry::Heartbeat(const std::string& host,
-                                 uint64_t digest,
-                                 base::MonoTime now) {
-  uint64_t stored = 0;
+void EndpointRegistry::ForEachLive(const std::string& host,
+                                   uint64_t incarnation,
+                                   const std::function<void(Entry&)>& visit) {
   // Endpoint ids start with the host's name, so one host's entries are
   // adjacent.
   for (auto found = entries_.lower_bound(host + "/");
        found != entries_.end() && found->second.endpoint_.host() == host;
        ++found) {
-    if (!IsGone(found->second.endpoint_)) {
-      found->second.renewed_ = now;
-      stored += EntryDigest(found->second.endpoint_);
+    const rpc::Endpoint& endpoint = found->second.endpoint_;
+    if (!IsGone(endpoint) && endpoint.incarnation() >= incarnation) {
+      visit(found->second);
     }
   }
-  return stored == digest;
+}
+
+bool EndpointRegistry::Heartbeat(const std::string& host,
+                                 const rpc::EndpointHeartbeat& heartbeat,
+                                 base::MonoTime now) {
+  uint64_t stored = 0;
+  ForEachLive(host, heartbeat.incarnation(), [&](Entry& entry) {
+    entry.renewed_ = now;
+    stored += EntryDigest(entry.endpoint_);
+  });
+  return stored == heartbeat.digest();
+}
+
+void EndpointRegistry::Renew(const std::string& host,
+                             uint64_t incarnation,
+                             base::MonoTime heard) {
+  ForEachLive(host, incarnation, [heard](Entry& entry) {
+    entry.renewed_ = std::max(entry.renewed_, heard);
+  });
 }
 
 void EndpointRegistry::MarkGone(Entry& entry, base::MonoTime now) {
@@ -149,9 +167,9 @@
   });
 }
 
-bool EndpointRegistry::ReplaceZone(
-    const std::string& zone,
+bool EndpointRegistry::Follow(
     const google::protobuf::RepeatedPtrField<rpc::Endpoint>& all,
+    const std::string& own_host,
     base::MonoTime now) {
   bool changed = false;
   std::set<std::string> listed;
@@ -159,16 +177,53 @@
     listed.insert(endpoint.id());
     changed |= Merge(endpoint, now);
   }
-  for (auto& [id, entry] : entries_) {
-    const bool live = InZone(entry.endpoint_, zone) && !IsGone(entry.endpoint_);
-    if (live && listed.count(id) == 0) {
-      MarkGone(entry, now);
+  std::erase_if(entries_, [&](const auto& item) {
+    const rpc::Endpoint& endpoint = item.second.endpoint_;
+    const bool kept = IsGone(endpoint) || endpoint.host() == own_host ||
+                      listed.count(item.first) != 0;
+    if (!kept) {
+      RemoveFromIndex(endpoint);
+      ++version_;
       changed = true;
     }
-  }
+    return !kept;
+  });
   return changed;
 }
 
+rpc::RegistryUpdate EndpointRegistry::Comparison(
+    const std::string& zone) const {
+  rpc::RegistryUpdate update;
+  update.set_zone(zone);
+  update.set_compare(true);
+  for (const auto& [id, entry] : entries_) {
+    if (InZone(entry.endpoint_, zone)) {
+      *update.add_endpoints() = entry.endpoint_;
+    }
+  }
+  return update;
+}
+
+std::vector<rpc::Endpoint> EndpointRegistry::NewerThan(
+    const google::protobuf::RepeatedPtrField<rpc::Endpoint>& other,
+    const std::string& zone) const {
+  std::vector<rpc::Endpoint> newer;
+  std::set<std::string> listed;
+  for (const rpc::Endpoint& endpoint : other) {
+    listed.insert(endpoint.id());
+    const rpc::Endpoint* held = Find(endpoint.id());
+    if (held != nullptr && Supersedes(*held, endpoint)) {
+      newer.push_back(*held);
+    }
+  }
+  for (rpc::Endpoint& endpoint : Live(zone)) {
+    if (listed.count(endpoint.id()) == 0) {
+      newer.push_back(std::move(endpoint));
+    }
+  }
+  return newer;
+}
+
 const rpc::Endpoint* EndpointRegistry::Find(const std::string& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second.endpoint_;
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -10,6 +10,7 @@
 #define SRC_REGISTRY_ENDPOINT_REGISTRY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -31,10 +32,17 @@
   // Merges one entry. Returns true if it replaced the stored one or is new.
   bool Merge(const rpc::Endpoint& endpoint, base::MonoTime now);
 
-  // Renews the leases of all endpoints of `host`. Returns false if the stored
+  // Renews the leases of the endpoints of `host`. Returns false if the stored
   // entries do not match the host's own `digest`; the host must then announce
   // its endpoints again.
-  bool Heartbeat(const std::string& host, uint64_t digest, base::MonoTime now);
+  bool Heartbeat(const std::string& host,
+                 const rpc::EndpointHeartbeat& heartbeat,
+                 base::MonoTime now);
+  // Renews the leases of the endpoints of `host` up to the time of a heartbeat
+  // that another relay received.
+  void Renew(const std::string& host,
+             uint64_t incarnation,
+             base::MonoTime heard);
 
   // Marks the endpoints of `zone` whose lease has expired as GONE and returns
   // them.
@@ -43,12 +51,23 @@
   // Removes tombstones that are older than kTombstoneAge.
   void DropTombstones(base::MonoTime now);
 
-  // Replaces the entries of `zone` with a full list from its relay: merges the
-  // listed entries and marks missing ones as GONE. Returns true if anything
-  // changed.
-  bool ReplaceZone(const std::string& zone,
-                   const google::protobuf::RepeatedPtrField<rpc::Endpoint>& all,
-                   base::MonoTime now);
+  // Follows the full list of a relay: merges the listed entries and forgets
+  // those that it lacks, except the entries of `own_host`. Missing entries
+  // leave no tombstone, because the relay may not have learned of them yet.
+  // Returns true if anything changed.
+  bool Follow(const google::protobuf::RepeatedPtrField<rpc::Endpoint>& all,
+              const std::string& own_host,
+              base::MonoTime now);
+
+  // Returns all entries of `zone`, GONE ones included, for a replica that may
+  // differ. It replies with the entries of NewerThan.
+  rpc::RegistryUpdate Comparison(const std::string& zone) const;
+  // Returns the entries of `zone`, GONE ones included, that replace those of
+  // `other`, a list of all entries of the zone that another replica holds, or
+  // that it lacks. GONE entries are returned only if `other` lists them.
+  std::vector<rpc::Endpoint> NewerThan(
+      const google::protobuf::RepeatedPtrField<rpc::Endpoint>& other,
+      const std::string& zone) const;
 
   // Returns the entry with this id, also if it is GONE; null if there is none.
   const rpc::Endpoint* Find(const std::string& id) const;
@@ -83,6 +102,11 @@
   };
 
   void MarkGone(Entry& entry, base::MonoTime now);
+  // Calls `visit` for each entry of the host that is not GONE and not of an
+  // incarnation before `incarnation`.
+  void ForEachLive(const std::string& host,
+                   uint64_t incarnation,
+                   const std::function<void(Entry&)>& visit);
   // Adds an entry to the digests and the per-service index, or removes it from
   // them. Both record the service as changed. GONE entries are not indexed.
   void AddToIndex(const rpc::Endpoint& endpoint);
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -81,6 +81,8 @@
   bool Expire(base::MonoTime now);
 
   std::vector<rpc::Endpoint> Entries() const;
+  // Incarnation of the entries.
+  uint64_t Incarnation() const { return identity_.incarnation_; }
   // Digest of the entries that are not GONE, as in EndpointRegistry::Digest.
   uint64_t Digest() const;
   // Increases with each change.
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -30,6 +30,14 @@
   return endpoint;
 }
 
+// The heartbeat of a host with this entry only.
+rpc::EndpointHeartbeat HeartbeatFor(const rpc::Endpoint& entry) {
+  rpc::EndpointHeartbeat heartbeat;
+  heartbeat.set_digest(registry::EntryDigest(entry));
+  heartbeat.set_incarnation(entry.incarnation());
+  return heartbeat;
+}
+
 base::MonoTime At(int seconds) {
   return base::MonoTime(std::chrono::seconds(100 + seconds));
 }
@@ -51,8 +59,7 @@
   BOOST_TEST(registry.ExpireLeases("zone-1", At(2)).empty());
   BOOST_TEST(registry.ExpireLeases("zone-1", At(4)).size() == 1u);
   BOOST_TEST(!registry.Merge(Entry("h", 1, 1), At(5)));
-  BOOST_TEST(
-      !registry.Heartbeat("h", registry::EntryDigest(Entry("h", 1, 1)), At(5)));
+  BOOST_TEST(!registry.Heartbeat("h", HeartbeatFor(Entry("h", 1, 1)), At(5)));
   BOOST_TEST(registry.Merge(Entry("h", 1, 2), At(5)));
 }
 
