Membership: 2n + 1 voters for n tolerated losses, in different zones

The large site tolerates two lost disks or a zone; there were three voters whatever the settings said, and at most nine members of twelve hosts. The zone of seeds was unknown, so voters could not be placed. The leader now adds it from what their relays report. New setting tolerated_losses.

Test: VotersAreEnoughForTwoLossesAndSpreadOverZones (failed on: nine members, no zones).

--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -104,6 +104,8 @@
   ResultCode AddLearner(const rpc::Member& member);
   ResultCode RemoveMember(const std::string& id);
   ResultCode PromoteLearner(const std::string& id);
+  // Sets the zone of a member.
+  ResultCode DescribeMember(const std::string& id, const std::string& zone);
   // Learners are promoted by PromoteLearner only, instead of as soon as they
   // have caught up with the log.
   void DisableAutoPromotion() { auto_promotion_disabled_ = true; }
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -121,6 +121,23 @@
   return ResultCode::kUnknownMember;
 }
 
+ResultCode RaftCore::DescribeMember(const std::string& id,
+                                    const std::string& zone) {
+  const ResultCode allowed = CheckMembershipChange();
+  if (allowed != ResultCode::kOk) {
+    return allowed;
+  }
+  rpc::Membership next = membership_;
+  for (rpc::Member& member : *next.mutable_members()) {
+    if (member.id() == id) {
+      member.set_zone(zone);
+      AppendAsLeader(rpc::ENTRY_KIND_MEMBERSHIP, next.SerializeAsString());
+      return ResultCode::kOk;
+    }
+  }
+  return ResultCode::kUnknownMember;
+}
+
 void RaftCore::PromoteCaughtUpLearner() {
   for (const rpc::Member& member : membership_.members()) {
     if (member.learner() && CaughtUp(member.id())) {
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -170,6 +170,8 @@
 void ParseSeeds(TomlReader& reader, Settings& settings) {
   settings.seeds_ = reader.Strings("seeds");
   settings.first_start_ = reader.Bool("first_start", false);
+  settings.tolerated_losses_ = static_cast<size_t>(
+      reader.Integer("tolerated_losses", 1, 0, kMaxToleratedLosses));
   const int64_t mesh_port = reader.Integer("mesh_port", 0, 0, kMaxPort);
   for (std::string& seed : settings.seeds_) {
     if (!IsIpAddress(seed)) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -55,6 +55,9 @@
   // The whole system starts for the first time: the seeds become the initial
   // voters.
   bool first_start_ = false;
+  // With seeds: sources that may be lost at the same time. There are 2n + 1
+  // voters for n of them, three at least.
+  size_t tolerated_losses_ = 1;
 
   // Settings of an adapter to a platform; the daemon itself ignores them.
   std::map<std::string, std::string> adapter_;
@@ -73,6 +76,7 @@
 inline constexpr int64_t kMaxAnnounceLeaseMs = 600'000;
 inline constexpr int64_t kMinDrainTimeMs = 1000;
 inline constexpr int64_t kMaxDrainTimeMs = 3'600'000;
+inline constexpr int64_t kMaxToleratedLosses = 3;
 // Range of http_threads and exchange_threads, which are validated but have no
 // effect: one event loop serves all connections.
 inline constexpr int64_t kMinThreads = 4;
--- a/src/distribution/source_members.cc
+++ b/src/distribution/source_members.cc
@@ -24,6 +24,8 @@
       return "promote";
     case membership::ChangeKind::kRemove:
       return "remove";
+    case membership::ChangeKind::kDescribe:
+      return "describe";
   }
   return "remove";
 }
@@ -75,6 +77,17 @@
   }
 }
 
+std::string SourceNode::ReportedZone(const std::string& source) const {
+  if (source == options_.id_) {
+    return options_.zone_;
+  }
+  const auto relay = distributor_.Subscribers().find(
+      membership::NodeIdOnSameHost(source, membership::kRelayRole));
+  return relay == distributor_.Subscribers().end()
+             ? std::string()
+             : relay->second.resume_.zone();
+}
+
 std::vector<membership::MemberStatus> SourceNode::MemberStatuses(
     const base::Now& now) const {
   std::vector<membership::MemberStatus> statuses;
@@ -83,6 +96,7 @@
     status.member_ = member;
     status.since_contact_ = raft_->TimeSinceLastReply(member.id(), now);
     status.caught_up_ = raft_->CaughtUp(member.id());
+    status.reported_zone_ = ReportedZone(member.id());
   }
   return statuses;
 }
@@ -108,6 +122,10 @@
     case membership::ChangeKind::kRemove:
       code = raft_->RemoveMember(change->member_.id());
       break;
+    case membership::ChangeKind::kDescribe:
+      code =
+          raft_->DescribeMember(change->member_.id(), change->member_.zone());
+      break;
   }
   if (code == ResultCode::kMembershipBusy) {
     return;
--- a/src/distribution/source_node.cc
+++ b/src/distribution/source_node.cc
@@ -26,7 +26,9 @@
       journal_(journal),
       distributor_(options_.id_, options_.seed_ + 1),
       controller_(rollout::MakeMovePolicy(options_.policy_)),
-      hosts_(options_.seeds_) {}
+      hosts_(options_.seeds_),
+      membership_planner_(
+          membership::TargetVoters(options_.tolerated_losses_)) {}
 
 tl::expected<std::unique_ptr<SourceNode>, ResultCode> SourceNode::Create(
     SourceOptions options,
--- a/src/distribution/source_node.h
+++ b/src/distribution/source_node.h
@@ -39,6 +39,8 @@
   std::vector<std::string> seeds_;
   std::string address_;
   std::string zone_;
+  // Sources that may be lost at the same time; decides the number of voters.
+  size_t tolerated_losses_ = 1;
   rollout::PolicyKind policy_ = rollout::PolicyKind::kSequential;
 };
 
@@ -154,6 +156,8 @@
   void RequestJoin(const base::Now& now);
   void OnJoin(const rpc::Envelope& envelope, const base::Now& now);
   void RepairMembership(const base::Now& now);
+  // Zone of a source, as reported by the relay on its host; empty if unknown.
+  std::string ReportedZone(const std::string& source) const;
   std::vector<membership::MemberStatus> MemberStatuses(
       const base::Now& now) const;
   // Logs, on the leader, that the newest revision is in force at all proxies.
--- a/src/membership/planner.cc
+++ b/src/membership/planner.cc
@@ -42,12 +42,40 @@
   return lost;
 }
 
-// Returns a live learner that has caught up with the log, or null.
+// Returns the number of live voters in `zone`.
+size_t LiveVotersIn(const std::string& zone,
+                    const std::vector<MemberStatus>& members) {
+  return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(), [&](const MemberStatus& status) {
+        return IsVoter(status) && status.Zone() == zone &&
+               !IsLost(status, members);
+      }));
+}
+
+// Returns a live learner that has caught up with the log, of the zone with the
+// fewest live voters, or null.
 const MemberStatus* FindReadyLearner(const std::vector<MemberStatus>& members) {
+  const MemberStatus* ready = nullptr;
+  size_t fewest = 0;
+  for (const MemberStatus& status : members) {
+    if (IsVoter(status) || !status.caught_up_ || IsLost(status, members)) {
+      continue;
+    }
+    const size_t voters = LiveVotersIn(status.Zone(), members);
+    if (ready == nullptr || voters < fewest) {
+      ready = &status;
+      fewest = voters;
+    }
+  }
+  return ready;
+}
+
+// Returns a member whose zone the membership lacks although it is known, or
+// null.
+const MemberStatus* FindUndescribed(const std::vector<MemberStatus>& members) {
   const auto found = std::find_if(
-      members.begin(), members.end(), [&members](const MemberStatus& status) {
-        return !IsVoter(status) && status.caught_up_ &&
-               !IsLost(status, members);
+      members.begin(), members.end(), [](const MemberStatus& status) {
+        return status.member_.zone().empty() && !status.reported_zone_.empty();
       });
   return found == members.end() ? nullptr : &*found;
 }
@@ -93,21 +121,28 @@
   const size_t voters = static_cast<size_t>(
       std::count_if(members.begin(), members.end(), IsVoter));
   const MemberStatus* lost = FindLostVoter(members);
-  if (lost != nullptr && voters > kTargetVoters) {
+  if (lost != nullptr && voters > target_voters_) {
     return MembershipChange{ChangeKind::kRemove, lost->member_,
                             "lost, and replaced"};
   }
   const MemberStatus* ready = FindReadyLearner(members);
-  if (lost != nullptr && ready != nullptr && voters == kTargetVoters &&
+  if (lost != nullptr && ready != nullptr && voters == target_voters_ &&
       LostItsDisk(*lost, members)) {
     return MembershipChange{ChangeKind::kRemove, lost->member_,
                             "its disk is lost"};
   }
-  if (ready != nullptr && (lost != nullptr || voters < kTargetVoters)) {
+  if (ready != nullptr && (lost != nullptr || voters < target_voters_)) {
     return MembershipChange{
         ChangeKind::kPromote, ready->member_,
         lost != nullptr ? "a voter is lost" : "voters are missing"};
   }
+  const MemberStatus* undescribed = FindUndescribed(members);
+  if (undescribed != nullptr) {
+    MembershipChange change{ChangeKind::kDescribe, undescribed->member_,
+                            "its zone is known"};
+    change.member_.set_zone(undescribed->reported_zone_);
+    return change;
+  }
   std::optional<MembershipChange> join = PlanJoin(members, now);
   if (join) {
     return join;
