Upload: routes with large bodies that may run once

An upload is sent once it has arrived, up to 256 KiB (64 such buffers a daemon), so that it holds no slot of an upstream meanwhile and goes to another endpoint if one refuses it; beyond that it is streamed, once. What cannot be served is refused on its head, and a caller that waits for 100 Continue isn't asked for its body. Uploads stay in their zone like large answers. Before the first publication a daemon answers 503 (below-floor), not 404.

Also bounds the bytes that wait for a receiver that doesn't read (8 MiB a stream).

--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -52,7 +52,9 @@
     if (!names.insert(route.name()).second) {
       Add(problems, ResultCode::kDuplicateRoute, service, route.name());
     }
-    if (route.at_most_once() && route.repeatable()) {
+    const bool keeps_body = route.at_most_once() || route.repeatable();
+    if ((route.at_most_once() && route.repeatable()) ||
+        (route.large_body() && keeps_body)) {
       Add(problems, ResultCode::kConflictingOptions, service, route.name());
     }
     std::vector<std::string> methods(route.methods().begin(),
--- a/src/config/service_file.cc
+++ b/src/config/service_file.cc
@@ -69,6 +69,11 @@
     reader.Report(ResultCode::kConflictingOptions, "hedge",
                   "needs repeatable and only GET, HEAD or OPTIONS");
   }
+  if (route.large_body() && (route.at_most_once() || route.repeatable())) {
+    reader.Report(ResultCode::kConflictingOptions, "large_body",
+                  "excludes at_most_once and repeatable: a body that is not "
+                  "kept cannot be sent or compared again");
+  }
 }
 
 void ParseRoute(const toml::table& table,
@@ -89,6 +94,7 @@
   route.set_max_concurrency(static_cast<uint32_t>(
       reader.Integer("max_concurrency", 0, 0, kMaxConcurrency)));
   route.set_hedge(reader.Bool("hedge", false));
+  route.set_large_body(reader.Bool("large_body", false));
   ParseKey(reader, route);
   CheckRouteOptions(reader, route);
   reader.RejectUnknownKeys();
--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -7,6 +7,13 @@
 #include "daemon/entry_call.h"
 
 namespace buckthorngate::daemon {
+namespace {
+
+// A buffered upload is held twice, by the call and by its attempt: at most
+// 32 MiB in total.
+constexpr size_t kMaxUploadBuffers = 64;
+
+}  // namespace
 
 Entry::Entry(EntryOptions options,
              const base::Clock& clock,
@@ -24,7 +31,8 @@
       local_hop_(local_hop),
       remote_hop_(remote_hop),
       on_brake_(std::move(on_brake)),
-      random_(options_.incarnation_ ^ base::Hash(options_.host_)) {}
+      random_(options_.incarnation_ ^ base::Hash(options_.host_)),
+      upload_buffers_(kMaxUploadBuffers) {}
 
 std::string Entry::NextId() {
   return options_.host_ + "-" + std::to_string(options_.incarnation_) + "-" +
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -16,6 +16,7 @@
 #include "http/event_loop.h"
 #include "http/server.h"
 #include "mesh.pb.h"
+#include "request/buffer_budget.h"
 #include "request/dialect.h"
 
 namespace buckthorngate::daemon {
@@ -75,6 +76,7 @@
   base::Random random_;
   uint64_t next_request_ = 1;
   size_t parallel_attempts_ = 0;
+  request::BufferBudget upload_buffers_;
 };
 
 }  // namespace buckthorngate::daemon
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/entry_attempt.cc
@@ -43,25 +43,37 @@
   return request::ChooseVersions(*service_state_, request_id_, braked);
 }
 
-Entry::Call::AttemptPtr Entry::Call::BeginAttempt(ResultCode& code) {
-  const request::VersionChoice versions = ChooseVersions();
+request::PickedEndpoint Entry::Call::Pick(
+    const request::VersionChoice& versions,
+    base::MonoTime now,
+    ResultCode& code) const {
+  const rpc::Route& route = *match_.route_;
   const request::VersionView* first =
       view_->Find(service_name_, versions.first_);
   const request::VersionView* fallback =
       versions.fallback_.empty()
           ? nullptr
           : view_->Find(service_name_, versions.fallback_);
-  const base::MonoTime now = entry_.clock_.Read().mono_;
   const request::PickedEndpoint picked = request::PickWithFallback(
-      first, fallback, {tried_endpoints_, match_.route_->large(), Rank()}, now,
+      first, fallback,
+      {tried_endpoints_, route.large() || route.large_body(), Rank()}, now,
       entry_.random_);
-  const request::EndpointView* endpoint = picked.endpoint_;
-  if (endpoint == nullptr) {
+  if (picked.endpoint_ == nullptr) {
     const auto full = [&](const request::VersionView* endpoints) {
       return endpoints != nullptr && request::AnyFull(*endpoints, Rank(), now);
     };
     code = full(first) || full(fallback) ? ResultCode::kEndpointOverloaded
                                          : ResultCode::kNoEndpoint;
+  }
+  return picked;
+}
+
+Entry::Call::AttemptPtr Entry::Call::BeginAttempt(ResultCode& code) {
+  const request::VersionChoice versions = ChooseVersions();
+  const base::MonoTime now = entry_.clock_.Read().mono_;
+  const request::PickedEndpoint picked = Pick(versions, now, code);
+  const request::EndpointView* endpoint = picked.endpoint_;
+  if (endpoint == nullptr) {
     return nullptr;
   }
   AttemptPtr attempt = std::make_shared<Attempt>();
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/entry_call.cc
@@ -16,6 +16,8 @@
 // Body limit of requests that run at most once: the claim needs a digest of the
 // whole request, so they are not streamed.
 constexpr size_t kMaxClaimBodyBytes = size_t{1024} * 1024;
+// Uploads up to this size are sent once they have arrived; see BufferBudget.
+constexpr size_t kUploadBufferBytes = size_t{256} * 1024;
 // Claims outlive their request by far. Otherwise a daemon that was suspended
 // after claiming a key could run its request after the claim has expired and
 // was granted to another daemon.
@@ -107,7 +109,12 @@
   }
   match_ = view_->routes_->Match(head.headers_.Find("Host"), head.Path(),
                                  head.method_);
-  return match_.route_ == nullptr ? ResultCode::kNoRoute : ResultCode::kOk;
+  if (match_.route_ != nullptr) {
+    return ResultCode::kOk;
+  }
+  // Before the first publication it is not known which routes will exist.
+  return view_->routes_->Empty() ? ResultCode::kBelowFloor
+                                 : ResultCode::kNoRoute;
 }
 
 void Entry::Call::ChooseService() {
@@ -147,13 +154,29 @@
   objective_ = objective > elapsed ? began_ + (objective - elapsed) : deadline_;
 }
 
+size_t Entry::Call::BodyBufferBytes() {
+  if (match_.route_->at_most_once()) {
+    return kMaxClaimBodyBytes;
+  }
+  if (!match_.route_->large_body()) {
+    return kMaxBufferedBodyBytes;
+  }
+  upload_buffer_ = entry_.upload_buffers_.Reserve();
+  return upload_buffer_ ? kUploadBufferBytes : kMaxBufferedBodyBytes;
+}
+
+ResultCode Entry::Call::CheckEndpoints() {
+  ResultCode code = ResultCode::kOk;
+  (void)Pick(ChooseVersions(), entry_.clock_.Read().mono_, code);
+  return code;
+}
+
 http::Task<ResultCode> Entry::Call::ReadBody() {
   if (!call_.HasBody()) {
     co_return ResultCode::kOk;
   }
   const bool at_most_once = match_.route_->at_most_once();
-  const size_t max_bytes =
-      at_most_once ? kMaxClaimBodyBytes : kMaxBufferedBodyBytes;
+  const size_t max_bytes = BodyBufferBytes();
   http::BodyState state = http::BodyState::kMore;
   while (state == http::BodyState::kMore && body_.size() < max_bytes) {
     state = co_await call_.Read(body_, max_bytes);
@@ -186,6 +209,13 @@
   if (!nested_ && entry_.board_.ShutsDownBefore(deadline_)) {
     co_return ResultCode::kShuttingDown;
   }
+  if (match_.route_->large_body()) {
+    // An upload that cannot be served is refused before its body is read.
+    const ResultCode available = CheckEndpoints();
+    if (available != ResultCode::kOk) {
+      co_return available;
+    }
+  }
   const ResultCode read = co_await ReadBody();
   if (read != ResultCode::kOk) {
     co_return read;
--- a/src/daemon/entry_call.h
+++ b/src/daemon/entry_call.h
@@ -64,6 +64,10 @@
   void ChooseService();
   void SetDeadlines();
   http::Task<ResultCode> ReadBody();
+  // Bytes of the body that are buffered before the request is sent.
+  size_t BodyBufferBytes();
+  // Returns kOk if an endpoint can be picked now, or the reason why not.
+  ResultCode CheckEndpoints();
   // Counts the request against its route's concurrency limit; false if the
   // limit is reached.
   bool AcquireRouteConcurrency();
@@ -82,6 +86,10 @@
   // Picks an endpoint and prepares an attempt; null with the reason in `code`
   // if there is no endpoint left.
   AttemptPtr BeginAttempt(ResultCode& code);
+  // Picks an endpoint; null with the reason in `code` if there is none left.
+  request::PickedEndpoint Pick(const request::VersionChoice& versions,
+                               base::MonoTime now,
+                               ResultCode& code) const;
   request::VersionChoice ChooseVersions() const;
   HopRequest MakeHopRequest(const Attempt& attempt) const;
   Hop& SelectHop(const Attempt& attempt) const;
@@ -182,6 +190,8 @@
   std::string request_id_;
   std::string fingerprint_;
   std::string body_;
+  // Reserved for the body of an upload while it is buffered.
+  request::BufferBudget::Buffer upload_buffer_;
   // The body exceeds the buffer limit: it is streamed and can be sent only
   // once.
   bool streamed_ = false;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -161,9 +161,7 @@
                        message.method_string().size());
   head_.target_.assign(message.target().data(), message.target().size());
   CopyHeaders(message, head_.headers_);
-  if (message[bhttp::field::expect] == "100-continue") {
-    co_await SendContinue();
-  }
+  awaits_continue_ = message[bhttp::field::expect] == "100-continue";
   co_return true;
 }
 
@@ -351,6 +349,9 @@
   if (parser_->is_done()) {
     co_return BodyState::kEnd;
   }
+  if (std::exchange(awaits_continue_, false)) {
+    co_await SendContinue();
+  }
   const size_t held = piece.size();
   const size_t room = std::min(most - std::min(most, held), kPieceBytes);
   piece.resize(held + room);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -105,6 +105,8 @@
   bool handling_ = false;
   bool serving_ = true;
   bool keep_ = true;
+  // The caller waits to be asked for its body. Reset by the first Read.
+  bool awaits_continue_ = false;
   // An answer has been sent whole.
   bool answered_ = false;
   // Kept up to date for the case that the request is cut. Its cause is set
--- a/src/http/server_connection_answer.cc
+++ b/src/http/server_connection_answer.cc
@@ -54,7 +54,9 @@
 }
 
 bool Server::Connection::MayKeep() const {
-  return keep_ && server_ != nullptr && !server_->draining_;
+  // A caller that was not asked for its body may send it all the same.
+  const bool body_unasked = awaits_continue_ && !parser_->is_done();
+  return keep_ && !body_unasked && server_ != nullptr && !server_->draining_;
 }
 
 template <class Message>
--- a/src/request/endpoint_picker.cc
+++ b/src/request/endpoint_picker.cc
@@ -132,7 +132,7 @@
 const EndpointView* PickByZone(const PickContext& pick,
                                Eligibility eligibility,
                                base::Random& random) {
-  const bool large = pick.options_.large_answer_;
+  const bool large = pick.options_.large_transfer_;
   const double spill_load = large ? kLargeSpillLoad : kSpillLoad;
   const double spill_gain = large ? kLargeSpillGain : kSpillGain;
   const size_t own = pick.version_.own_zone_count_;
--- a/src/request/endpoint_picker.h
+++ b/src/request/endpoint_picker.h
@@ -18,9 +18,10 @@
 // than kSpillGain. Loads are in requests per slot.
 inline constexpr double kSpillLoad = 0.9;
 inline constexpr double kSpillGain = 0.15;
-// The same for routes with large answers. These leave the own zone only if
-// requests queue at its endpoint and the other endpoint normally has a free
-// slot: transferring their bytes between zones costs more than a short wait.
+// The same for routes with large answers or bodies. These leave the own zone
+// only if requests queue at its endpoint and the other endpoint normally has a
+// free slot: transferring their bytes between zones costs more than a short
+// wait.
 inline constexpr double kLargeSpillLoad = 1.5;
 inline constexpr double kLargeSpillGain = 0.5;
 
@@ -30,7 +31,7 @@
 
 struct PickOptions {
   std::vector<std::string> tried_;  // Ids of endpoints to exclude.
-  bool large_answer_ = false;
+  bool large_transfer_ = false;
   uint32_t rank_ = 0;  // Urgency of the request; see RankOf.
 };
 
--- a/src/request/route_table.h
+++ b/src/request/route_table.h
@@ -38,6 +38,9 @@
   // ordered.
   const rpc::ServiceState* FindService(std::string_view name) const;
 
+  // Whether there are no routes at all: nothing was published yet.
+  bool Empty() const { return hosts_.empty(); }
+
   // A prefix matches whole path segments: /orders matches /orders/7 but not
   // /orders2. A route for exactly this host takes precedence over one for "*".
   // Costs one hash lookup for each segment of the path.
--- a/src/rpc/mesh_stream.h
+++ b/src/rpc/mesh_stream.h
@@ -11,8 +11,10 @@
 
 namespace buckthorngate::rpc {
 
-// Messages beyond this limit are dropped; the nodes' protocols resend them.
+// Messages beyond these limits are dropped; the nodes' protocols resend them.
+// The bytes bound the memory that a receiver that doesn't read costs.
 inline constexpr size_t kMaxQueuedMessages = 8192;
+inline constexpr size_t kMaxQueuedBytes = size_t{8} * 1024 * 1024;
 
 // Safe for concurrent use. The client or server reactor derives from it and
 // implements StartWriteOf and EndStream.
@@ -24,10 +26,15 @@
   // full.
   bool Send(Envelope envelope) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (closed_ || queue_.size() >= kMaxQueuedMessages) {
+    const size_t bytes = envelope.ByteSizeLong();
+    // A message that is larger than the limit is sent alone.
+    const bool fits =
+        queued_bytes_ == 0 || queued_bytes_ + bytes <= kMaxQueuedBytes;
+    if (closed_ || !fits || queue_.size() >= kMaxQueuedMessages) {
       return false;
     }
-    queue_.push_back(std::move(envelope));
+    queued_bytes_ += bytes;
+    queue_.push_back({std::move(envelope), bytes});
     if (!writing_) {
       StartNextLocked();
     }
@@ -64,9 +71,15 @@
   }
 
  private:
+  struct QueuedMessage {
+    Envelope envelope_;
+    size_t bytes_ = 0;
+  };
+
   void StartNextLocked() {
     writing_ = true;
-    current_ = std::move(queue_.front());
+    current_ = std::move(queue_.front().envelope_);
+    queued_bytes_ -= queue_.front().bytes_;
     queue_.pop_front();
     StartWriteOf(current_, !queue_.empty());
   }
@@ -83,7 +96,8 @@
   }
 
   std::mutex mutex_;
-  std::deque<Envelope> queue_;
+  std::deque<QueuedMessage> queue_;
+  size_t queued_bytes_ = 0;  // Invariant: sum of bytes_ in queue_.
   // The message being written. Invariant: does not change while writing_.
   Envelope current_;
   bool writing_ = false;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -61,6 +61,9 @@
       {"service = \"a\"\nversion = \"v1\"\n[[route]]\nname = \"r\"\n"
        "path = \"/a\"\nrepeatable = true\nat_most_once = true\n",
        ResultCode::kConflictingOptions, 7},
+      {"service = \"a\"\nversion = \"v1\"\n[[route]]\nname = \"r\"\n"
+       "path = \"/a\"\nrepeatable = true\nlarge_body = true\n",
+       ResultCode::kConflictingOptions, 7},
       {"service = \"a\"\nversion = \"v1\"\n[move]\nto = \"v2\"\n"
        "deadline = 2030-01-31T12:00:00\n",
        ResultCode::kWrongType, 5},
--- a/tests/entry_harness.cc
+++ b/tests/entry_harness.cc
@@ -49,8 +49,18 @@
   head_.target_ = "/a";
 }
 
-http::Task<http::BodyState> WaitingCaller::Read(std::string&, size_t) {
-  co_return http::BodyState::kEnd;
+WaitingCaller::WaitingCaller(const std::string& method,
+                             std::vector<std::string> pieces)
+    : WaitingCaller(method) {
+  pieces_ = std::move(pieces);
+}
+
+http::Task<http::BodyState> WaitingCaller::Read(std::string& piece, size_t) {
+  if (pieces_read_ < pieces_.size()) {
+    piece += pieces_[pieces_read_++];
+  }
+  co_return pieces_read_ < pieces_.size() ? http::BodyState::kMore
+                                          : http::BodyState::kEnd;
 }
 
 http::Task<bool> WaitingCaller::Answer(const http::AnswerHead& head,
@@ -112,6 +122,7 @@
   rpc::Route& route = *state.mutable_service()->mutable_routes(0);
   route.set_hedge(options.hedge_);
   route.set_repeatable(options.repeatable_route_);
+  route.set_large_body(options.large_body_route_);
   route.set_timeout_ms(static_cast<uint32_t>(options.route_timeout_.count()));
   config.Put(state);
   config.SetRevision(1);
--- a/tests/entry_harness.h
+++ b/tests/entry_harness.h
@@ -21,10 +21,12 @@
 class WaitingCaller : public http::ServerCall {
  public:
   explicit WaitingCaller(const std::string& method = "GET");
+  // A caller that sends a body in these pieces.
+  WaitingCaller(const std::string& method, std::vector<std::string> pieces);
 
   const http::RequestHead& Head() const override { return head_; }
   void SetId(std::string_view) override {}
-  bool HasBody() const override { return false; }
+  bool HasBody() const override { return !pieces_.empty(); }
   http::CancelSignal& Gone() override { return gone_; }
   bool StillThere() override { return true; }
   bool AnswerArrived() override { return true; }
@@ -44,8 +46,11 @@
   // Of the answer; valid once `ended_` is set.
   int status_ = 0;
   std::promise<void> ended_;
+  // Pieces of the body that were read.
+  size_t pieces_read_ = 0;
 
  private:
+  std::vector<std::string> pieces_;
   http::RequestHead head_;
   http::CancelSignal gone_;
 };
@@ -55,6 +60,7 @@
   bool hedge_ = false;
   // Requests of safe methods may be repeated on any route.
   bool repeatable_route_ = true;
+  bool large_body_route_ = false;
   // "host:port" of the daemons on the endpoints' hosts. The endpoints' ids are
   // "one", "two" and so on.
   std::vector<std::string> peer_addresses_;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -32,6 +32,12 @@
 
   http::Task<void> Handle(http::ServerCall& call) override {
     ++calls_;
+    if (call.Head().target_ == "/refused") {
+      http::AnswerHead head;
+      head.status_ = 503;
+      co_await call.Answer(head, "");
+      co_return;
+    }
     std::string body;
     const http::BodyState state = co_await http::ReadUpTo(call, body, 1 << 20);
     if (state != http::BodyState::kEnd) {
@@ -142,6 +148,21 @@
   BOOST_TEST(answer.find("</chello>") != std::string::npos);
 }
 
+// Guards against callers that are asked for a body which nobody wants: a
+// request that is refused on its head gets the refusal only, and its connection
+// is closed, since a body may follow or not.
+BOOST_AUTO_TEST_CASE(ACallerThatIsRefusedIsNotAskedForItsBody) {
+  ServedEcho served;
+  RawSocket caller(served.Port());
+  caller.Send(
+      "POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
+      "Expect: 100-continue\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503"), answer.substr(0, 40));
+  BOOST_TEST(answer.find("100 Continue") == std::string::npos);
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesIsNoticedAtOnce) {
   ServedEcho served;
   RawSocket caller(served.Port());
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -45,6 +45,32 @@
   return text.replace(at, from.size(), to);
 }
 
+// Each kind that the platform names, and what it means for repetition.
+BOOST_AUTO_TEST_CASE(EachKindOfRouteIsKnown) {
+  struct Kind {
+    std::string name_;
+    bool repeatable_;
+    bool large_answer_;
+    bool large_body_;
+  };
+  for (const Kind& kind :
+       {Kind{"safe", true, false, false}, Kind{"unsafe", false, false, false},
+        Kind{"download", true, true, false},
+        Kind{"upload", false, false, true}}) {
+    const auto routing = platform::DecodeConfiguration(
+        Replace(kConfiguration, "\"unsafe\"", "\"" + kind.name_ + "\""));
+    BOOST_REQUIRE_MESSAGE(routing.has_value(), kind.name_);
+    const rpc::Route& route = routing->routes(0);
+    BOOST_TEST(route.repeatable() == kind.repeatable_, kind.name_);
+    BOOST_TEST(route.large() == kind.large_answer_, kind.name_);
+    BOOST_TEST(route.large_body() == kind.large_body_, kind.name_);
+    BOOST_TEST(!route.at_most_once(), kind.name_);
+  }
+  BOOST_TEST(!platform::DecodeConfiguration(
+                  Replace(kConfiguration, "\"unsafe\"", "\"stream\""))
+                  .has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AConfigurationBecomesRoutesOfTheMesh) {
   const auto routing = platform::DecodeConfiguration(kConfiguration);
   BOOST_REQUIRE(routing.has_value());
