--- a/src/cli/init.cc
+++ b/src/cli/init.cc
@@ -35,6 +35,13 @@
 at_most_once = true                # never runs twice
 key = "header:Idempotency-Key"     # or "digest"
 
+[[route]]
+name = "scan"
+path = "/catalogue/scan"
+methods = ["POST"]
+timeout_ms = 10000
+large_body = true     # large request bodies; sent to one endpoint only
+
 # Uncomment to move traffic to v2 by the deadline.
 # [move]
 # to = "v2"
