--- a/fuzz/fuzz_targets.cc
+++ b/fuzz/fuzz_targets.cc
@@ -6,8 +6,8 @@
 #include "config/check.h"
 #include "config/publication.h"
 #include "config/service_file.h"
-#include "daemon/hop_codec.h"
-#include "daemon/settings.h"
+#include "daemon/serving/hop_codec.h"
+#include "daemon/startup/settings.h"
 #include "request/route_table.h"
 #include "storage/file_journal.h"
 #include "test_mesh.h"
@@ -30,9 +30,10 @@
 
 bool SettingsFile(std::string_view input) {
   config::Problems problems;
-  const daemon::Settings settings =
-      daemon::ParseSettings(input, "fuzz.toml", problems);
-  return !problems.empty() || daemon::IsIpAddress(settings.control_address_);
+  const daemon::startup::Settings settings =
+      daemon::startup::ParseSettings(input, "fuzz.toml", problems);
+  return !problems.empty() ||
+         daemon::startup::IsIpAddress(settings.control_address_);
 }
 
 // Decoding a prefix again gives the same records.
@@ -99,7 +100,7 @@
     }
   }
   const base::MonoTime now{std::chrono::hours(1)};
-  const auto request = daemon::DecodeHopRequest(head, now);
+  const auto request = daemon::serving::DecodeHopRequest(head, now);
   return !request || (!request->endpoint_id_.empty() &&
                       request->deadline_ >= now && request->objective_ >= now);
 }
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -1,17 +1,17 @@
 // Admin server: forms of upstreams and pages, handled on threads that only get
 // requests which were read completely.
-#include "daemon/admin_server.h"
+#include "daemon/control/admin_server.h"
 
 #include <algorithm>
 #include <string_view>
 #include <utility>
 
 #include "base/http_status.h"
-#include "daemon/blocking_server.h"
-#include "daemon/settings.h"
+#include "daemon/control/blocking_server.h"
+#include "daemon/startup/settings.h"
 #include "http/head.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 namespace {
 
 constexpr size_t kServerThreads = 8;
@@ -124,7 +124,7 @@
     announcement.instance_ = FindParameter(call, "instance");
     const bool valid = !announcement.service_.empty() &&
                        !announcement.version_.empty() &&
-                       IsIpAddress(announcement.address_);
+                       startup::IsIpAddress(announcement.address_);
     if (!valid) {
       return TextAnswer(
           base::kStatusBadRequest,
@@ -168,4 +168,4 @@
   impl_->Stop();
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/admin_server.h
+++ b/src/daemon/control/admin_server.h
@@ -1,7 +1,7 @@
 // Admin HTTP server of a daemon: registration of upstreams, metrics and health
 // checks.
-#ifndef SRC_DAEMON_ADMIN_SERVER_H_
-#define SRC_DAEMON_ADMIN_SERVER_H_
+#ifndef SRC_DAEMON_CONTROL_ADMIN_SERVER_H_
+#define SRC_DAEMON_CONTROL_ADMIN_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -10,7 +10,7 @@
 #include "buckthorngate/result_code.h"
 #include "registry/local_endpoints.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // Callbacks behind the admin endpoints; must be safe for concurrent use. The
 // first three serve upstreams and are null on a daemon without the proxy role.
@@ -36,6 +36,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_ADMIN_SERVER_H_
+#endif  // SRC_DAEMON_CONTROL_ADMIN_SERVER_H_
--- a/src/daemon/blocking_server.cc
+++ b/src/daemon/control/blocking_server.cc
@@ -1,6 +1,6 @@
 // Reads requests on an event loop, handles them on a thread pool and sends the
 // answers on the event loop.
-#include "daemon/blocking_server.h"
+#include "daemon/control/blocking_server.h"
 
 #include <algorithm>
 #include <exception>
@@ -10,10 +10,10 @@
 
 #include "base/events.h"
 #include "base/http_status.h"
-#include "daemon/cut_log.h"
+#include "daemon/serving/cut_log.h"
 #include "http/event_loop.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 namespace {
 
 // Bytes of each call that do not count against the shared limit, so that small
@@ -88,8 +88,9 @@
     server_.OnMalformed([this](int status, std::string_view what) {
       LogRefused(status, std::string(what));
     });
-    server_.OnCut(
-        [this](const http::CutCall& call) { LogCutCall(limits_.name_, call); });
+    server_.OnCut([this](const http::CutCall& call) {
+      serving::LogCutCall(limits_.name_, call);
+    });
   }
   ~Impl() override { Stop(); }
 
@@ -257,4 +258,4 @@
   return impl_->BufferedBytes();
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/blocking_server.h
+++ b/src/daemon/control/blocking_server.h
@@ -4,8 +4,8 @@
 // A request is dispatched to a thread only after it was read completely, and
 // the event loop sends the answer. A slow client can therefore occupy a
 // connection for a bounded time, but never a thread.
-#ifndef SRC_DAEMON_BLOCKING_SERVER_H_
-#define SRC_DAEMON_BLOCKING_SERVER_H_
+#ifndef SRC_DAEMON_CONTROL_BLOCKING_SERVER_H_
+#define SRC_DAEMON_CONTROL_BLOCKING_SERVER_H_
 
 #include <cstddef>
 #include <memory>
@@ -16,7 +16,7 @@
 #include "http/head.h"
 #include "http/server.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // A request that was read completely.
 struct BufferedRequest {
@@ -73,6 +73,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_BLOCKING_SERVER_H_
+#endif  // SRC_DAEMON_CONTROL_BLOCKING_SERVER_H_
--- a/src/daemon/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -1,8 +1,8 @@
 // Interface between a daemon and an adapter to a deployment platform.
 //
 // All calls block until their result is known and are safe for concurrent use.
-#ifndef SRC_DAEMON_CONTROL_API_H_
-#define SRC_DAEMON_CONTROL_API_H_
+#ifndef SRC_DAEMON_CONTROL_CONTROL_API_H_
+#define SRC_DAEMON_CONTROL_CONTROL_API_H_
 
 #include <cstdint>
 #include <memory>
@@ -12,7 +12,7 @@
 #include "mesh.pb.h"
 #include "registry/local_endpoints.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // Result of reading the published routing document of the mesh.
 struct RoutingReport {
@@ -78,6 +78,6 @@
   virtual void Stop() = 0;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_CONTROL_API_H_
+#endif  // SRC_DAEMON_CONTROL_CONTROL_API_H_
--- a/src/daemon/control_metrics.cc
+++ b/src/daemon/control/control_metrics.cc
@@ -1,7 +1,7 @@
 // Recording and rendering of a control host's metrics.
-#include "daemon/control_metrics.h"
+#include "daemon/control/control_metrics.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 namespace {
 
 // A node's values are recorded at most once per interval.
@@ -123,4 +123,4 @@
   return out;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/control_metrics.h
+++ b/src/daemon/control/control_metrics.h
@@ -3,8 +3,8 @@
 // Each node's loop records its values after a flush, and a scrape reads them
 // without waiting for that loop. A loop that hangs in a disk sync shows up as a
 // growing age of its values.
-#ifndef SRC_DAEMON_CONTROL_METRICS_H_
-#define SRC_DAEMON_CONTROL_METRICS_H_
+#ifndef SRC_DAEMON_CONTROL_CONTROL_METRICS_H_
+#define SRC_DAEMON_CONTROL_CONTROL_METRICS_H_
 
 #include <array>
 #include <atomic>
@@ -17,7 +17,7 @@
 #include "distribution/source_node.h"
 #include "storage/timed_journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // Safe for concurrent use, but for the two SetJournal functions.
 class ControlMetrics {
@@ -67,6 +67,6 @@
   std::array<std::atomic<uint64_t>, kResultCodeCount> reads_by_code_ = {};
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_CONTROL_METRICS_H_
+#endif  // SRC_DAEMON_CONTROL_CONTROL_METRICS_H_
--- a/src/daemon/node_loop.cc
+++ b/src/daemon/control/node_loop.cc
@@ -1,9 +1,9 @@
 // The event loop thread of one node.
-#include "daemon/node_loop.h"
+#include "daemon/control/node_loop.h"
 
 #include <utility>
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 namespace {
 
 constexpr size_t kMaxQueuedMessages = 100'000;
@@ -111,4 +111,4 @@
   }
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/node_loop.h
+++ b/src/daemon/control/node_loop.h
@@ -1,6 +1,6 @@
 // The event loop thread of one node: messages, tasks, timer and flush.
-#ifndef SRC_DAEMON_NODE_LOOP_H_
-#define SRC_DAEMON_NODE_LOOP_H_
+#ifndef SRC_DAEMON_CONTROL_NODE_LOOP_H_
+#define SRC_DAEMON_CONTROL_NODE_LOOP_H_
 
 #include <condition_variable>
 #include <functional>
@@ -13,7 +13,7 @@
 #include "base/node.h"
 #include "base/time.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // A function to run on the loop's thread.
 using NodeTask = std::function<void(const base::Now&)>;
@@ -63,6 +63,6 @@
   std::thread thread_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_NODE_LOOP_H_
+#endif  // SRC_DAEMON_CONTROL_NODE_LOOP_H_
--- a/src/daemon/node_options.cc
+++ b/src/daemon/control/node_options.cc
@@ -1,13 +1,13 @@
 // Options and journals of a control host's nodes.
-#include "daemon/node_options.h"
+#include "daemon/control/node_options.h"
 
 #include "base/hash.h"
 #include "storage/file_journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 distribution::SourceOptions MakeSourceOptions(
-    const Settings& settings,
+    const startup::Settings& settings,
     const rpc::Membership& first_members,
     uint64_t incarnation) {
   distribution::SourceOptions options;
@@ -27,7 +27,7 @@
   return options;
 }
 
-distribution::RelayOptions MakeRelayOptions(const Settings& settings,
+distribution::RelayOptions MakeRelayOptions(const startup::Settings& settings,
                                             uint64_t incarnation) {
   distribution::RelayOptions options;
   options.id_ = settings.relay_id_;
@@ -46,11 +46,12 @@
   return options;
 }
 
-std::unique_ptr<storage::TimedJournal> MakeJournal(const std::string& name,
-                                                   const Settings& settings) {
+std::unique_ptr<storage::TimedJournal> MakeJournal(
+    const std::string& name,
+    const startup::Settings& settings) {
   return std::make_unique<storage::TimedJournal>(
       name, std::make_unique<storage::FileJournal>(settings.data_folder_ + "/" +
                                                    name + ".journal"));
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/source_commands.cc
+++ b/src/daemon/control/source_commands.cc
@@ -1,11 +1,11 @@
 // Operator commands on this daemon's source.
-#include "daemon/source_commands.h"
+#include "daemon/control/source_commands.h"
 
 #include <utility>
 
 #include "base/events.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 namespace {
 
 constexpr std::chrono::seconds kCommandTimeout{5};
@@ -127,4 +127,4 @@
   return report;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
--- a/src/daemon/source_commands.h
+++ b/src/daemon/control/source_commands.h
@@ -1,7 +1,7 @@
 // Runs operator commands on this daemon's source: starts them on the source's
 // loop and blocks until their results are known.
-#ifndef SRC_DAEMON_SOURCE_COMMANDS_H_
-#define SRC_DAEMON_SOURCE_COMMANDS_H_
+#ifndef SRC_DAEMON_CONTROL_SOURCE_COMMANDS_H_
+#define SRC_DAEMON_CONTROL_SOURCE_COMMANDS_H_
 
 #include <functional>
 #include <future>
@@ -10,12 +10,12 @@
 #include <string>
 #include <string_view>
 
-#include "daemon/control_api.h"
-#include "daemon/control_metrics.h"
-#include "daemon/node_loop.h"
+#include "daemon/control/control_api.h"
+#include "daemon/control/control_metrics.h"
+#include "daemon/control/node_loop.h"
 #include "distribution/source_node.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::control {
 
 // Safe for concurrent use, except for DeliverResults.
 class SourceCommands {
@@ -54,6 +54,6 @@
 // A failed reply with the code's message.
 rpc::PublishReply MakeFailure(ResultCode code);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::control
 
-#endif  // SRC_DAEMON_SOURCE_COMMANDS_H_
+#endif  // SRC_DAEMON_CONTROL_SOURCE_COMMANDS_H_
--- a/src/daemon/claim_client.cc
+++ b/src/daemon/serving/claim_client.cc
@@ -1,7 +1,7 @@
 // Claim requests between the event loop and the node loop.
-#include "daemon/claim_client.h"
+#include "daemon/serving/claim_client.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // Longer than the claim coordinator's own timeout by the time that the two
@@ -12,7 +12,7 @@
 
 ClaimClient::ClaimClient(const base::Clock& clock,
                          http::EventLoop& loop,
-                         NodeLoop& node_loop,
+                         control::NodeLoop& node_loop,
                          distribution::ProxyNode& node)
     : clock_(clock), loop_(loop), node_loop_(node_loop), node_(node) {}
 
@@ -61,4 +61,4 @@
   });
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/claim_client.h
+++ b/src/daemon/serving/claim_client.h
@@ -1,8 +1,8 @@
 // Connects the request path to the claim protocol, which makes requests of
 // at-most-once routes run at most once: passes claim requests to the node loop
 // and waits for their outcomes on the event loop.
-#ifndef SRC_DAEMON_CLAIM_CLIENT_H_
-#define SRC_DAEMON_CLAIM_CLIENT_H_
+#ifndef SRC_DAEMON_SERVING_CLAIM_CLIENT_H_
+#define SRC_DAEMON_SERVING_CLAIM_CLIENT_H_
 
 #include <map>
 #include <memory>
@@ -10,19 +10,19 @@
 #include <utility>
 #include <vector>
 
-#include "daemon/node_loop.h"
+#include "daemon/control/node_loop.h"
 #include "distribution/proxy_node.h"
 #include "http/event_loop.h"
 #include "request/claim_coordinator.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 class ClaimClient {
  public:
   // All must outlive the client.
   ClaimClient(const base::Clock& clock,
               http::EventLoop& loop,
-              NodeLoop& node_loop,
+              control::NodeLoop& node_loop,
               distribution::ProxyNode& node);
 
   // Starts a claim request and waits for its outcome. On a timeout the outcome
@@ -51,13 +51,13 @@
 
   const base::Clock& clock_;
   http::EventLoop& loop_;
-  NodeLoop& node_loop_;
+  control::NodeLoop& node_loop_;
   distribution::ProxyNode& node_;
   // Claim requests that wait for their outcome. Used on the event loop's thread
   // only.
   std::map<Key, std::shared_ptr<PendingClaim>> pending_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_CLAIM_CLIENT_H_
+#endif  // SRC_DAEMON_SERVING_CLAIM_CLIENT_H_
--- a/src/daemon/cut_log.cc
+++ b/src/daemon/serving/cut_log.cc
@@ -1,11 +1,11 @@
 // Log lines of requests that ended without a complete answer.
-#include "daemon/cut_log.h"
+#include "daemon/serving/cut_log.h"
 
 #include <string>
 
 #include "base/events.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 void LogCutCall(const std::string& side, const http::CutCall& call) {
   // Callers may disconnect at any rate, and hedged requests do so routinely.
@@ -28,4 +28,4 @@
                   {"us", std::to_string(call.since_read_.count())}});
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -1,17 +1,17 @@
 // Admission of requests to this host's upstreams, and their execution.
-#include "daemon/destination.h"
+#include "daemon/serving/destination.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/events.h"
 #include "base/http_status.h"
-#include "daemon/destination_upstream.h"
-#include "daemon/hop_codec.h"
+#include "daemon/serving/destination_upstream.h"
+#include "daemon/serving/hop_codec.h"
 #include "request/call_tree.h"
 #include "request/hop_headers.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 using request::AdmissionQueue;
@@ -365,4 +365,4 @@
   co_return true;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/destination.h
+++ b/src/daemon/serving/destination.h
@@ -4,8 +4,8 @@
 // All requests to an upstream go through the daemon on its host. That daemon's
 // count of used slots is therefore exact, and when it says that a request did
 // not run, the request did not run.
-#ifndef SRC_DAEMON_DESTINATION_H_
-#define SRC_DAEMON_DESTINATION_H_
+#ifndef SRC_DAEMON_SERVING_DESTINATION_H_
+#define SRC_DAEMON_SERVING_DESTINATION_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,13 +15,13 @@
 
 #include "base/time.h"
 #include "blackboard/blackboard.h"
-#include "daemon/hop.h"
+#include "daemon/serving/hop.h"
 #include "http/event_loop.h"
 #include "mesh.pb.h"
 #include "request/admission.h"
 #include "request/dialect.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Called when an upstream was found to have crashed while requests were sent to
 // it.
@@ -114,6 +114,6 @@
   int64_t in_flight_ = 0;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_DESTINATION_H_
+#endif  // SRC_DAEMON_SERVING_DESTINATION_H_
--- a/src/daemon/destination_upstream.h
+++ b/src/daemon/serving/destination_upstream.h
@@ -1,17 +1,17 @@
 // Per-upstream state of Destination: slots and the requests that wait for them.
 //
 // Private to the source files of Destination.
-#ifndef SRC_DAEMON_DESTINATION_UPSTREAM_H_
-#define SRC_DAEMON_DESTINATION_UPSTREAM_H_
+#ifndef SRC_DAEMON_SERVING_DESTINATION_UPSTREAM_H_
+#define SRC_DAEMON_SERVING_DESTINATION_UPSTREAM_H_
 
 #include <map>
 #include <memory>
 #include <string>
 #include <utility>
 
-#include "daemon/destination.h"
+#include "daemon/serving/destination.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Bound of the admission queue, per slot of the upstream.
 inline constexpr double kQueuedRequestsPerSlot = 1.0;
@@ -127,6 +127,6 @@
   const std::string endpoint_id_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_DESTINATION_UPSTREAM_H_
+#endif  // SRC_DAEMON_SERVING_DESTINATION_UPSTREAM_H_
--- a/src/daemon/entry.cc
+++ b/src/daemon/serving/entry.cc
@@ -1,12 +1,12 @@
 // Runs the requests of callers.
-#include "daemon/entry.h"
+#include "daemon/serving/entry.h"
 
 #include <utility>
 
 #include "base/hash.h"
-#include "daemon/entry_call.h"
+#include "daemon/serving/entry_call.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // A buffered upload is held twice, by the call and by its attempt: at most
@@ -47,4 +47,4 @@
                                                clock_.Read().mono_ - arrived);
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/entry.h
+++ b/src/daemon/serving/entry.h
@@ -1,7 +1,7 @@
 // The entry side of the request path: accepts requests from callers, routes
 // them, and sends them to the daemon on the host of the selected endpoint.
-#ifndef SRC_DAEMON_ENTRY_H_
-#define SRC_DAEMON_ENTRY_H_
+#ifndef SRC_DAEMON_SERVING_ENTRY_H_
+#define SRC_DAEMON_SERVING_ENTRY_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -11,15 +11,15 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "blackboard/blackboard.h"
-#include "daemon/claim_client.h"
-#include "daemon/hop.h"
+#include "daemon/serving/claim_client.h"
+#include "daemon/serving/hop.h"
 #include "http/event_loop.h"
 #include "http/server.h"
 #include "mesh.pb.h"
 #include "request/buffer_budget.h"
 #include "request/dialect.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Called when this daemon's brake, a circuit breaker on the new version of a
 // move, trips.
@@ -79,6 +79,6 @@
   request::BufferBudget upload_buffers_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_ENTRY_H_
+#endif  // SRC_DAEMON_SERVING_ENTRY_H_
--- a/src/daemon/entry_attempt.cc
+++ b/src/daemon/serving/entry_attempt.cc
@@ -5,12 +5,12 @@
 #include "base/events.h"
 #include "base/http_status.h"
 #include "config/service_file.h"
-#include "daemon/entry_call.h"
+#include "daemon/serving/entry_call.h"
 #include "request/hop_headers.h"
 #include "request/peer_failure_detector.h"
 #include "rollout/exposure_cap.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 using request::AttemptOutcome;
@@ -373,4 +373,4 @@
   }
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/entry_call.cc
+++ b/src/daemon/serving/entry_call.cc
@@ -1,5 +1,5 @@
 // The entry side: preparation of a request and its at-most-once claim.
-#include "daemon/entry_call.h"
+#include "daemon/serving/entry_call.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,7 +10,7 @@
 #include "request/hop_headers.h"
 #include "request/retry_after.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // Body limit of requests that run at most once: the claim needs a digest of the
@@ -328,4 +328,4 @@
   co_await RunAttempts();
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/entry_call.h
+++ b/src/daemon/serving/entry_call.h
@@ -1,21 +1,21 @@
 // One caller's request on the entry side, with its attempts.
-#ifndef SRC_DAEMON_ENTRY_CALL_H_
-#define SRC_DAEMON_ENTRY_CALL_H_
+#ifndef SRC_DAEMON_SERVING_ENTRY_CALL_H_
+#define SRC_DAEMON_SERVING_ENTRY_CALL_H_
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "daemon/entry.h"
-#include "daemon/refusal.h"
+#include "daemon/serving/entry.h"
+#include "daemon/serving/refusal.h"
 #include "request/endpoint_picker.h"
 #include "request/mesh_view.h"
 #include "request/retry.h"
 #include "request/version_choice.h"
 #include "rollout/evidence_collector.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 class Entry::Call {
  public:
@@ -220,6 +220,6 @@
   std::string last_endpoint_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_ENTRY_CALL_H_
+#endif  // SRC_DAEMON_SERVING_ENTRY_CALL_H_
--- a/src/daemon/entry_evidence.cc
+++ b/src/daemon/serving/entry_evidence.cc
@@ -2,10 +2,10 @@
 #include <algorithm>
 
 #include "base/http_status.h"
-#include "daemon/entry_call.h"
+#include "daemon/serving/entry_call.h"
 #include "rollout/exposure_cap.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 using request::AttemptOutcome;
@@ -110,4 +110,4 @@
   entry_.on_brake_(notice);
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/entry_parallel.cc
+++ b/src/daemon/serving/entry_parallel.cc
@@ -6,9 +6,9 @@
 
 #include "base/events.h"
 #include "base/http_status.h"
-#include "daemon/entry_call.h"
+#include "daemon/serving/entry_call.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // A request of a route with hedging, which is allowed for safe methods only, is
@@ -196,4 +196,4 @@
   return decisive;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/hop.cc
+++ b/src/daemon/serving/hop.cc
@@ -1,11 +1,11 @@
 // Functions shared by local and remote hops.
-#include "daemon/hop.h"
+#include "daemon/serving/hop.h"
 
 #include <utility>
 
 #include "base/events.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // Interval of the checks whether a caller still sends its body after its answer
@@ -111,4 +111,4 @@
   }
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/hop.h
+++ b/src/daemon/serving/hop.h
@@ -3,8 +3,8 @@
 //
 // The destination is either this daemon (Destination) or another one
 // (PeerClient); the entry side uses both through the same interface.
-#ifndef SRC_DAEMON_HOP_H_
-#define SRC_DAEMON_HOP_H_
+#ifndef SRC_DAEMON_SERVING_HOP_H_
+#define SRC_DAEMON_SERVING_HOP_H_
 
 #include <cstdint>
 #include <functional>
@@ -20,7 +20,7 @@
 #include "http/head.h"
 #include "http/server.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Bodies up to this size are buffered completely; longer ones are streamed.
 inline constexpr size_t kMaxBufferedBodyBytes = http::kPieceBytes;
@@ -119,6 +119,6 @@
 // before the answer has arrived there or its time has run out.
 http::Task<void> FinishUpload(http::ServerCall& call, HopAnswer& answer);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_HOP_H_
+#endif  // SRC_DAEMON_SERVING_HOP_H_
--- a/src/daemon/hop_codec.cc
+++ b/src/daemon/serving/hop_codec.cc
@@ -1,12 +1,12 @@
 // Encoding of hops between daemons as HTTP messages.
-#include "daemon/hop_codec.h"
+#include "daemon/serving/hop_codec.h"
 
 #include <algorithm>
 #include <string_view>
 
 #include "request/hop_headers.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 using http::Headers;
@@ -142,4 +142,4 @@
   headers.EraseWithPrefix(request::kDaemonHeaderPrefix);
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/hop_codec.h
+++ b/src/daemon/serving/hop_codec.h
@@ -1,13 +1,13 @@
 // Encoding of hops between daemons as HTTP messages.
-#ifndef SRC_DAEMON_HOP_CODEC_H_
-#define SRC_DAEMON_HOP_CODEC_H_
+#ifndef SRC_DAEMON_SERVING_HOP_CODEC_H_
+#define SRC_DAEMON_SERVING_HOP_CODEC_H_
 
 #include <tl/expected.hpp>
 
-#include "daemon/hop.h"
-#include "daemon/refusal.h"
+#include "daemon/serving/hop.h"
+#include "daemon/serving/refusal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Head of the HTTP request to the destination's daemon.
 http::RequestHead EncodeHopRequest(const HopRequest& request,
@@ -23,6 +23,6 @@
 // Reads the metadata from the answer's headers and removes them.
 void DecodeHopAnswer(HopAnswer& answer);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_HOP_CODEC_H_
+#endif  // SRC_DAEMON_SERVING_HOP_CODEC_H_
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/serving/peer_client.cc
@@ -1,13 +1,13 @@
 // HTTP client for hops to other daemons.
-#include "daemon/peer_client.h"
+#include "daemon/serving/peer_client.h"
 
 #include <utility>
 
 #include "base/events.h"
-#include "daemon/hop_codec.h"
+#include "daemon/serving/hop_codec.h"
 #include "request/hop_headers.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // Shorter than the idle timeout of a daemon's server, so that the client closes
@@ -83,4 +83,4 @@
   co_return answer;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/peer_client.h
+++ b/src/daemon/serving/peer_client.h
@@ -1,13 +1,13 @@
 // Sends hops to other daemons over HTTP.
-#ifndef SRC_DAEMON_PEER_CLIENT_H_
-#define SRC_DAEMON_PEER_CLIENT_H_
+#ifndef SRC_DAEMON_SERVING_PEER_CLIENT_H_
+#define SRC_DAEMON_SERVING_PEER_CLIENT_H_
 
-#include "daemon/hop.h"
-#include "daemon/peer_watch.h"
+#include "daemon/serving/hop.h"
+#include "daemon/serving/peer_watch.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Used on the loop's thread only.
 class PeerClient : public Hop {
@@ -25,6 +25,6 @@
   PeerWatch watch_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_PEER_CLIENT_H_
+#endif  // SRC_DAEMON_SERVING_PEER_CLIENT_H_
--- a/src/daemon/peer_watch.cc
+++ b/src/daemon/serving/peer_watch.cc
@@ -1,12 +1,12 @@
 // Failure detection of the daemons that requests wait for.
-#include "daemon/peer_watch.h"
+#include "daemon/serving/peer_watch.h"
 
 #include <utility>
 
 #include "base/events.h"
 #include "http/client.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 // Short compared to kSilenceBeforeProbe, long enough for the checks to be
@@ -117,4 +117,4 @@
   }
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/peer_watch.h
+++ b/src/daemon/serving/peer_watch.h
@@ -3,8 +3,8 @@
 //
 // The watch aborts no request: a daemon that answers no probe may be behind a
 // congested link, with the endpoint at work or the answer already in transit.
-#ifndef SRC_DAEMON_PEER_WATCH_H_
-#define SRC_DAEMON_PEER_WATCH_H_
+#ifndef SRC_DAEMON_SERVING_PEER_WATCH_H_
+#define SRC_DAEMON_SERVING_PEER_WATCH_H_
 
 #include <cstdint>
 #include <functional>
@@ -17,7 +17,7 @@
 #include "http/event_loop.h"
 #include "request/peer_failure_detector.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 // Checks whether a daemon is reachable.
 class PeerProbe {
@@ -101,6 +101,6 @@
   bool running_ = false;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_PEER_WATCH_H_
+#endif  // SRC_DAEMON_SERVING_PEER_WATCH_H_
--- a/src/daemon/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -1,5 +1,5 @@
 // Construction, view publication and shutdown of the proxy role.
-#include "daemon/proxy_role.h"
+#include "daemon/serving/proxy_role.h"
 
 #include <atomic>
 #include <functional>
@@ -8,12 +8,12 @@
 
 #include "base/events.h"
 #include "base/hash.h"
-#include "daemon/cut_log.h"
-#include "daemon/proxy_role_impl.h"
+#include "daemon/serving/cut_log.h"
+#include "daemon/serving/proxy_role_impl.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 constexpr base::Duration kEvidenceInterval = std::chrono::milliseconds(250);
@@ -65,7 +65,7 @@
 
 }  // namespace
 
-ProxyRole::Impl::Impl(const Settings& settings,
+ProxyRole::Impl::Impl(const startup::Settings& settings,
                       const request::Dialect& dialect,
                       uint64_t incarnation,
                       const base::Clock& clock,
@@ -136,8 +136,8 @@
   LogCutCall(std::string(NameOf(side)), call);
 }
 
-AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
-  AdminHandlers handlers;
+control::AdminHandlers ProxyRole::Impl::MakeAdminHandlers() {
+  control::AdminHandlers handlers;
   handlers.announce_ = [this](const registry::Announcement& announcement) {
     return Announce(announcement);
   };
@@ -324,7 +324,7 @@
 ProxyRole::~ProxyRole() = default;
 
 tl::expected<std::unique_ptr<ProxyRole>, ResultCode> ProxyRole::Create(
-    const Settings& settings,
+    const startup::Settings& settings,
     const request::Dialect& dialect,
     uint64_t incarnation,
     const base::Clock& clock,
@@ -388,4 +388,4 @@
   return impl_->Ready();
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/proxy_role.h
+++ b/src/daemon/serving/proxy_role.h
@@ -1,7 +1,7 @@
 // The proxy role of a daemon: the request path (entry and destination side) on
 // an event loop, and the proxy's control node on a loop of its own.
-#ifndef SRC_DAEMON_PROXY_ROLE_H_
-#define SRC_DAEMON_PROXY_ROLE_H_
+#ifndef SRC_DAEMON_SERVING_PROXY_ROLE_H_
+#define SRC_DAEMON_SERVING_PROXY_ROLE_H_
 
 #include <memory>
 #include <string>
@@ -10,18 +10,18 @@
 
 #include "base/time.h"
 #include "buckthorngate/result_code.h"
-#include "daemon/settings.h"
+#include "daemon/startup/settings.h"
 #include "registry/local_endpoints.h"
 #include "request/dialect.h"
 #include "rpc/mesh_transport.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 class ProxyRole {
  public:
   // All references must outlive the role. Errors: those of ProxyNode::Create.
   static tl::expected<std::unique_ptr<ProxyRole>, ResultCode> Create(
-      const Settings& settings,
+      const startup::Settings& settings,
       const request::Dialect& dialect,
       uint64_t incarnation,
       const base::Clock& clock,
@@ -51,6 +51,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_PROXY_ROLE_H_
+#endif  // SRC_DAEMON_SERVING_PROXY_ROLE_H_
--- a/src/daemon/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -1,6 +1,6 @@
 // Implementation class of the proxy role; private to its source files.
-#ifndef SRC_DAEMON_PROXY_ROLE_IMPL_H_
-#define SRC_DAEMON_PROXY_ROLE_IMPL_H_
+#ifndef SRC_DAEMON_SERVING_PROXY_ROLE_IMPL_H_
+#define SRC_DAEMON_SERVING_PROXY_ROLE_IMPL_H_
 
 #include <atomic>
 #include <chrono>
@@ -10,22 +10,22 @@
 #include <string_view>
 
 #include "blackboard/blackboard.h"
-#include "daemon/admin_server.h"
-#include "daemon/claim_client.h"
-#include "daemon/destination.h"
-#include "daemon/entry.h"
-#include "daemon/node_loop.h"
-#include "daemon/peer_client.h"
-#include "daemon/proxy_role.h"
+#include "daemon/control/admin_server.h"
+#include "daemon/control/node_loop.h"
+#include "daemon/serving/claim_client.h"
+#include "daemon/serving/destination.h"
+#include "daemon/serving/entry.h"
+#include "daemon/serving/peer_client.h"
+#include "daemon/serving/proxy_role.h"
 #include "distribution/proxy_node.h"
 #include "http/server.h"
 #include "storage/journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 class ProxyRole::Impl {
  public:
-  Impl(const Settings& settings,
+  Impl(const startup::Settings& settings,
        const request::Dialect& dialect,
        uint64_t incarnation,
        const base::Clock& clock,
@@ -69,15 +69,15 @@
   void LogOpenCallsAtExit();
   void OnCrash(const std::string& address, const rpc::CrashReport& report);
   void RecordCutCall(blackboard::CallSide side, const http::CutCall& call);
-  AdminHandlers MakeAdminHandlers();
+  control::AdminHandlers MakeAdminHandlers();
 
-  const Settings& settings_;
+  const startup::Settings& settings_;
   const request::Dialect dialect_;
   const base::Clock& clock_;
   rpc::MeshTransport& transport_;
   const std::unique_ptr<storage::Journal> journal_;
   const std::unique_ptr<distribution::ProxyNode> node_;
-  NodeLoop node_loop_;
+  control::NodeLoop node_loop_;
   blackboard::Blackboard board_;
   http::EventLoop loop_;
   ClaimClient claims_;
@@ -86,7 +86,7 @@
   Entry entry_;
   http::Server callers_;
   http::Server peers_;
-  AdminServer admin_;
+  control::AdminServer admin_;
   request::MeshViewBuilder views_;
   uint64_t published_view_version_ = 0;
   bool published_may_serve_ = false;
@@ -97,6 +97,6 @@
   bool stopped_ = false;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_PROXY_ROLE_IMPL_H_
+#endif  // SRC_DAEMON_SERVING_PROXY_ROLE_IMPL_H_
--- a/src/daemon/proxy_stop_log.cc
+++ b/src/daemon/serving/proxy_stop_log.cc
@@ -2,9 +2,9 @@
 #include <string>
 
 #include "base/events.h"
-#include "daemon/proxy_role_impl.h"
+#include "daemon/serving/proxy_role_impl.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 ProxyRole::Impl::OpenWork ProxyRole::Impl::CountOpenWork() {
   OpenWork open;
@@ -46,4 +46,4 @@
   });
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -1,8 +1,8 @@
 // The proxy role: registration of this host's upstreams.
 #include "base/events.h"
-#include "daemon/proxy_role_impl.h"
+#include "daemon/serving/proxy_role_impl.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 ResultCode ProxyRole::Impl::Announce(
     const registry::Announcement& announcement) {
@@ -80,4 +80,4 @@
   return address;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/refusal.cc
+++ b/src/daemon/serving/refusal.cc
@@ -1,5 +1,5 @@
 // Error answers that a daemon generates itself.
-#include "daemon/refusal.h"
+#include "daemon/serving/refusal.h"
 
 #include <array>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include "base/http_status.h"
 #include "request/hop_headers.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 namespace {
 
 std::string FormatSeconds(base::Duration time, bool fractional) {
@@ -73,4 +73,4 @@
   return std::string(Describe(code).message_) + "\n";
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
--- a/src/daemon/refusal.h
+++ b/src/daemon/serving/refusal.h
@@ -1,7 +1,7 @@
 // Error answers that a daemon generates itself, instead of passing on an
 // upstream's answer.
-#ifndef SRC_DAEMON_REFUSAL_H_
-#define SRC_DAEMON_REFUSAL_H_
+#ifndef SRC_DAEMON_SERVING_REFUSAL_H_
+#define SRC_DAEMON_SERVING_REFUSAL_H_
 
 #include <string>
 
@@ -11,7 +11,7 @@
 #include "http/head.h"
 #include "request/dialect.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::serving {
 
 struct Refusal {
   ResultCode code_ = ResultCode::kOk;
@@ -31,6 +31,6 @@
                              const request::Dialect& dialect);
 std::string RefusalBody(ResultCode code);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::serving
 
-#endif  // SRC_DAEMON_REFUSAL_H_
+#endif  // SRC_DAEMON_SERVING_REFUSAL_H_
--- a/src/daemon/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -1,5 +1,5 @@
 // Wiring of a daemon's roles, transport and control service.
-#include "daemon/daemon.h"
+#include "daemon/startup/daemon.h"
 
 #include <filesystem>
 #include <utility>
@@ -7,20 +7,20 @@
 #include <grpcpp/impl/codegen/service_type.h>
 
 #include "base/events.h"
-#include "daemon/admin_server.h"
-#include "daemon/control_metrics.h"
-#include "daemon/host_identity.h"
-#include "daemon/node_loop.h"
-#include "daemon/node_options.h"
-#include "daemon/proxy_role.h"
-#include "daemon/source_commands.h"
+#include "daemon/control/admin_server.h"
+#include "daemon/control/control_metrics.h"
+#include "daemon/control/node_loop.h"
+#include "daemon/control/node_options.h"
+#include "daemon/control/source_commands.h"
+#include "daemon/serving/proxy_role.h"
+#include "daemon/startup/host_identity.h"
 #include "distribution/relay_node.h"
 #include "distribution/source_node.h"
 #include "membership/node_id.h"
 #include "rpc/control_service.h"
 #include "storage/timed_journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 namespace {
 
 using base::EventId;
@@ -31,12 +31,12 @@
 struct Role {
   std::unique_ptr<storage::TimedJournal> journal_;
   std::unique_ptr<NodeType> node_;
-  std::unique_ptr<NodeLoop> loop_;
+  std::unique_ptr<control::NodeLoop> loop_;
 };
 
 }  // namespace
 
-class Daemon::Impl : public ControlApi {
+class Daemon::Impl : public control::ControlApi {
  public:
   Impl(Settings settings, request::Dialect dialect)
       : settings_(std::move(settings)), dialect_(std::move(dialect)) {}
@@ -47,8 +47,8 @@
 
   rpc::PublishReply PublishRouting(rpc::RoutingCommand command) override;
   rpc::PublishReply OrderMove(rpc::MoveOrder order) override;
-  RoutingReport ReadRouting() override;
-  MoveReport ReadMove(const std::string& service) override;
+  control::RoutingReport ReadRouting() override;
+  control::MoveReport ReadMove(const std::string& service) override;
   ResultCode Announce(const registry::Announcement& announcement) override;
   void Drain(const std::string& instance) override;
   void Leave(const std::string& instance) override;
@@ -68,7 +68,7 @@
   rpc::PublishReply ChangeMember(const rpc::MemberRequest& request);
   template <typename NodeType>
   void StartLoop(Role<NodeType>& role, const std::string& id);
-  void AddAlias(const std::string& id, NodeLoop* loop);
+  void AddAlias(const std::string& id, control::NodeLoop* loop);
 
   Settings settings_;
   const request::Dialect dialect_;
@@ -77,27 +77,27 @@
   uint64_t incarnation_ = 0;
   std::unique_ptr<rpc::MeshTransport> transport_;
   std::unique_ptr<grpc::Service> control_service_;
-  ControlMetrics metrics_;
+  control::ControlMetrics metrics_;
   Role<distribution::SourceNode> source_;
   Role<distribution::RelayNode> relay_;
-  std::unique_ptr<SourceCommands> commands_;
-  std::unique_ptr<ProxyRole> proxy_;
-  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<control::SourceCommands> commands_;
+  std::unique_ptr<serving::ProxyRole> proxy_;
+  std::unique_ptr<control::AdminServer> admin_;
 };
 
 template <typename NodeType>
 void Daemon::Impl::StartLoop(Role<NodeType>& role, const std::string& id) {
-  role.loop_ = std::make_unique<NodeLoop>(
+  role.loop_ = std::make_unique<control::NodeLoop>(
       *role.node_, clock_, [this](rpc::Envelope envelope) {
         transport_->Send(std::move(envelope));
       });
-  NodeLoop* const loop = role.loop_.get();
+  control::NodeLoop* const loop = role.loop_.get();
   transport_->AddNode(
       id, [loop](rpc::Envelope envelope) { loop->Post(std::move(envelope)); });
   AddAlias(id, loop);
 }
 
-void Daemon::Impl::AddAlias(const std::string& id, NodeLoop* loop) {
+void Daemon::Impl::AddAlias(const std::string& id, control::NodeLoop* loop) {
   const std::string alias = membership::IdWithoutSuffix(id);
   if (alias.empty() || alias == id) {
     return;
@@ -131,19 +131,19 @@
 }
 
 ResultCode Daemon::Impl::CreateSource(const base::Now& now) {
-  source_.journal_ = MakeJournal("source", settings_);
+  source_.journal_ = control::MakeJournal("source", settings_);
   metrics_.SetSourceJournal(source_.journal_.get());
   tl::expected<std::unique_ptr<distribution::SourceNode>, ResultCode> node =
       distribution::SourceNode::Create(
-          MakeSourceOptions(settings_, first_members_, incarnation_),
+          control::MakeSourceOptions(settings_, first_members_, incarnation_),
           *source_.journal_, now);
   if (!node) {
     return node.error();
   }
   source_.node_ = std::move(*node);
   StartLoop(source_, settings_.source_id_);
-  commands_ = std::make_unique<SourceCommands>(*source_.loop_, *source_.node_,
-                                               metrics_);
+  commands_ = std::make_unique<control::SourceCommands>(
+      *source_.loop_, *source_.node_, metrics_);
   source_.loop_->SetAfterFlush([this](const base::Now& flushed) {
     commands_->DeliverResults();
     metrics_.RecordSource(*source_.node_, flushed);
@@ -152,11 +152,11 @@
 }
 
 ResultCode Daemon::Impl::CreateRelay() {
-  relay_.journal_ = MakeJournal("relay", settings_);
+  relay_.journal_ = control::MakeJournal("relay", settings_);
   metrics_.SetRelayJournal(relay_.journal_.get());
   tl::expected<std::unique_ptr<distribution::RelayNode>, ResultCode> node =
-      distribution::RelayNode::Create(MakeRelayOptions(settings_, incarnation_),
-                                      *relay_.journal_);
+      distribution::RelayNode::Create(
+          control::MakeRelayOptions(settings_, incarnation_), *relay_.journal_);
   if (!node) {
     return node.error();
   }
@@ -172,10 +172,10 @@
   if (!settings_.admin_configured_) {
     return ResultCode::kOk;
   }
-  AdminHandlers handlers;
+  control::AdminHandlers handlers;
   handlers.metrics_ = [this] { return metrics_.Render(clock_.Read().mono_); };
   handlers.ready_ = [this] { return Ready(); };
-  admin_ = std::make_unique<AdminServer>(std::move(handlers));
+  admin_ = std::make_unique<control::AdminServer>(std::move(handlers));
   return admin_->Start(settings_.admin_address_);
 }
 
@@ -205,8 +205,9 @@
   if (code != ResultCode::kOk || !settings_.proxy_) {
     return code;
   }
-  tl::expected<std::unique_ptr<ProxyRole>, ResultCode> proxy =
-      ProxyRole::Create(settings_, dialect_, incarnation_, clock_, *transport_);
+  tl::expected<std::unique_ptr<serving::ProxyRole>, ResultCode> proxy =
+      serving::ProxyRole::Create(settings_, dialect_, incarnation_, clock_,
+                                 *transport_);
   if (!proxy) {
     return proxy.error();
   }
@@ -270,28 +271,28 @@
 }
 
 rpc::PublishReply Daemon::Impl::Publish(const rpc::PublishRequest& request) {
-  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+  return commands_ == nullptr ? control::MakeFailure(ResultCode::kNotLeader)
                               : commands_->Publish(request.publication());
 }
 
 rpc::PublishReply Daemon::Impl::PublishRouting(rpc::RoutingCommand command) {
-  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+  return commands_ == nullptr ? control::MakeFailure(ResultCode::kNotLeader)
                               : commands_->PublishRouting(command);
 }
 
 rpc::PublishReply Daemon::Impl::OrderMove(rpc::MoveOrder order) {
-  return commands_ == nullptr ? MakeFailure(ResultCode::kNotLeader)
+  return commands_ == nullptr ? control::MakeFailure(ResultCode::kNotLeader)
                               : commands_->OrderMove(order);
 }
 
-RoutingReport Daemon::Impl::ReadRouting() {
+control::RoutingReport Daemon::Impl::ReadRouting() {
   if (commands_ == nullptr) {
     return {ResultCode::kNotLeader};
   }
   return commands_->ReadRouting();
 }
 
-MoveReport Daemon::Impl::ReadMove(const std::string& service) {
+control::MoveReport Daemon::Impl::ReadMove(const std::string& service) {
   if (commands_ == nullptr) {
     return {ResultCode::kNotLeader};
   }
@@ -393,8 +394,8 @@
 void Daemon::Stop() {
   impl_->Stop();
 }
-ControlApi& Daemon::Api() {
+control::ControlApi& Daemon::Api() {
   return *impl_;
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
--- a/src/daemon/daemon.h
+++ b/src/daemon/startup/daemon.h
@@ -1,16 +1,16 @@
 // A daemon: runs the roles that are enabled in its settings (source, relay,
 // proxy) in one process.
-#ifndef SRC_DAEMON_DAEMON_H_
-#define SRC_DAEMON_DAEMON_H_
+#ifndef SRC_DAEMON_STARTUP_DAEMON_H_
+#define SRC_DAEMON_STARTUP_DAEMON_H_
 
 #include <memory>
 
 #include "buckthorngate/result_code.h"
-#include "daemon/control_api.h"
-#include "daemon/settings.h"
+#include "daemon/control/control_api.h"
+#include "daemon/startup/settings.h"
 #include "request/dialect.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 
 class Daemon {
  public:
@@ -30,13 +30,13 @@
 
   // For an adapter to a platform. The adapter must be stopped before the daemon
   // is.
-  ControlApi& Api();
+  control::ControlApi& Api();
 
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
 
-#endif  // SRC_DAEMON_DAEMON_H_
+#endif  // SRC_DAEMON_STARTUP_DAEMON_H_
--- a/src/daemon/host_identity.cc
+++ b/src/daemon/startup/host_identity.cc
@@ -1,5 +1,5 @@
 // Loads or creates a control host's identity.
-#include "daemon/host_identity.h"
+#include "daemon/startup/host_identity.h"
 
 #include <algorithm>
 #include <random>
@@ -9,7 +9,7 @@
 #include "membership/node_id.h"
 #include "storage/file_journal.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 namespace {
 
 constexpr char kIdentityFile[] = "/identity.journal";
@@ -68,4 +68,4 @@
   return HostIdentity{record.bootstrap().id(), record.bootstrap().membership()};
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
--- a/src/daemon/host_identity.h
+++ b/src/daemon/startup/host_identity.h
@@ -1,16 +1,16 @@
 // The persistent identity of a control host that discovers the others by seeds.
-#ifndef SRC_DAEMON_HOST_IDENTITY_H_
-#define SRC_DAEMON_HOST_IDENTITY_H_
+#ifndef SRC_DAEMON_STARTUP_HOST_IDENTITY_H_
+#define SRC_DAEMON_STARTUP_HOST_IDENTITY_H_
 
 #include <string>
 
 #include <tl/expected.hpp>
 
 #include "buckthorngate/result_code.h"
-#include "daemon/settings.h"
+#include "daemon/startup/settings.h"
 #include "mesh.pb.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 
 struct HostIdentity {
   std::string host_id_;
@@ -27,6 +27,6 @@
 tl::expected<HostIdentity, ResultCode> LoadHostIdentity(
     const Settings& settings);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
 
-#endif  // SRC_DAEMON_HOST_IDENTITY_H_
+#endif  // SRC_DAEMON_STARTUP_HOST_IDENTITY_H_
--- a/src/daemon/main.cc
+++ b/src/daemon/startup/main.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "daemon/program.h"
+#include "daemon/startup/program.h"
 
 namespace {
 
@@ -29,24 +29,24 @@
       "  buckthorngated --settings /etc/buckthorngate.toml");
   CLI11_PARSE(app, argc, argv);
 
-  buckthorngate::daemon::Program program;
-  buckthorngate::daemon::Settings& settings = program.settings_;
+  buckthorngate::daemon::startup::Program program;
+  buckthorngate::daemon::startup::Settings& settings = program.settings_;
   program.settings_file_ = settings_file;
   if (!settings_file.empty() &&
-      !buckthorngate::daemon::LoadSettings(settings_file, settings)) {
-    return buckthorngate::daemon::kExitBadSettings;
+      !buckthorngate::daemon::startup::LoadSettings(settings_file, settings)) {
+    return buckthorngate::daemon::startup::kExitBadSettings;
   }
   if (!data_folder.empty()) {
     settings.data_folder_ = data_folder;
   }
   if (settings.data_folder_.empty() && settings_file.empty()) {
     std::cerr << "Either --settings or --data is needed; see --help.\n";
-    return buckthorngate::daemon::kExitBadSettings;
+    return buckthorngate::daemon::startup::kExitBadSettings;
   }
-  buckthorngate::daemon::CompleteSettings(settings);
+  buckthorngate::daemon::startup::CompleteSettings(settings);
   if (check_only) {
     std::cout << "The settings are valid.\n";
     return 0;
   }
-  return buckthorngate::daemon::RunProgram(std::move(program));
+  return buckthorngate::daemon::startup::RunProgram(std::move(program));
 }
--- a/src/daemon/program.cc
+++ b/src/daemon/startup/program.cc
@@ -1,5 +1,5 @@
 // Startup, signal handling and shutdown of a daemon process.
-#include "daemon/program.h"
+#include "daemon/startup/program.h"
 
 #include <pthread.h>
 #include <signal.h>
@@ -11,9 +11,9 @@
 #include <utility>
 
 #include "base/events.h"
-#include "daemon/daemon.h"
+#include "daemon/startup/daemon.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 namespace {
 
 // Blocks the signals that RunProgram waits for, in this thread and all threads
@@ -74,7 +74,7 @@
   if (started != ResultCode::kOk) {
     return ExitOnStartFailure(started);
   }
-  std::unique_ptr<Adapter> adapter;
+  std::unique_ptr<control::Adapter> adapter;
   if (program.make_adapter_) {
     adapter = program.make_adapter_(program.settings_, daemon.Api());
     const ResultCode adapted = adapter->Start();
@@ -94,4 +94,4 @@
   std::quick_exit(0);
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
--- a/src/daemon/program.h
+++ b/src/daemon/startup/program.h
@@ -1,16 +1,16 @@
 // Main program of a daemon: settings, signal handling, startup and shutdown.
-#ifndef SRC_DAEMON_PROGRAM_H_
-#define SRC_DAEMON_PROGRAM_H_
+#ifndef SRC_DAEMON_STARTUP_PROGRAM_H_
+#define SRC_DAEMON_STARTUP_PROGRAM_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "daemon/control_api.h"
-#include "daemon/settings.h"
+#include "daemon/control/control_api.h"
+#include "daemon/startup/settings.h"
 #include "request/dialect.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 
 inline constexpr int kExitFailed = 1;
 inline constexpr int kExitBadSettings = 2;
@@ -25,13 +25,14 @@
   std::string settings_file_;
   request::Dialect dialect_;
   // Creates the adapter to a platform; may be null.
-  std::function<std::unique_ptr<Adapter>(const Settings&, ControlApi&)>
+  std::function<std::unique_ptr<control::Adapter>(const Settings&,
+                                                  control::ControlApi&)>
       make_adapter_;
 };
 
 // Runs the daemon until SIGTERM or SIGINT; returns the exit code.
 int RunProgram(Program program);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
 
-#endif  // SRC_DAEMON_PROGRAM_H_
+#endif  // SRC_DAEMON_STARTUP_PROGRAM_H_
--- a/src/daemon/settings.cc
+++ b/src/daemon/startup/settings.cc
@@ -1,5 +1,5 @@
 // Parsing and validation of settings.
-#include "daemon/settings.h"
+#include "daemon/startup/settings.h"
 
 #include <arpa/inet.h>
 
@@ -8,7 +8,7 @@
 
 #include "config/toml_reader.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 namespace {
 
 using config::TomlReader;
@@ -314,4 +314,4 @@
   }
 }
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
--- a/src/daemon/settings.h
+++ b/src/daemon/startup/settings.h
@@ -1,7 +1,7 @@
 // The daemon's settings. They are validated completely before any port is
 // opened.
-#ifndef SRC_DAEMON_SETTINGS_H_
-#define SRC_DAEMON_SETTINGS_H_
+#ifndef SRC_DAEMON_STARTUP_SETTINGS_H_
+#define SRC_DAEMON_STARTUP_SETTINGS_H_
 
 #include <chrono>
 #include <cstdint>
@@ -14,7 +14,7 @@
 #include "config/problem.h"
 #include "rpc/mesh_transport.h"
 
-namespace buckthorngate::daemon {
+namespace buckthorngate::daemon::startup {
 
 struct RelayAddress {
   std::string address_;
@@ -98,6 +98,6 @@
 std::string HostOf(const std::string& address);
 int PortOf(const std::string& address);
 
-}  // namespace buckthorngate::daemon
+}  // namespace buckthorngate::daemon::startup
 
-#endif  // SRC_DAEMON_SETTINGS_H_
+#endif  // SRC_DAEMON_STARTUP_SETTINGS_H_
--- a/tests/blocking_server_test.cc
+++ b/tests/blocking_server_test.cc
@@ -14,8 +14,8 @@
 #include <utility>
 #include <vector>
 
-#include "daemon/admin_server.h"
-#include "daemon/blocking_server.h"
+#include "daemon/control/admin_server.h"
+#include "daemon/control/blocking_server.h"
 #include "endless_upstream.h"
 #include "loopback.h"
 
@@ -28,10 +28,10 @@
 constexpr size_t kMebibyte = size_t{1024} * 1024;
 
 // Behaves according to the request's path.
-class PathHandler : public daemon::BlockingHandler {
+class PathHandler : public daemon::control::BlockingHandler {
  public:
-  daemon::BufferedResponse Handle(
-      const daemon::BufferedRequest& call) override {
+  daemon::control::BufferedResponse Handle(
+      const daemon::control::BufferedRequest& call) override {
     ++calls_;
     const std::string path(call.head_.Path());
     if (path == "/throw") {
@@ -40,7 +40,7 @@
     if (path == "/wait") {
       resume_.get_future().wait();
     }
-    daemon::BufferedResponse answer;
+    daemon::control::BufferedResponse answer;
     answer.head_.status_ = 200;
     answer.body_ = path == "/long" ? std::string(4 * kMebibyte, 'a')
                                    : std::to_string(call.body_.size());
@@ -67,7 +67,7 @@
 
 class RunningServer {
  public:
-  explicit RunningServer(const daemon::BlockingLimits& limits = {})
+  explicit RunningServer(const daemon::control::BlockingLimits& limits = {})
       : port_(FreePort()), server_(handler_, limits) {
     const std::string address = "127.0.0.1:" + std::to_string(port_);
     BOOST_REQUIRE((server_.Start(address) == ResultCode::kOk));
@@ -75,7 +75,7 @@
 
   int Port() const { return port_; }
   PathHandler& Handler() { return handler_; }
-  daemon::BlockingServer& Server() { return server_; }
+  daemon::control::BlockingServer& Server() { return server_; }
   int Status(const std::string& bytes) const {
     return CallRaw(port_, bytes, kTimeout).Status();
   }
@@ -89,7 +89,7 @@
  private:
   PathHandler handler_;
   const int port_;
-  daemon::BlockingServer server_;
+  daemon::control::BlockingServer server_;
 };
 
 std::string Post(size_t announced, const std::string& body) {
@@ -119,7 +119,7 @@
 // Guards against a body that arrives byte by byte without end, each byte within
 // the idle timeout.
 BOOST_AUTO_TEST_CASE(ABodyBeyondTheTimeoutIsRefusedAndNotHandled) {
-  daemon::BlockingLimits limits;
+  daemon::control::BlockingLimits limits;
   limits.body_timeout_ = milliseconds(300);
   RunningServer server(limits);
   const RawAnswer answer = SendRawEndless(
@@ -131,7 +131,7 @@
 
 // Guards against incomplete requests that together exhaust the memory.
 BOOST_AUTO_TEST_CASE(BufferedRequestBodiesAreBoundedAndSmallRequestsSucceed) {
-  daemon::BlockingLimits limits;
+  daemon::control::BlockingLimits limits;
   limits.max_buffered_bytes_ = 2 * kMebibyte;
   RunningServer server(limits);
   const std::string most(kMebibyte * 3 / 2, 'a');
@@ -148,7 +148,7 @@
 
 // Guards against unread answers that together exhaust the memory.
 BOOST_AUTO_TEST_CASE(BufferedAnswersAreBounded) {
-  daemon::BlockingLimits limits;
+  daemon::control::BlockingLimits limits;
   limits.max_buffered_bytes_ = 6 * kMebibyte;
   RunningServer server(limits);
   const NonReadingCaller slow(server.Port(), Get("/long"));
@@ -185,7 +185,7 @@
 class RunningAdmin {
  public:
   explicit RunningAdmin(bool with_upstreams) : port_(FreePort()) {
-    daemon::AdminHandlers handlers;
+    daemon::control::AdminHandlers handlers;
     if (with_upstreams) {
       handlers.announce_ = [this](const registry::Announcement& announcement) {
         announcement_ = announcement;
@@ -198,7 +198,8 @@
     }
     handlers.metrics_ = [] { return "a 1\n"; };
     handlers.ready_ = [this] { return ready_.load(); };
-    server_ = std::make_unique<daemon::AdminServer>(std::move(handlers));
+    server_ =
+        std::make_unique<daemon::control::AdminServer>(std::move(handlers));
     const std::string address = "127.0.0.1:" + std::to_string(port_);
     BOOST_REQUIRE((server_->Start(address) == ResultCode::kOk));
   }
@@ -214,7 +215,7 @@
 
  private:
   const int port_;
-  std::unique_ptr<daemon::AdminServer> server_;
+  std::unique_ptr<daemon::control::AdminServer> server_;
 };
 
 // Guards against announcements that are read differently by the server that
--- a/tests/claim_client_test.cc
+++ b/tests/claim_client_test.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "daemon/claim_client.h"
+#include "daemon/serving/claim_client.h"
 #include "storage/memory_journal.h"
 
 namespace buckthorngate::tests {
@@ -111,8 +111,8 @@
   http::EventLoop loop_;
   storage::MemoryJournal journal_;
   std::unique_ptr<distribution::ProxyNode> node_;
-  daemon::NodeLoop node_loop_;
-  daemon::ClaimClient client_;
+  daemon::control::NodeLoop node_loop_;
+  daemon::serving::ClaimClient client_;
   // Used on the event loop's thread only.
   request::ClaimOutcome outcome_;
   std::mutex mutex_;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -7,7 +7,7 @@
 #include "config/check.h"
 #include "config/publication.h"
 #include "config/service_file.h"
-#include "daemon/settings.h"
+#include "daemon/startup/settings.h"
 #include "test_mesh.h"
 
 namespace buckthorngate::tests {
@@ -199,14 +199,14 @@
 
 BOOST_AUTO_TEST_CASE(SettingsAreCheckedWhole) {
   config::Problems problems;
-  daemon::ParseSettings(
+  daemon::startup::ParseSettings(
       "host = \"h\"\nroles = [\"source\", \"cook\"]\n"
       "[listen]\ncontrol = \"somewhere:99\"\n",
       "s.toml", problems);
   BOOST_TEST(problems.size() == 3u);
-  BOOST_TEST(daemon::IsIpAddress("127.0.0.1:80"));
-  BOOST_TEST(!daemon::IsIpAddress("localhost:80"));
-  BOOST_TEST(!daemon::IsIpAddress("127.0.0.1:99999"));
+  BOOST_TEST(daemon::startup::IsIpAddress("127.0.0.1:80"));
+  BOOST_TEST(!daemon::startup::IsIpAddress("localhost:80"));
+  BOOST_TEST(!daemon::startup::IsIpAddress("127.0.0.1:99999"));
 }
 
 // Guards against a daemon that ends long before its platform kills it, and cuts
@@ -214,7 +214,7 @@
 BOOST_AUTO_TEST_CASE(TheDrainTimeFollowsTheTimeUntilAProcessIsKilled) {
   const auto drain_time = [](const std::string& limits,
                              config::Problems& problems) {
-    return daemon::ParseSettings(
+    return daemon::startup::ParseSettings(
                "host = \"h\"\ndata_folder = \"d\"\n[limits]\n" + limits,
                "s.toml", problems)
         .drain_time_;
--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -21,8 +21,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "daemon/hop.h"
-#include "daemon/peer_client.h"
+#include "daemon/serving/hop.h"
+#include "daemon/serving/peer_client.h"
 #include "endless_upstream.h"
 #include "http/event_loop.h"
 #include "process_harness.h"
@@ -191,7 +191,7 @@
   void Drop(std::vector<std::unique_ptr<SentHop>>& sent) {
     loop_.RunAndWait([&sent] {
       for (const std::unique_ptr<SentHop>& hop : sent) {
-        hop->answer_ = daemon::HopAnswer();
+        hop->answer_ = daemon::serving::HopAnswer();
       }
     });
   }
@@ -220,10 +220,10 @@
   http::EventLoop& Loop() { return loop_; }
 
  private:
-  static daemon::HopRequest Request(const EndlessUpstream& peer,
-                                    const std::string& kind,
-                                    int number) {
-    daemon::HopRequest request = MakeHopRequest();
+  static daemon::serving::HopRequest Request(const EndlessUpstream& peer,
+                                             const std::string& kind,
+                                             int number) {
+    daemon::serving::HopRequest request = MakeHopRequest();
     request.head_.target_ = "/" + kind;
     request.attempt_id_ = kind + "/" + std::to_string(number);
     request.peer_address_ = peer.Address();
@@ -234,7 +234,7 @@
   EndlessUpstream good_;
   base::SystemClock clock_;
   http::EventLoop loop_;
-  daemon::PeerClient client_{clock_, loop_};
+  daemon::serving::PeerClient client_{clock_, loop_};
   size_t peak_rss_ = 0;
   milliseconds longest_other_{0};
 };
@@ -292,7 +292,8 @@
     BOOST_REQUIRE(peer.AwaitEnd(sent, kDeadline + kDeadlineSlack));
     for (const std::unique_ptr<SentHop>& hop : sent) {
       BOOST_TEST((hop->answer_.code_ == ResultCode::kOk), kind);
-      BOOST_TEST(hop->answer_.body_.size() == daemon::kMaxBufferedBodyBytes);
+      BOOST_TEST(hop->answer_.body_.size() ==
+                 daemon::serving::kMaxBufferedBodyBytes);
       BOOST_TEST((hop->answer_.rest_ != nullptr), kind);
     }
     // Nobody reads the rest.
@@ -325,7 +326,7 @@
 // request for as long as the caller waits. All kinds at once, since each takes
 // the 10 s that a piece may take.
 BOOST_AUTO_TEST_CASE(ASlowEndlessBodyOfAPeerIsCut) {
-  const std::string first(daemon::kMaxBufferedBodyBytes * 2, 'a');
+  const std::string first(daemon::serving::kMaxBufferedBodyBytes * 2, 'a');
   EndlessPeer peer(WithPause(
       {{"chunks",
         {OkHead("Transfer-Encoding: chunked\r\n\r\n") + Chunk(first.size()),
--- a/tests/entry_harness.cc
+++ b/tests/entry_harness.cc
@@ -15,10 +15,12 @@
 }
 
 // Stands for the hop to this host's own upstreams.
-class UnusedHop : public daemon::Hop {
+class UnusedHop : public daemon::serving::Hop {
  public:
-  http::Task<daemon::HopAnswer> Run(daemon::HopRequest&) override {
-    co_return daemon::FailedHop(ResultCode::kNoEndpoint, /*not_run=*/true);
+  http::Task<daemon::serving::HopAnswer> Run(
+      daemon::serving::HopRequest&) override {
+    co_return daemon::serving::FailedHop(ResultCode::kNoEndpoint,
+                                         /*not_run=*/true);
   }
 };
 
@@ -37,7 +39,8 @@
 }
 
 // Not a lambda, because the coroutine would outlive the lambda's closure.
-http::Task<void> HandleCall(daemon::Entry& entry, WaitingCaller& caller) {
+http::Task<void> HandleCall(daemon::serving::Entry& entry,
+                            WaitingCaller& caller) {
   co_await entry.Handle(caller);
   caller.ended_.set_value();
 }
--- a/tests/entry_harness.h
+++ b/tests/entry_harness.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-#include "daemon/entry.h"
+#include "daemon/serving/entry.h"
 #include "storage/memory_journal.h"
 
 namespace buckthorngate::tests {
@@ -68,9 +68,9 @@
 
 class EntryHarness {
  public:
-  using MakeHop =
-      std::function<std::unique_ptr<daemon::Hop>(const base::Clock& clock,
-                                                 http::EventLoop& loop)>;
+  using MakeHop = std::function<std::unique_ptr<daemon::serving::Hop>(
+      const base::Clock& clock,
+      http::EventLoop& loop)>;
 
   EntryHarness(const EntryHarnessOptions& options, const MakeHop& make_hop);
   ~EntryHarness();
@@ -88,14 +88,14 @@
   http::EventLoop loop_;
   storage::MemoryJournal journal_;
   std::unique_ptr<distribution::ProxyNode> node_;
-  daemon::NodeLoop node_loop_;
-  daemon::ClaimClient claims_;
+  daemon::control::NodeLoop node_loop_;
+  daemon::serving::ClaimClient claims_;
   blackboard::Blackboard board_{1, base::MonoNow()};
   request::MeshViewBuilder views_{"zone"};
-  const std::unique_ptr<daemon::Hop> hop_;
+  const std::unique_ptr<daemon::serving::Hop> hop_;
   // Never used: all endpoints are on other hosts.
-  const std::unique_ptr<daemon::Hop> local_hop_;
-  daemon::Entry entry_;
+  const std::unique_ptr<daemon::serving::Hop> local_hop_;
+  daemon::serving::Entry entry_;
 };
 
 }  // namespace buckthorngate::tests
--- a/tests/faulty_upstream_test.cc
+++ b/tests/faulty_upstream_test.cc
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "blackboard/blackboard.h"
-#include "daemon/destination.h"
+#include "daemon/serving/destination.h"
 #include "loopback.h"
 #include "request/hop_headers.h"
 #include "sent_hop.h"
@@ -127,7 +127,7 @@
                      loop_,
                      board_,
                      [](const std::string&, const rpc::CrashReport&) {}) {
-    daemon::UpstreamInfo info;
+    daemon::serving::UpstreamInfo info;
     info.endpoint_id_ = MakeHopRequest().endpoint_id_;
     info.address_ = upstream_.Address();
     info.service_ = "a";
@@ -137,8 +137,8 @@
   }
   ~DestinationWithScriptedUpstream() { loop_.Stop(); }
 
-  daemon::HopAnswer Run(const std::string& id) {
-    daemon::HopRequest request = MakeHopRequest();
+  daemon::serving::HopAnswer Run(const std::string& id) {
+    daemon::serving::HopRequest request = MakeHopRequest();
     request.request_id_ = id;
     request.head_.headers_.Set(request::kRequestIdHeader, id);
     SentHop sent(destination_, loop_, request, milliseconds(3000));
@@ -154,7 +154,7 @@
   base::SystemClock clock_;
   http::EventLoop loop_;
   blackboard::Blackboard board_{1, base::MonoNow()};
-  daemon::Destination destination_;
+  daemon::serving::Destination destination_;
 };
 
 // The first request is refused. The second one, with `id`, runs at the upstream
@@ -163,11 +163,11 @@
                     const std::string& id,
                     Script script) {
   DestinationWithScriptedUpstream destination(std::move(script));
-  const daemon::HopAnswer refused = destination.Run("one");
+  const daemon::serving::HopAnswer refused = destination.Run("one");
   BOOST_TEST(refused.not_run_, what);
   BOOST_TEST((refused.code_ == ResultCode::kUpstreamShed), what);
   std::this_thread::sleep_for(milliseconds(100));
-  const daemon::HopAnswer answer = destination.Run(id);
+  const daemon::serving::HopAnswer answer = destination.Run(id);
   BOOST_TEST(!answer.not_run_, what);
   BOOST_TEST((answer.code_ == ResultCode::kOk),
              what << ": " << Describe(answer.code_).name_);
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -19,11 +19,12 @@
 };
 
 // Ends each attempt of a request with the result for its number, from 0.
-class ScriptedHop : public daemon::Hop {
+class ScriptedHop : public daemon::serving::Hop {
  public:
   explicit ScriptedHop(http::EventLoop& loop) : loop_(loop) {}
 
-  http::Task<daemon::HopAnswer> Run(daemon::HopRequest& request) override {
+  http::Task<daemon::serving::HopAnswer> Run(
+      daemon::serving::HopRequest& request) override {
     const std::string attempt = request.attempt_id_;
     const ScriptedResult result =
         results_[attempt.substr(attempt.rfind('/') + 1)];
@@ -33,9 +34,11 @@
     const bool cut = co_await cancelled.Wait(base::MonoNow() + result.delay_);
     if (cut) {
       ++cancelled_attempts_;
-      co_return daemon::FailedHop(ResultCode::kCallerGone, /*not_run=*/false);
+      co_return daemon::serving::FailedHop(ResultCode::kCallerGone,
+                                           /*not_run=*/false);
     }
-    daemon::HopAnswer answer = daemon::FailedHop(result.code_, result.not_run_);
+    daemon::serving::HopAnswer answer =
+        daemon::serving::FailedHop(result.code_, result.not_run_);
     answer.reached_ = !result.not_run_;
     answer.head_.status_ = 200;
     co_return answer;
--- a/tests/hop_test.cc
+++ b/tests/hop_test.cc
@@ -18,10 +18,10 @@
 #include "blackboard/blackboard.h"
 #include "blackboard/metrics.h"
 #include "close_server.h"
-#include "daemon/destination.h"
-#include "daemon/hop.h"
-#include "daemon/hop_codec.h"
-#include "daemon/peer_client.h"
+#include "daemon/serving/destination.h"
+#include "daemon/serving/hop.h"
+#include "daemon/serving/hop_codec.h"
+#include "daemon/serving/peer_client.h"
 #include "http/server.h"
 #include "loopback.h"
 #include "request/call_tree.h"
@@ -37,8 +37,8 @@
   return base::MonoTime(std::chrono::milliseconds(1'000'000 + ms));
 }
 
-daemon::HopRequest MakeRequest() {
-  daemon::HopRequest request = MakeHopRequest();
+daemon::serving::HopRequest MakeRequest() {
+  daemon::serving::HopRequest request = MakeHopRequest();
   request.head_.headers_.Add("Accept", "text/plain");
   request.nested_ = true;
   request.priority_ = 2;
@@ -49,8 +49,8 @@
 
 BOOST_AUTO_TEST_CASE(AdmissionFieldsSurviveEncodingAndDecoding) {
   const http::RequestHead head =
-      daemon::EncodeHopRequest(MakeRequest(), TimeAtMs(100));
-  const auto decoded = daemon::DecodeHopRequest(head, TimeAtMs(5000));
+      daemon::serving::EncodeHopRequest(MakeRequest(), TimeAtMs(100));
+  const auto decoded = daemon::serving::DecodeHopRequest(head, TimeAtMs(5000));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->route_ == "main");
   BOOST_TEST(decoded->nested_);
@@ -64,18 +64,19 @@
 }
 
 BOOST_AUTO_TEST_CASE(ATopLevelRequestIsNotNested) {
-  daemon::HopRequest request = MakeRequest();
+  daemon::serving::HopRequest request = MakeRequest();
   request.nested_ = false;
-  const auto decoded = daemon::DecodeHopRequest(
-      daemon::EncodeHopRequest(request, TimeAtMs(100)), TimeAtMs(100));
+  const auto decoded = daemon::serving::DecodeHopRequest(
+      daemon::serving::EncodeHopRequest(request, TimeAtMs(100)), TimeAtMs(100));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(!decoded->nested_);
 }
 
 BOOST_AUTO_TEST_CASE(AMessageWithoutAnAttemptIdIsRejected) {
-  http::RequestHead head = daemon::EncodeHopRequest(MakeRequest(), TimeAtMs(0));
+  http::RequestHead head =
+      daemon::serving::EncodeHopRequest(MakeRequest(), TimeAtMs(0));
   head.headers_.Erase(request::kAttemptHeader);
-  BOOST_TEST((daemon::DecodeHopRequest(head, TimeAtMs(0)).error() ==
+  BOOST_TEST((daemon::serving::DecodeHopRequest(head, TimeAtMs(0)).error() ==
               ResultCode::kMalformed));
 }
 
@@ -189,9 +190,9 @@
 };
 
 // A request to SlowServer.
-daemon::HopRequest MakeRequestTo(const std::string& address,
-                                 const std::string& target) {
-  daemon::HopRequest request = MakeRequest();
+daemon::serving::HopRequest MakeRequestTo(const std::string& address,
+                                          const std::string& target) {
+  daemon::serving::HopRequest request = MakeRequest();
   request.head_.target_ = target;
   request.attempt_id_ = target;
   request.peer_address_ = address;
@@ -205,11 +206,11 @@
   SlowServer peer;
   base::SystemClock clock;
   http::EventLoop loop;
-  daemon::PeerClient client(clock, loop);
+  daemon::serving::PeerClient client(clock, loop);
   constexpr base::Duration kLongTime = std::chrono::seconds(5);
   loop.Start();
   std::atomic<int> unreachable_notices{0};
-  daemon::HopRequest late = MakeRequestTo(peer.address_, "/late");
+  daemon::serving::HopRequest late = MakeRequestTo(peer.address_, "/late");
   late.on_peer_unreachable_ = [&unreachable_notices] { ++unreachable_notices; };
   SentHop streaming(client, loop, MakeRequestTo(peer.address_, "/long"),
                     kLongTime);
@@ -238,7 +239,7 @@
                      [this](const std::string&, const rpc::CrashReport&) {
                        ++crashes_;
                      }) {
-    daemon::UpstreamInfo info;
+    daemon::serving::UpstreamInfo info;
     info.endpoint_id_ = MakeRequest().endpoint_id_;
     info.address_ = peer_.address_;
     info.service_ = "a";
@@ -249,8 +250,8 @@
   ~DestinationWithSlowUpstream() { loop_.Stop(); }
 
   // Requests "/long"; the upstream refuses new connections once it runs.
-  daemon::HopAnswer RunLong(base::Duration deadline,
-                            base::Duration caller_leaves_after) {
+  daemon::serving::HopAnswer RunLong(base::Duration deadline,
+                                     base::Duration caller_leaves_after) {
     SentHop sent(destination_, loop_, MakeRequestTo(peer_.address_, "/long"),
                  deadline);
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
@@ -271,14 +272,14 @@
   http::EventLoop loop_;
   blackboard::Blackboard board_{1, base::MonoNow()};
   int crashes_ = 0;
-  daemon::Destination destination_;
+  daemon::serving::Destination destination_;
 };
 
 // Guards against an upstream that is considered crashed, and its request the
 // suspect, because the answer took longer than the request's deadline.
 BOOST_AUTO_TEST_CASE(AnExceededDeadlineIsNotACrash) {
   DestinationWithSlowUpstream destination;
-  const daemon::HopAnswer answer = destination.RunLong(
+  const daemon::serving::HopAnswer answer = destination.RunLong(
       std::chrono::milliseconds(500), std::chrono::milliseconds(1000));
   BOOST_TEST((answer.code_ == ResultCode::kDeadlineExceeded));
   BOOST_TEST(answer.reached_);
@@ -290,7 +291,7 @@
 // Guards against the same when the caller disconnects during the answer.
 BOOST_AUTO_TEST_CASE(ACallerDisconnectDuringTheAnswerIsNotACrash) {
   DestinationWithSlowUpstream destination;
-  const daemon::HopAnswer answer = destination.RunLong(
+  const daemon::serving::HopAnswer answer = destination.RunLong(
       std::chrono::seconds(5), std::chrono::milliseconds(100));
   BOOST_TEST((answer.code_ == ResultCode::kCallerGone));
   BOOST_TEST(!answer.crashed_);
@@ -346,10 +347,10 @@
     const std::string first;
     auto head = co_await exchange->RunStreamed(loop_, call.Head(), first, call,
                                                deadline, matches_request);
-    daemon::HopAnswer answer =
-        co_await daemon::CollectAnswer(exchange, *head, /*without_body=*/false);
-    co_await daemon::SendAnswer(call, answer);
-    co_await daemon::FinishUpload(call, answer);
+    daemon::serving::HopAnswer answer = co_await daemon::serving::CollectAnswer(
+        exchange, *head, /*without_body=*/false);
+    co_await daemon::serving::SendAnswer(call, answer);
+    co_await daemon::serving::FinishUpload(call, answer);
   }
 
  private:
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -183,27 +183,27 @@
 }
 
 BOOST_AUTO_TEST_CASE(MovesAreToldInThePlatformsWords) {
-  daemon::MoveReport report;
+  daemon::control::MoveReport report;
   report.to_ = "v2";
-  report.progress_ = daemon::MoveProgress::kRolledBack;
+  report.progress_ = daemon::control::MoveProgress::kRolledBack;
   BOOST_TEST(platform::EncodeMove(report) ==
              R"({"state":"rolled_back","target_version":"v2"})");
 }
 
 // Answers each call with the same result.
-class FakeApi : public daemon::ControlApi {
+class FakeApi : public daemon::control::ControlApi {
  public:
   rpc::PublishReply PublishRouting(rpc::RoutingCommand command) override {
     base_ = command.base_number();
     return Reply();
   }
   rpc::PublishReply OrderMove(rpc::MoveOrder) override { return Reply(); }
-  daemon::RoutingReport ReadRouting() override {
+  daemon::control::RoutingReport ReadRouting() override {
     return {code_, leader_, 7, document_};
   }
-  daemon::MoveReport ReadMove(const std::string& service) override {
+  daemon::control::MoveReport ReadMove(const std::string& service) override {
     asked_ = service;
-    return {code_, leader_, daemon::MoveProgress::kRunning, "v2"};
+    return {code_, leader_, daemon::control::MoveProgress::kRunning, "v2"};
   }
   ResultCode Announce(const registry::Announcement&) override { return code_; }
   void Drain(const std::string&) override { ++drains_; }
@@ -232,7 +232,7 @@
       : port_(FreePort()),
         ready_port_(FreePort()),
         client_("127.0.0.1", port_) {
-    daemon::Settings settings;
+    daemon::startup::Settings settings;
     settings.adapter_["control"] = "127.0.0.1:" + std::to_string(port_);
     settings.adapter_["ready"] = "127.0.0.1:" + std::to_string(ready_port_);
     adapter_ = std::make_unique<platform::PlatformAdapter>(settings, api_);
@@ -299,7 +299,7 @@
 
 ResultCode StartAt(const std::string& control) {
   FakeApi api;
-  daemon::Settings settings;
+  daemon::startup::Settings settings;
   if (!control.empty()) {
     settings.adapter_["control"] = control;
   }
--- a/tests/sent_hop.cc
+++ b/tests/sent_hop.cc
@@ -5,15 +5,15 @@
 namespace {
 
 // Not a lambda, because the coroutine would outlive the lambda's closure.
-http::Task<void> RunHop(daemon::Hop& hop, SentHop& sent) {
+http::Task<void> RunHop(daemon::serving::Hop& hop, SentHop& sent) {
   sent.answer_ = co_await hop.Run(sent.request_);
   sent.ended_.set_value();
 }
 
 }  // namespace
 
-daemon::HopRequest MakeHopRequest() {
-  daemon::HopRequest request;
+daemon::serving::HopRequest MakeHopRequest() {
+  daemon::serving::HopRequest request;
   request.head_.method_ = "GET";
   request.head_.target_ = "/a";
   request.endpoint_id_ = "host/1.2.3.4:5";
@@ -25,9 +25,9 @@
   return request;
 }
 
-SentHop::SentHop(daemon::Hop& hop,
+SentHop::SentHop(daemon::serving::Hop& hop,
                  http::EventLoop& loop,
-                 const daemon::HopRequest& request,
+                 const daemon::serving::HopRequest& request,
                  base::Duration deadline)
     : request_(request) {
   request_.deadline_ = base::MonoNow() + deadline;
--- a/tests/sent_hop.h
+++ b/tests/sent_hop.h
@@ -5,26 +5,26 @@
 #include <future>
 #include <string>
 
-#include "daemon/hop.h"
+#include "daemon/serving/hop.h"
 #include "http/event_loop.h"
 
 namespace buckthorngate::tests {
 
 // A request with the ids and the route that a destination requires. Deadlines
 // and addresses are set by the test.
-daemon::HopRequest MakeHopRequest();
+daemon::serving::HopRequest MakeHopRequest();
 
 // A request that is sent over a hop, and its answer once `ended_` is set.
 struct SentHop {
   // Sends the request immediately.
-  SentHop(daemon::Hop& hop,
+  SentHop(daemon::serving::Hop& hop,
           http::EventLoop& loop,
-          const daemon::HopRequest& request,
+          const daemon::serving::HopRequest& request,
           base::Duration deadline);
 
   http::CancelSignal cancel_;
-  daemon::HopRequest request_;
-  daemon::HopAnswer answer_;
+  daemon::serving::HopRequest request_;
+  daemon::serving::HopAnswer answer_;
   std::promise<void> ended_;
 };
 
--- a/tests/silence_test.cc
+++ b/tests/silence_test.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "daemon/peer_watch.h"
+#include "daemon/serving/peer_watch.h"
 #include "request/endpoint_stats.h"
 #include "request/peer_failure_detector.h"
 
@@ -123,7 +123,7 @@
 }
 
 // Answers each probe after a fixed time.
-class FixedProbe : public daemon::PeerProbe {
+class FixedProbe : public daemon::serving::PeerProbe {
  public:
   FixedProbe(http::EventLoop& loop, base::Duration answers_after)
       : loop_(loop), answers_after_(answers_after) {}
@@ -156,10 +156,11 @@
       : probe_(loop_, probe_answers_after), watch_(clock_, loop_, probe_) {
     loop_.Start();
     loop_.RunAndWait([this] {
-      pending_ = std::make_unique<daemon::PeerWatch::PendingRequest>(
+      pending_ = std::make_unique<daemon::serving::PeerWatch::PendingRequest>(
           watch_, "peer",
-          daemon::PeerWatch::Listener{[this] { ++unresponsive_notices_; },
-                                      [this] { ++unreachable_notices_; }});
+          daemon::serving::PeerWatch::Listener{
+              [this] { ++unresponsive_notices_; },
+              [this] { ++unreachable_notices_; }});
     });
   }
   ~WatchedRequest() {
@@ -179,8 +180,8 @@
   base::SystemClock clock_;
   http::EventLoop loop_;
   FixedProbe probe_;
-  daemon::PeerWatch watch_;
-  std::unique_ptr<daemon::PeerWatch::PendingRequest> pending_;
+  daemon::serving::PeerWatch watch_;
+  std::unique_ptr<daemon::serving::PeerWatch::PendingRequest> pending_;
 };
 
 // Guards against finding a peer unreachable whose link is saturated: packets
--- a/tests/unreachable_peer_test.cc
+++ b/tests/unreachable_peer_test.cc
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "daemon/peer_client.h"
+#include "daemon/serving/peer_client.h"
 #include "entry_harness.h"
 #include "loopback.h"
 #include "request/hop_headers.h"
@@ -155,8 +155,8 @@
   EntryHarness entry_{{.route_timeout_ = kRouteTimeout,
                        .peer_addresses_ = {one_.Address(), two_.Address()}},
                       [](const base::Clock& clock, http::EventLoop& loop) {
-                        return std::make_unique<daemon::PeerClient>(clock,
-                                                                    loop);
+                        return std::make_unique<daemon::serving::PeerClient>(
+                            clock, loop);
                       }};
 };
 
@@ -234,12 +234,13 @@
 };
 
 // Plays the script of each attempt, in the order of their numbers.
-class ScriptedHop : public daemon::Hop {
+class ScriptedHop : public daemon::serving::Hop {
  public:
   ScriptedHop(http::EventLoop& loop, std::vector<ScriptedAttempt> script)
       : loop_(loop), script_(std::move(script)) {}
 
-  http::Task<daemon::HopAnswer> Run(daemon::HopRequest& request) override {
+  http::Task<daemon::serving::HopAnswer> Run(
+      daemon::serving::HopRequest& request) override {
     const ScriptedAttempt attempt = script_.at(begun_++);
     http::Notifier cancelled(loop_);
     const http::CancelScope scope(*request.cancel_,
@@ -254,13 +255,13 @@
     }
     cut = cut || co_await cancelled.Wait(began + attempt.ends_after_);
     if (cut) {
-      daemon::HopAnswer left =
-          daemon::FailedHop(ResultCode::kCallerGone, /*not_run=*/false);
+      daemon::serving::HopAnswer left = daemon::serving::FailedHop(
+          ResultCode::kCallerGone, /*not_run=*/false);
       left.reached_ = true;
       co_return left;
     }
-    daemon::HopAnswer answer =
-        daemon::FailedHop(attempt.code_, attempt.not_run_);
+    daemon::serving::HopAnswer answer =
+        daemon::serving::FailedHop(attempt.code_, attempt.not_run_);
     answer.reached_ = !attempt.not_run_;
     answer.head_.status_ = attempt.status_;
     co_return answer;
--- a/tests/upload_test.cc
+++ b/tests/upload_test.cc
@@ -26,7 +26,7 @@
 
 // Records the requests and answers each with the next scripted outcome; with
 // 200 when there is none left.
-class ScriptedHop : public daemon::Hop {
+class ScriptedHop : public daemon::serving::Hop {
  public:
   struct Sent {
     std::string endpoint_;
@@ -34,22 +34,23 @@
     bool streamed_ = false;
   };
 
-  http::Task<daemon::HopAnswer> Run(daemon::HopRequest& request) override {
+  http::Task<daemon::serving::HopAnswer> Run(
+      daemon::serving::HopRequest& request) override {
     sent_.push_back(
         {request.endpoint_id_, request.body_, request.rest_ != nullptr});
     if (outcomes_.empty()) {
-      daemon::HopAnswer answer;
+      daemon::serving::HopAnswer answer;
       answer.reached_ = true;
       answer.head_.status_ = kStatusOk;
       co_return answer;
     }
-    daemon::HopAnswer answer = std::move(outcomes_.front());
+    daemon::serving::HopAnswer answer = std::move(outcomes_.front());
     outcomes_.pop_front();
     co_return answer;
   }
 
   std::vector<Sent> sent_;
-  std::deque<daemon::HopAnswer> outcomes_;
+  std::deque<daemon::serving::HopAnswer> outcomes_;
 };
 
 // An entry with a route for uploads to two endpoints, and a scripted hop.
@@ -99,8 +100,8 @@
 // endpoint has room: the body was gone after the first attempt.
 BOOST_AUTO_TEST_CASE(AnUploadThatAnEndpointRefusedIsSentToAnother) {
   UploadEntry entry;
-  entry.Sent().outcomes_.push_back(
-      daemon::FailedHop(ResultCode::kEndpointOverloaded, /*not_run=*/true));
+  entry.Sent().outcomes_.push_back(daemon::serving::FailedHop(
+      ResultCode::kEndpointOverloaded, /*not_run=*/true));
   const std::unique_ptr<WaitingCaller> caller = entry.Upload(6);
   BOOST_TEST(caller->status_ == kStatusOk);
   BOOST_REQUIRE(entry.Sent().sent_.size() == 2u);
@@ -114,8 +115,8 @@
 BOOST_AUTO_TEST_CASE(AnUploadThatMayHaveRunIsNotSentAgain) {
   for (const size_t pieces : {1u, 6u, 16u}) {
     UploadEntry entry;
-    daemon::HopAnswer lost =
-        daemon::FailedHop(ResultCode::kUpstreamFailed, /*not_run=*/false);
+    daemon::serving::HopAnswer lost = daemon::serving::FailedHop(
+        ResultCode::kUpstreamFailed, /*not_run=*/false);
     lost.reached_ = true;
     entry.Sent().outcomes_.push_back(std::move(lost));
     const std::unique_ptr<WaitingCaller> caller = entry.Upload(pieces);
@@ -130,8 +131,8 @@
 // a refusal goes to the caller, who may send it again.
 BOOST_AUTO_TEST_CASE(AnUploadBeyondTheBufferIsStreamedToOneEndpoint) {
   UploadEntry entry;
-  entry.Sent().outcomes_.push_back(
-      daemon::FailedHop(ResultCode::kEndpointOverloaded, /*not_run=*/true));
+  entry.Sent().outcomes_.push_back(daemon::serving::FailedHop(
+      ResultCode::kEndpointOverloaded, /*not_run=*/true));
   const std::unique_ptr<WaitingCaller> caller = entry.Upload(16);
   BOOST_TEST(caller->status_ == kStatusOverloaded);
   BOOST_REQUIRE(entry.Sent().sent_.size() == 1u);
