--- a/src/daemon/startup/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -324,7 +324,8 @@
   rpc::QueryReply reply;
   const bool zone_scoped = request.kind() == rpc::QueryRequest::QUARANTINE ||
                            request.kind() == rpc::QueryRequest::ENDPOINTS;
-  if (source_.loop_ != nullptr && !zone_scoped) {
+  const bool only_source = relay_.loop_ == nullptr && proxy_ == nullptr;
+  if (source_.loop_ != nullptr && (!zone_scoped || only_source)) {
     source_.loop_->RunAndWait([&](const base::Now& now) {
       reply = source_.node_->Query(request, now);
     });
@@ -332,12 +333,8 @@
     relay_.loop_->RunAndWait([&](const base::Now& now) {
       reply = relay_.node_->Query(request, now);
     });
-  } else if (proxy_ != nullptr) {
-    reply = proxy_->Query(request);
   } else {
-    source_.loop_->RunAndWait([&](const base::Now& now) {
-      reply = source_.node_->Query(request, now);
-    });
+    reply = proxy_->Query(request);
   }
   return reply;
 }
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -12,7 +12,7 @@
 using base::EventId;
 using base::LogEvent;
 
-constexpr base::Duration kKeepaliveInterval = std::chrono::seconds(1);
+constexpr base::Duration kProxyKeepaliveInterval = std::chrono::seconds(1);
 constexpr base::Duration kExchangeInterval = std::chrono::seconds(1);
 constexpr size_t kPeersPerExchange = 3;
 // Control hosts that have all started again may need seconds to elect a leader
@@ -184,56 +184,6 @@
             {"relays", std::to_string(floors_received_.size())}});
 }
 
-void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
-                           const base::Now& now) {
-  const rpc::RegistryUpdate& update = envelope.registry();
-  if (!registry_received_) {
-    registry_received_ = true;
-    ++view_version_;
-  }
-  const uint64_t before = endpoints_.Version();
-  if (update.full() && envelope.from() == parents_.Active()) {
-    endpoints_.Follow(update.endpoints(), options_.identity_.host_, now.mono_);
-  } else {
-    for (const rpc::Endpoint& endpoint : update.endpoints()) {
-      endpoints_.Merge(endpoint, now.mono_);
-    }
-  }
-  if (endpoints_.Version() != before) {
-    ++view_version_;
-    ReannounceIfSuperseded();
-  }
-}
-
-void ProxyNode::ReannounceIfSuperseded() {
-  for (const rpc::Endpoint& own : local_.Entries()) {
-    const rpc::Endpoint* held = endpoints_.Find(own.id());
-    if (held != nullptr && held->incarnation() > own.incarnation()) {
-      local_.RaiseIncarnationAbove(held->incarnation());
-      return;
-    }
-    const bool expired = held != nullptr &&
-                         held->state() == rpc::ENDPOINT_STATE_GONE &&
-                         own.state() != rpc::ENDPOINT_STATE_GONE &&
-                         held->sequence() == own.sequence();
-    if (expired) {
-      local_.Reannounce();
-      return;
-    }
-  }
-}
-
-void ProxyNode::OnRegistryDigest(const rpc::Envelope& envelope,
-                                 const base::Now& now) {
-  parents_.RecordContact(envelope.from(), 0, base::Duration(0), now.mono_);
-  const bool stale = endpoints_.Digest() != envelope.registry_digest().digest();
-  if (stale && envelope.from() == parents_.Active()) {
-    outbox_.Add(options_.identity_.host_, envelope.from())
-        .mutable_registry_digest()
-        ->set_digest(endpoints_.Digest());
-  }
-}
-
 void ProxyNode::OnQuarantine(const rpc::QuarantineNotice& notice) {
   for (const rpc::QuarantineEntry& entry : notice.entries()) {
     rpc::QuarantineEntry& held = quarantine_[entry.fingerprint()];
@@ -310,7 +260,7 @@
   if (now.mono_ < next_keepalive_) {
     return;
   }
-  next_keepalive_ = now.mono_ + kKeepaliveInterval;
+  next_keepalive_ = now.mono_ + kProxyKeepaliveInterval;
   for (const std::string& relay : parents_.Candidates()) {
     rpc::Ack& ack = *outbox_.Add(options_.identity_.host_, relay).mutable_ack();
     ack.set_revision(config_.State().Revision());
@@ -326,33 +276,6 @@
   }
 }
 
-void ProxyNode::SendLocalChanges() {
-  if (local_.Version() == local_version_sent_) {
-    return;
-  }
-  local_version_sent_ = local_.Version();
-  for (const rpc::Endpoint& endpoint : local_.Entries()) {
-    uint64_t& sent = sent_sequences_[endpoint.id()];
-    if (sent == endpoint.sequence()) {
-      continue;
-    }
-    sent = endpoint.sequence();
-    // Updates the own registry at once; relays inform the other daemons.
-    endpoints_.Merge(endpoint, base::MonoTime());
-    ++view_version_;
-    for (const std::string& relay : parents_.Candidates()) {
-      *outbox_.Add(options_.identity_.host_, relay).mutable_endpoint() =
-          endpoint;
-    }
-  }
-}
-
-void ProxyNode::SendAllLocal(const std::string& relay) {
-  for (const rpc::Endpoint& endpoint : local_.Entries()) {
-    *outbox_.Add(options_.identity_.host_, relay).mutable_endpoint() = endpoint;
-  }
-}
-
 void ProxyNode::UpdateRelayConnection(const base::Now& now) {
   const bool connected = parents_.Connected(now.mono_);
   if (connected == relay_connected_) {
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -97,15 +97,17 @@
   void OnFloor(const rpc::Envelope& envelope, const base::Now& now);
   // Serves from unconfirmed floors once kUnconfirmedFloorDelay has passed.
   void AcceptUnconfirmedFloors(const base::Now& now);
+  // proxy_registry.cc: the mirrored registry and own announcements.
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
+  void SendLocalChanges();
+  // Sends all entries of this host to a relay that lacks some of them.
+  void SendAllLocal(const std::string& relay);
+
   void OnQuarantine(const rpc::QuarantineNotice& notice);
   void OnPeerDigest(const rpc::Envelope& envelope);
   void SendResumes(const base::Now& now);
   void SendKeepalive(const base::Now& now);
-  void SendLocalChanges();
-  // Sends all entries of this host to a relay that lacks some of them.
-  void SendAllLocal(const std::string& relay);
   void ExchangeWithPeers(const base::Now& now);
   void UpdateRelayConnection(const base::Now& now);
   // Announces the own endpoints anew if the registry has marked one as gone, or
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -30,6 +30,9 @@
 
 namespace buckthorngate::distribution {
 
+// Interval of a relay's keepalives to sources and to subscribers on standby.
+inline constexpr base::Duration kKeepaliveInterval = std::chrono::seconds(1);
+
 struct RelayOptions {
   std::string id_;
   std::string zone_;
@@ -79,6 +82,7 @@
   // Sends a confirmed floor to each proxy whose nonce the leader has confirmed:
   // no newer revision was committed when that proxy asked.
   void ConfirmFloors(const rpc::SourceHeartbeat& heartbeat);
+  // relay_reports.cc: heartbeats and reports.
   // Reports this relay's revision to all subscribed proxies, also on standby.
   void SendHeartbeats(const base::Now& now);
   void SendHeartbeat(const std::string& to,
