--- a/src/base/time.h
+++ b/src/base/time.h
@@ -6,8 +6,6 @@
 #ifndef SRC_BASE_TIME_H_
 #define SRC_BASE_TIME_H_
 
-#include <time.h>
-
 #include <chrono>
 #include <cstdint>
 
@@ -25,8 +23,6 @@
 struct Now {
   MonoTime mono_;
   WallTime wall_;
-  // Time since the host started, including the time that it was suspended.
-  Duration since_boot_{0};
 };
 
 class Clock {
@@ -41,22 +37,12 @@
       std::chrono::steady_clock::now());
 }
 
-inline Duration SinceBoot() {
-  timespec time = {};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(time.tv_sec) +
-      std::chrono::nanoseconds(time.tv_nsec));
-}
-
 // Reads the operating system's clocks.
 class SystemClock : public Clock {
  public:
   Now Read() const override {
-    return {MonoNow(),
-            std::chrono::time_point_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now()),
-            SinceBoot()};
+    return {MonoNow(), std::chrono::time_point_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now())};
   }
 };
 
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -304,22 +304,10 @@
   co_return answer;
 }
 
-void Destination::SubtractTransitDelay(HopRequest& request,
-                                       const base::Now& arrival) {
-  if (!request.sent_) {
-    return;
-  }
-  const base::Duration delay = transit_delay_.Record(
-      request.caller_host_, *request.sent_, arrival.since_boot_);
-  request.deadline_ -= delay;
-  request.objective_ -= delay;
-}
-
 http::Task<void> Destination::Handle(http::ServerCall& call) {
-  const base::Now arrival = clock_.Read();
-  const base::MonoTime arrived = arrival.mono_;
+  const base::MonoTime arrived = clock_.Read().mono_;
   tl::expected<HopRequest, ResultCode> decoded =
-      DecodeHopRequest(call.Head(), arrived);
+      DecodeHopRequest(call.Head(), clock_.Read().mono_);
   if (!decoded) {
     const Refusal refusal{decoded.error(), /*not_run=*/true, ""};
     const http::AnswerHead head = RefusalHead(refusal, dialect_);
@@ -329,7 +317,6 @@
   }
   HopRequest& request = *decoded;
   call.SetId(request.request_id_);
-  SubtractTransitDelay(request, arrival);
   request.cancel_ = &call.Gone();
   request.caller_connected_ = [&call] { return call.StillThere(); };
   if (call.HasBody()) {
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -20,7 +20,6 @@
 #include "mesh.pb.h"
 #include "request/admission.h"
 #include "request/dialect.h"
-#include "request/transit_delay.h"
 
 namespace buckthorngate::daemon::serving {
 
@@ -102,9 +101,6 @@
   http::Task<bool> ReportIfCrashed(std::shared_ptr<Upstream> upstream,
                                    std::string fingerprint);
 
-  // Subtracts from the request's times how long it was delayed on its way.
-  void SubtractTransitDelay(HopRequest& request, const base::Now& arrival);
-
   const std::string host_;
   const request::Dialect& dialect_;
   const base::Clock& clock_;
@@ -116,7 +112,6 @@
   uint64_t next_ticket_ = 1;
   uint64_t next_crash_ = 1;
   int64_t in_flight_ = 0;
-  request::TransitDelay transit_delay_;
 };
 
 }  // namespace buckthorngate::daemon::serving
--- a/src/daemon/serving/hop.h
+++ b/src/daemon/serving/hop.h
@@ -51,8 +51,6 @@
   // May be sent to another endpoint although this one may have run it.
   bool repeatable_ = false;
   base::MonoTime deadline_;
-  // When the request was sent, by the sender's clock; see TransitDelay.
-  std::optional<base::Duration> sent_;
   // Latency objective: until then an answer has its full value, after it less.
   base::MonoTime objective_;
   http::CancelSignal* cancel_ = nullptr;
--- a/src/daemon/serving/hop_codec.cc
+++ b/src/daemon/serving/hop_codec.cc
@@ -11,9 +11,6 @@
 
 using http::Headers;
 
-// A century, so that differences of such times cannot overflow.
-constexpr uint64_t kMaxSentUs = uint64_t{100} * 366 * 24 * 3600 * 1'000'000;
-
 std::string RemainingMs(base::MonoTime until, base::MonoTime now) {
   const int64_t left = (until - now) / std::chrono::milliseconds(1);
   return std::to_string(std::max<int64_t>(left, 0));
@@ -35,7 +32,7 @@
 }  // namespace
 
 http::RequestHead EncodeHopRequest(const HopRequest& request,
-                                   const base::Now& now) {
+                                   base::MonoTime now) {
   http::RequestHead head = request.head_;
   Headers& headers = head.headers_;
   headers.Set(request::kRequestIdHeader, request.request_id_);
@@ -44,13 +41,10 @@
   headers.Add(request::kCallerHeader, request.caller_host_);
   headers.Add(request::kFingerprintHeader, request.fingerprint_);
   headers.Add(request::kRouteHeader, request.route_);
-  headers.Add(request::kDeadlineHeader,
-              RemainingMs(request.deadline_, now.mono_));
-  headers.Add(request::kSentHeader, std::to_string(now.since_boot_.count()));
-  if (request.objective_ > now.mono_ &&
-      request.objective_ < request.deadline_) {
+  headers.Add(request::kDeadlineHeader, RemainingMs(request.deadline_, now));
+  if (request.objective_ > now && request.objective_ < request.deadline_) {
     headers.Add(request::kObjectiveHeader,
-                RemainingMs(request.objective_, now.mono_));
+                RemainingMs(request.objective_, now));
   }
   if (request.priority_ != 0) {
     headers.Add(request::kPriorityHeader, std::to_string(request.priority_));
@@ -89,11 +83,6 @@
       headers.Has(request::kObjectiveHeader)
           ? TimeAfterMs(headers.Find(request::kObjectiveHeader), now)
           : request.deadline_;
-  const std::optional<uint64_t> sent =
-      http::ParseNumber(headers.Find(request::kSentHeader));
-  if (sent && *sent <= kMaxSentUs) {
-    request.sent_ = base::Duration(static_cast<int64_t>(*sent));
-  }
   request.priority_ = static_cast<uint32_t>(
       http::ParseNumber(headers.Find(request::kPriorityHeader)).value_or(0));
   request.below_retry_ = headers.Has(request::kBelowRetryHeader);
--- a/src/daemon/serving/hop_codec.h
+++ b/src/daemon/serving/hop_codec.h
@@ -11,7 +11,7 @@
 
 // Head of the HTTP request to the destination's daemon.
 http::RequestHead EncodeHopRequest(const HopRequest& request,
-                                   const base::Now& now);
+                                   base::MonoTime now);
 // Error: kMalformed. The body, the cancel signal and the callbacks are not set.
 tl::expected<HopRequest, ResultCode> DecodeHopRequest(
     const http::RequestHead& head,
--- a/src/daemon/serving/peer_client.cc
+++ b/src/daemon/serving/peer_client.cc
@@ -44,7 +44,7 @@
                                        *request.cancel_);
   exchange->OnPiece(
       [this, peer = request.peer_address_] { watch_.RecordActivity(peer); });
-  const http::RequestHead head = EncodeHopRequest(request, clock_.Read());
+  const http::RequestHead head = EncodeHopRequest(request, clock_.Read().mono_);
   const std::string attempt = request.attempt_id_;
   const auto matches_request = [attempt](const http::AnswerHead& answer) {
     return answer.headers_.Find(request::kAttemptHeader) == attempt;
--- a/src/request/hop_headers.h
+++ b/src/request/hop_headers.h
@@ -46,9 +46,6 @@
 // Between daemons only: time left of the route's latency objective, in
 // milliseconds.
 inline constexpr char kObjectiveHeader[] = "Bg-Objective-Ms";
-// Between daemons only: when the request was sent, by the sender's clock that
-// counts since its start, in microseconds; see TransitDelay.
-inline constexpr char kSentHeader[] = "Bg-Sent-Us";
 // Between daemons only, on answers: the request has been sent to the upstream.
 inline constexpr char kReachedHeader[] = "Bg-Reached";
 // Between daemons only, on answers: number of requests that run or wait at the
