--- a/src/distribution/control_hosts.cc
+++ b/src/distribution/control_hosts.cc
@@ -83,6 +83,7 @@
   const size_t in_zone = static_cast<size_t>(others - ranked.begin());
   ranked.resize(std::min(ranked.size(), std::max(in_zone, kFollowedRelays)));
   std::vector<std::string> relays;
+  relays.reserve(ranked.size());
   for (const rpc::Member& member : ranked) {
     relays.push_back(
         membership::NodeIdOnSameHost(member.id(), membership::kRelayRole));
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -167,8 +167,12 @@
   journal_dirty_ = true;
   floors_received_.insert(envelope.from());
   floor_known_ = envelope.floor().confirmed();
-  if (!unconfirmed_since_ &&
-      floors_received_.size() >= parents_.Candidates().size()) {
+  const std::vector<std::string>& relays = parents_.Candidates();
+  const bool complete = std::all_of(relays.begin(), relays.end(),
+                                    [this](const std::string& relay) {
+                                      return floors_received_.count(relay) != 0;
+                                    });
+  if (!unconfirmed_since_ && complete) {
     unconfirmed_since_ = now.mono_;
   }
 }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -204,6 +204,11 @@
       "[listen]\ncontrol = \"somewhere:99\"\n",
       "s.toml", problems);
   BOOST_TEST(problems.size() == 3u);
+  config::Problems losses;
+  daemon::startup::ParseSettings(
+      "host = \"h\"\ndata_folder = \"d\"\ntolerated_losses = 4\n", "s.toml",
+      losses);
+  BOOST_TEST(losses.size() == 1u);
   BOOST_TEST(daemon::startup::IsIpAddress("127.0.0.1:80"));
   BOOST_TEST(!daemon::startup::IsIpAddress("localhost:80"));
   BOOST_TEST(!daemon::startup::IsIpAddress("127.0.0.1:99999"));
