--- a/review/harness.cc
+++ b/review/harness.cc
@@ -685,6 +685,7 @@
                      const std::string& target,
                      const std::string& body,
                      Milliseconds deadline) {
+  const Time sent_at = Clock::now();
   const std::string id = machine_ + "-" + std::to_string(next_++);
   record_.Write("caller on " + machine_ + " sends " + id + " " + method + " " +
                 host + target);
@@ -694,6 +695,10 @@
             {"X-Request-Id", id},
             {"X-Deadline-Ms", std::to_string(deadline.count())}},
            body, deadline + Milliseconds(500));
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    requests_.push_back({sent_at, target, answer.status_});
+  }
   record_.Write("caller on " + machine_ + " gets for " + id + " status " +
                 std::to_string(answer.status_) + ", X-Server-Stamp " +
                 answer.message_.Header("X-Server-Stamp"));
@@ -705,18 +710,22 @@
                                const std::string& target,
                                const std::string& body,
                                Milliseconds deadline) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  threads_.emplace_back([this, host, method, target, body, deadline] {
+  ++open_;
+  std::thread([this, host, method, target, body, deadline] {
     (void)Send(host, method, target, body, deadline);
-  });
+    --open_;
+  }).detach();
 }
 
 void Callers::AwaitAll() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::thread& thread : threads_) {
-    thread.join();
+  while (open_ > 0) {
+    std::this_thread::sleep_for(Milliseconds(5));
   }
-  threads_.clear();
+}
+
+std::vector<Sent> Callers::Requests() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return requests_;
 }
 
 std::string Configuration(uint64_t version,
--- a/review/harness.h
+++ b/review/harness.h
@@ -229,6 +229,13 @@
   std::thread heart_;
 };
 
+// One request of a caller, and the status of its answer; 0: none.
+struct Sent {
+  Time at_;
+  std::string target_;
+  int status_ = 0;
+};
+
 // Callers on one machine. Each request has an id of its own.
 class Callers {
  public:
@@ -249,15 +256,19 @@
                         const std::string& target,
                         const std::string& body,
                         Milliseconds deadline);
+  // Waits until all requests are answered or given up.
   void AwaitAll();
+  // The requests that are answered or given up.
+  std::vector<Sent> Requests() const;
 
  private:
   Deployment& deployment_;
   const std::string machine_;
   Record& record_;
   std::atomic<uint64_t> next_{1};
-  std::mutex mutex_;
-  std::vector<std::thread> threads_;
+  std::atomic<int> open_{0};
+  mutable std::mutex mutex_;
+  std::vector<Sent> requests_;
 };
 
 // One route of a configuration.
