--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -95,6 +95,7 @@
     return kNotRun;
   }
   std::vector<std::unique_ptr<Upstream>> upstreams;
+  upstreams.reserve(sidecars.size());
   for (const MachineOptions& machine : sidecars) {
     upstreams.push_back(start(machine, "i-" + machine.name_ + "-1"));
   }
