--- a/src/daemon/control/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -130,7 +130,11 @@
           base::kStatusBadRequest,
           std::string(Describe(ResultCode::kMissingKey).message_) + "\n");
     }
-    handlers_.announce_(announcement);
+    const ResultCode code = handlers_.announce_(announcement);
+    if (code == ResultCode::kUnknownService) {
+      return TextAnswer(base::kStatusBadRequest,
+                        std::string(Describe(code).message_) + "\n");
+    }
     return TextAnswer(base::kStatusOk, "ok\n");
   }
 
--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -57,7 +57,8 @@
   virtual MoveReport ReadMove(const std::string& service) = 0;
 
   // Registration of this host's upstreams. Announce returns kOk, kNumberStale
-  // for an announcement that is older than the known one and was ignored, or
+  // for an announcement that is older than the known one and was ignored,
+  // kUnknownService for one of another service than the settings name, or
   // kNoEndpoint on a daemon without a proxy. This daemon has applied the change
   // when the call returns.
   virtual ResultCode Announce(const registry::Announcement& announcement) = 0;
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -205,7 +205,7 @@
   if (request.below_retry_ && dialect_.reports_call_count_) {
     head.headers_.Set(request::kBelowRetryHeader, "1");
   }
-  if (!dialect_.caller_service_.empty()) {
+  if (!dialect_.caller_service_.empty() && !request.caller_service_.empty()) {
     head.headers_.Set(dialect_.caller_service_, request.caller_service_);
   }
   if (!dialect_.expected_instance_.empty()) {
--- a/src/daemon/serving/entry.h
+++ b/src/daemon/serving/entry.h
@@ -29,6 +29,9 @@
   std::string host_;
   uint64_t incarnation_ = 0;
   request::Dialect dialect_;
+  // The service that runs on this host, from its settings; upstreams are
+  // informed that it is the origin of the request.
+  std::string service_ = {};
 };
 
 // Used on the loop's thread only.
@@ -47,12 +50,6 @@
 
   http::Task<void> Handle(http::ServerCall& call) override;
 
-  // Sets the service that runs on this host; upstreams are informed that it is
-  // the origin of the request.
-  void SetCallerService(const std::string& service) {
-    caller_service_ = service;
-  }
-
   // Attempts that run in parallel to their calls; they may outlive them. None
   // may be left when the hops are destroyed.
   size_t ParallelAttempts() const { return parallel_attempts_; }
@@ -72,7 +69,6 @@
   Hop& local_hop_;
   Hop& remote_hop_;
   const BrakeHandler on_brake_;
-  std::string caller_service_;
   base::Random random_;
   uint64_t next_request_ = 1;
   size_t parallel_attempts_ = 0;
--- a/src/daemon/serving/entry_attempt.cc
+++ b/src/daemon/serving/entry_attempt.cc
@@ -119,7 +119,7 @@
   request.request_id_ = request_id_;
   request.attempt_id_ = request_id_ + "/" + std::to_string(attempts_);
   request.caller_host_ = entry_.options_.host_;
-  request.caller_service_ = entry_.caller_service_;
+  request.caller_service_ = entry_.options_.service_;
   request.fingerprint_ = fingerprint_;
   request.route_ = RouteName();
   request.below_retry_ = below_retry_ || retrying_;
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -95,7 +95,7 @@
             OnCrash(address, report);
           }),
       peer_client_(clock, loop_),
-      entry_({settings.host_, incarnation, dialect_},
+      entry_({settings.host_, incarnation, dialect_, settings.service_},
              clock,
              loop_,
              board_,
@@ -111,7 +111,6 @@
       peers_(loop_, destination_),
       admin_(MakeAdminHandlers()),
       views_(settings.zone_) {
-  entry_.SetCallerService(settings.service_);
   peers_.SetLimits(PeerLimits(http::ServerLimits()));
   callers_.OnMalformed([](int status, std::string_view what) {
     base::LogEvent(
@@ -339,6 +338,7 @@
   distribution::ProxyOptions options;
   options.identity_.host_ = settings.host_;
   options.identity_.zone_ = settings.zone_;
+  options.identity_.service_ = settings.service_;
   options.identity_.peer_address_ = settings.peers_address_;
   options.identity_.control_address_ = settings.control_address_;
   options.identity_.incarnation_ = incarnation;
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -4,25 +4,38 @@
 
 namespace buckthorngate::daemon::serving {
 
+namespace {
+
+using registry::AnnouncementCheck;
+
+ResultCode IgnoreAnnouncement(const registry::Announcement& announcement,
+                              AnnouncementCheck check) {
+  const ResultCode code = check == AnnouncementCheck::kForeignService
+                              ? ResultCode::kUnknownService
+                              : ResultCode::kNumberStale;
+  base::LogEvent(base::EventId::kAnnouncementIgnored,
+                 {{"instance", announcement.instance_},
+                  {"address", announcement.address_},
+                  {"service", announcement.service_},
+                  {"sequence", std::to_string(announcement.sequence_)},
+                  {"code", std::string(Describe(code).name_)}});
+  return code;
+}
+
+}  // namespace
+
 ResultCode ProxyRole::Impl::Announce(
     const registry::Announcement& announcement) {
-  bool stale = false;
+  AnnouncementCheck check = AnnouncementCheck::kAccepted;
   bool changed = false;
   UpstreamInfo info;
   node_loop_.RunAndWait([&](const base::Now& now) {
-    stale = node_->Local().CheckFreshness(announcement) ==
-            registry::Freshness::kStale;
-    if (!stale) {
-      changed = node_->Local().Announce(announcement, now.mono_);
-    }
+    check = node_->Local().Check(announcement);
+    changed = node_->Local().Announce(announcement, now.mono_);
     info.endpoint_id_ = node_->Local().EndpointId(announcement.address_);
   });
-  if (stale) {
-    base::LogEvent(base::EventId::kAnnouncementIgnored,
-                   {{"instance", announcement.instance_},
-                    {"address", announcement.address_},
-                    {"sequence", std::to_string(announcement.sequence_)}});
-    return ResultCode::kNumberStale;
+  if (check != AnnouncementCheck::kAccepted) {
+    return IgnoreAnnouncement(announcement, check);
   }
   if (changed) {
     info.address_ = announcement.address_;
@@ -32,10 +45,7 @@
     if (announcement.warm_up_left_) {
       info.warm_up_end_ = clock_.Read().mono_ + *announcement.warm_up_left_;
     }
-    loop_.RunAndWait([this, &info] {
-      destination_.SetUpstream(info);
-      entry_.SetCallerService(info.service_);
-    });
+    loop_.RunAndWait([this, &info] { destination_.SetUpstream(info); });
     base::LogEvent(base::EventId::kEndpointReady,
                    {{"endpoint", info.endpoint_id_},
                     {"instance", info.instance_},
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -100,8 +100,7 @@
   void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
   // Returns a newer entry to the host whose announcement it supersedes, so that
   // the host announces the endpoint above it.
-  void ReturnIfSuperseded(const std::string& host,
-                          const rpc::Endpoint& endpoint);
+  void ReturnIfSuperseded(const rpc::Endpoint& endpoint);
   void OnEndpointHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -110,8 +110,14 @@
 void RelayNode::OnEndpoint(const rpc::Envelope& envelope,
                            const base::Now& now) {
   const rpc::Endpoint& endpoint = envelope.endpoint();
+  if (envelope.from() != endpoint.host()) {
+    // Only the daemon of its host writes an entry.
+    LogEvent(EventId::kAnnouncementIgnored,
+             {{"endpoint", endpoint.id()}, {"from", envelope.from()}});
+    return;
+  }
   if (!endpoints_.Merge(endpoint, now.mono_)) {
-    ReturnIfSuperseded(envelope.from(), endpoint);
+    ReturnIfSuperseded(endpoint);
     return;
   }
   QueueEndpoints({endpoint}, /*beyond_zone=*/true);
@@ -128,16 +134,17 @@
                    {"version", endpoint.version()}});
 }
 
-void RelayNode::ReturnIfSuperseded(const std::string& host,
-                                   const rpc::Endpoint& endpoint) {
+void RelayNode::ReturnIfSuperseded(const rpc::Endpoint& endpoint) {
   const rpc::Endpoint* held = endpoints_.Find(endpoint.id());
   const bool same = held->incarnation() == endpoint.incarnation() &&
                     held->sequence() == endpoint.sequence() &&
                     held->state() == endpoint.state();
-  if (same || host != endpoint.host()) {
+  if (same) {
     return;
   }
-  *outbox_.Add(options_.id_, host).mutable_registry()->add_endpoints() = *held;
+  *outbox_.Add(options_.id_, endpoint.host())
+       .mutable_registry()
+       ->add_endpoints() = *held;
 }
 
 void RelayNode::OnEndpointHeartbeat(const rpc::Envelope& envelope,
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -9,23 +9,31 @@
 LocalEndpoints::LocalEndpoints(HostIdentity identity, base::Duration lease)
     : identity_(std::move(identity)), lease_(lease) {}
 
-Freshness LocalEndpoints::CheckFreshness(
+AnnouncementCheck LocalEndpoints::Check(
     const Announcement& announcement) const {
+  const bool foreign = !identity_.service_.empty() &&
+                       announcement.service_ != identity_.service_;
+  if (foreign) {
+    return AnnouncementCheck::kForeignService;
+  }
+  return IsStale(announcement) ? AnnouncementCheck::kStale
+                               : AnnouncementCheck::kAccepted;
+}
+
+bool LocalEndpoints::IsStale(const Announcement& announcement) const {
   const auto found = upstreams_.find(announcement.address_);
   if (found == upstreams_.end()) {
-    return Freshness::kFresh;
+    return false;
   }
   const Upstream& stored = found->second;
   const bool both_report_start =
       announcement.started_ms_ != 0 && stored.started_ms_ != 0;
   if (both_report_start && announcement.started_ms_ != stored.started_ms_) {
-    return announcement.started_ms_ < stored.started_ms_ ? Freshness::kStale
-                                                         : Freshness::kFresh;
+    return announcement.started_ms_ < stored.started_ms_;
   }
-  const bool already_received = announcement.instance_ == stored.instance_ &&
-                                announcement.sequence_ != 0 &&
-                                announcement.sequence_ <= stored.sequence_;
-  return already_received ? Freshness::kStale : Freshness::kFresh;
+  return announcement.instance_ == stored.instance_ &&
+         announcement.sequence_ != 0 &&
+         announcement.sequence_ <= stored.sequence_;
 }
 
 std::string LocalEndpoints::AddressOf(const std::string& instance) const {
@@ -42,6 +50,9 @@
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
+  if (Check(announcement) != AnnouncementCheck::kAccepted) {
+    return false;
+  }
   const auto [found, added] = upstreams_.try_emplace(announcement.address_);
   Upstream& upstream = found->second;
   const bool same_instance = upstream.instance_ == announcement.instance_ &&
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -18,9 +18,10 @@
 // GONE.
 inline constexpr base::Duration kAnnounceLease = std::chrono::seconds(3);
 
-// Whether an announcement is newer than the one that is stored, or a stale
-// message that arrived late.
-enum class Freshness : uint8_t { kFresh, kStale };
+// Whether an announcement may change the host's entries. kStale: it arrived
+// after a newer one. kForeignService: it names another service than the host's
+// settings, so it comes from another writer than the host's upstream.
+enum class AnnouncementCheck : uint8_t { kAccepted, kStale, kForeignService };
 
 // Announcement that an upstream sends to the daemon of its host.
 struct Announcement {
@@ -47,6 +48,9 @@
   std::string peer_address_;
   std::string control_address_;
   uint64_t incarnation_ = 0;  // Increases with each start of the daemon.
+  // The service that runs on the host, from its settings. Only announcements
+  // of this service are accepted; empty: those of any service.
+  std::string service_ = {};
 };
 
 // Single writer of the host's endpoint entries (see endpoint_registry.h).
@@ -55,10 +59,12 @@
   explicit LocalEndpoints(HostIdentity identity,
                           base::Duration lease = kAnnounceLease);
 
-  // Compares the announcement with the stored one of the same address.
-  Freshness CheckFreshness(const Announcement& announcement) const;
+  // Compares the announcement with the host's service and with the stored
+  // announcement of the same address.
+  AnnouncementCheck Check(const Announcement& announcement) const;
 
   // Adds an upstream or renews its lease. Returns true if its entry changed.
+  // Changes nothing for an announcement that Check does not accept.
   bool Announce(const Announcement& announcement, base::MonoTime now);
   // Each sets the upstream's state and returns true if its entry changed. Leave
   // deregisters the instance: its later announcements are ignored.
@@ -102,6 +108,8 @@
     bool deregistered_ = false;
   };
 
+  // Whether the announcement is older than the stored one of its address.
+  bool IsStale(const Announcement& announcement) const;
   bool SetState(const std::string& address, rpc::EndpointState state);
 
   HostIdentity identity_;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -75,6 +75,27 @@
   BOOST_TEST(local.Announce(next, At(0)));
 }
 
+// Guards against UNASKED of review/1 at its root: a heartbeat of a service that
+// the host does not run adds or changes an entry.
+BOOST_AUTO_TEST_CASE(AnAnnouncementOfAnotherServiceChangesNoEntry) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1, "a"});
+  const registry::Announcement own = {"a", "v1", "127.0.0.1:1", 20, "x"};
+  BOOST_TEST(local.Announce(own, At(0)));
+  for (const std::string& address :
+       {own.address_, std::string("127.0.0.1:2")}) {
+    registry::Announcement stray = own;
+    stray.service_ = "b";
+    stray.address_ = address;
+    stray.sequence_ = 99;
+    BOOST_TEST(
+        (local.Check(stray) == registry::AnnouncementCheck::kForeignService));
+    BOOST_TEST(!local.Announce(stray, At(0)));
+  }
+  BOOST_TEST(local.Entries().size() == 1u);
+  BOOST_TEST(local.Entries()[0].service() == "a");
+  BOOST_TEST((local.Check(own) == registry::AnnouncementCheck::kAccepted));
+}
+
 // The same messages in any order lead to the same entries.
 BOOST_AUTO_TEST_CASE(MergeIsIndependentOfOrder) {
   base::Random random(5);
