--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -102,6 +102,9 @@
     {kHostsHeard, Level::kInfo, "hosts-heard",
      "A relay receives heartbeats from most known hosts again, or has dropped "
      "the others from its list."},
+    {kDepartureNotStored, Level::kWarning, "departure-not-stored",
+     "No relay has stored in time that an upstream leaves; if this daemon "
+     "restarts, a late heartbeat may bring the upstream back."},
     {kClaimKept, Level::kWarning, "claim-kept",
      "A claim was released, but not every member recorded the release; resends "
      "of its key may be refused."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -55,6 +55,7 @@
   kAnnouncementIgnored = 404,
   kHostsUnheard = 405,
   kHostsHeard = 406,
+  kDepartureNotStored = 407,
   kClaimKept = 410,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -66,6 +66,9 @@
 void Destination::SetUpstream(const UpstreamInfo& info) {
   const auto found = upstreams_.find(info.endpoint_id_);
   if (found != upstreams_.end()) {
+    if (found->second->IsSameStart(info)) {
+      return;
+    }
     found->second->admission_.Drain();
     connections_.Forget(found->second->info_.address_);
   }
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -34,6 +34,7 @@
   std::string address_;
   std::string service_;
   std::string instance_;
+  int64_t started_ms_ = 0;  // Start of the instance; 0 if not reported.
   uint32_t slots_ = 0;
   // Whether the upstream announced its number of slots; else it is a guess, and
   // the concurrency limit adapts to the observed service times.
@@ -54,6 +55,8 @@
               CrashHandler on_crash);
   ~Destination() override;
 
+  // Adds an upstream. It replaces one with the same endpoint id, unless it is
+  // the same start of the same upstream.
   void SetUpstream(const UpstreamInfo& info);
   void DrainUpstream(const std::string& endpoint_id);
   void RemoveUpstream(const std::string& endpoint_id);
--- a/src/daemon/serving/destination_upstream.h
+++ b/src/daemon/serving/destination_upstream.h
@@ -42,6 +42,15 @@
   // Identifies the crash of this upstream; set when the crash is detected.
   std::string crash_id_;
 
+  // Whether `info` announces this upstream again; a draining one does not come
+  // back.
+  bool IsSameStart(const UpstreamInfo& info) const {
+    return !admission_.Draining() && !info_.instance_.empty() &&
+           info_.instance_ == info.instance_ &&
+           info_.started_ms_ == info.started_ms_ &&
+           info_.service_ == info.service_ && info_.slots_ == info.slots_;
+  }
+
   // Running and queued requests.
   uint32_t Load() const {
     return static_cast<uint32_t>(admission_.Running() + admission_.Waiting());
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -381,8 +381,9 @@
 void ProxyRole::RemoveUpstream(const std::string& address) {
   impl_->RemoveUpstream(address);
 }
-std::string ProxyRole::AddressOfInstance(const std::string& instance) {
-  return impl_->AddressOfInstance(instance);
+void ProxyRole::RemoveInstance(const std::string& instance,
+                               int64_t started_ms) {
+  impl_->RemoveInstance(instance, started_ms);
 }
 bool ProxyRole::Ready() {
   return impl_->Ready();
--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -41,7 +42,7 @@
   ResultCode Announce(const registry::Announcement& announcement);
   void DrainUpstream(const std::string& address);
   void RemoveUpstream(const std::string& address);
-  std::string AddressOfInstance(const std::string& instance);
+  void RemoveInstance(const std::string& instance, int64_t started_ms);
   bool Ready() {
     return board_.View().Read()->may_serve_ && !board_.Draining();
   }
@@ -52,6 +53,20 @@
   void AfterFlush(const base::Now& now);
   // Publishes the node's state as the view that requests read.
   void PublishView(const base::Now& now);
+  // proxy_upstreams.cc: reports of this host's upstreams.
+  registry::AnnouncementCheck ApplyAnnouncement(
+      const registry::Announcement& announcement);
+  // Lets an upstream leave. `leave` runs on the node loop and returns the id of
+  // the endpoint that has left, or an empty string.
+  void Remove(
+      const std::function<std::string(registry::LocalEndpoints&)>& leave);
+  // Polls on the node loop until the condition holds or `timeout` has passed;
+  // returns whether it holds.
+  bool AwaitOnNode(const std::function<bool(const base::Now&)>& condition,
+                   std::chrono::milliseconds timeout);
+  // Waits until a relay has stored the instance's departure, and logs if none
+  // does in time.
+  void AwaitDepartureStored(const std::string& instance);
   void CloseConnections();
   // Polls on the event loop until `busy` returns 0 or the deadline is reached.
   void AwaitIdle(const std::function<int64_t()>& busy,
@@ -93,6 +108,9 @@
   uint64_t addresses_version_ = 0;
   base::MonoTime next_evidence_time_;
   std::atomic<bool> upstreams_draining_{false};
+  // Held while a report changes the node's and then the destination's state, so
+  // that both see the reports of different threads in the same order.
+  std::mutex upstreams_mutex_;
   bool started_ = false;
   bool stopped_ = false;
 };
--- a/src/daemon/startup/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -50,8 +50,7 @@
   control::RoutingReport ReadRouting() override;
   control::MoveReport ReadMove(const std::string& service) override;
   ResultCode Announce(const registry::Announcement& announcement) override;
-  void Drain(const std::string& instance) override;
-  void Leave(const std::string& instance) override;
+  void Leave(const std::string& instance, int64_t started_ms) override;
   bool Ready() override;
 
  private:
@@ -304,15 +303,9 @@
                            : proxy_->Announce(announcement);
 }
 
-void Daemon::Impl::Drain(const std::string& instance) {
+void Daemon::Impl::Leave(const std::string& instance, int64_t started_ms) {
   if (proxy_ != nullptr) {
-    proxy_->DrainUpstream(proxy_->AddressOfInstance(instance));
-  }
-}
-
-void Daemon::Impl::Leave(const std::string& instance) {
-  if (proxy_ != nullptr) {
-    proxy_->RemoveUpstream(proxy_->AddressOfInstance(instance));
+    proxy_->RemoveInstance(instance, started_ms);
   }
 }
 
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -96,6 +96,9 @@
     case rpc::Envelope::kQuarantine:
       OnQuarantine(envelope.quarantine());
       break;
+    case rpc::Envelope::kDepartureStored:
+      OnDepartureStored(envelope.departure_stored());
+      break;
     case rpc::Envelope::kClaimReply:
       claims_.OnReply(envelope.from(), envelope.claim_reply(), now, outbox_);
       break;
@@ -160,6 +163,7 @@
 void ProxyNode::OnFloor(const rpc::Envelope& envelope, const base::Now& now) {
   parents_.RecordContact(envelope.from(), envelope.floor().relay_revision(),
                          base::Duration(0), now.mono_);
+  LearnDepartures(envelope, now.mono_);
   if (floor_known_) {
     return;
   }
@@ -315,6 +319,7 @@
 }
 
 void ProxyNode::OnTimer(const base::Now& now) {
+  first_timer_ = first_timer_.value_or(now.mono_);
   SendResumes(now);
   UpdateRelayConnection(now);
   AcceptUnconfirmedFloors(now);
@@ -332,6 +337,7 @@
 
 std::vector<rpc::Envelope> ProxyNode::Flush(const base::Now& now) {
   SendLocalChanges();
+  SendDepartures(now);
   SendKeepalive(now);
   if (journal_dirty_) {
     // A proxy's journal only speeds up restarts and keeps the floor. The
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -64,6 +64,12 @@
   void SendBrake(const rpc::BrakeNotice& notice);
   void SendCrash(const rpc::CrashReport& report);
 
+  // Whether the relays have reported the departures that an earlier start of
+  // this daemon was told of. Before that, announcements must not be accepted.
+  bool DeparturesKnown(base::MonoTime now);
+  // Whether a relay has synced the departure of the instance, if there is one.
+  bool DepartureStored(const std::string& instance) const;
+
   // Whether the request path may serve: the floor is known, the configuration
   // is not below it, and with discovery a registry has been received.
   bool MayServe() const {
@@ -101,6 +107,10 @@
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
   void SendLocalChanges();
+  // Sends departures to all relays until one of them has stored each.
+  void SendDepartures(const base::Now& now);
+  void OnDepartureStored(const rpc::Departure& stored);
+  void LearnDepartures(const rpc::Envelope& envelope, base::MonoTime now);
   // Sends all entries of this host to a relay that lacks some of them.
   void SendAllLocal(const std::string& relay);
 
@@ -129,6 +139,14 @@
   // Last sequence sent of each local endpoint.
   std::map<std::string, uint64_t> sent_sequences_;
   uint64_t local_version_sent_ = 0;
+  // Departures that no relay has stored yet.
+  std::vector<rpc::Departure> unstored_departures_;
+  base::MonoTime next_departure_send_;
+  // Relays whose floors have brought departures, and when the first came.
+  std::set<std::string> departures_from_;
+  std::optional<base::MonoTime> first_departures_;
+  std::optional<base::MonoTime> first_timer_;
+  bool departures_known_ = false;
   uint64_t evidence_sequence_ = 0;
   uint64_t view_version_ = 0;
   uint64_t bytes_in_ = 0;
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -1,8 +1,20 @@
 // A proxy: the endpoint registry that it mirrors from its active relay, and the
 // announcements of its own endpoints.
+#include <algorithm>
+
 #include "distribution/proxy_node.h"
 
 namespace buckthorngate::distribution {
+namespace {
+
+constexpr base::Duration kDepartureResend = std::chrono::milliseconds(250);
+// After the first relay has reported departures, the others have this long.
+constexpr base::Duration kOtherRelaysDelay = std::chrono::milliseconds(300);
+// Without any relay, a daemon with stored state accepts announcements after
+// this long: a zone that is cut off must serve what it can.
+constexpr base::Duration kNoRelayDelay = std::chrono::seconds(10);
+
+}  // namespace
 
 void ProxyNode::OnRegistry(const rpc::Envelope& envelope,
                            const base::Now& now) {
@@ -75,6 +87,62 @@
   }
 }
 
+void ProxyNode::SendDepartures(const base::Now& now) {
+  for (rpc::Departure& departure : local_.TakeDepartures()) {
+    departure.set_expires_ms(
+        base::ToUnixMs(now.wall_ + registry::kDepartureLifetime));
+    unstored_departures_.push_back(std::move(departure));
+    next_departure_send_ = now.mono_;
+  }
+  if (unstored_departures_.empty() || now.mono_ < next_departure_send_) {
+    return;
+  }
+  next_departure_send_ = now.mono_ + kDepartureResend;
+  for (const rpc::Departure& departure : unstored_departures_) {
+    for (const std::string& relay : parents_.Candidates()) {
+      *outbox_.Add(options_.identity_.host_, relay).mutable_departure() =
+          departure;
+    }
+  }
+}
+
+void ProxyNode::OnDepartureStored(const rpc::Departure& stored) {
+  std::erase_if(unstored_departures_, [&stored](const rpc::Departure& held) {
+    return held.instance() == stored.instance() &&
+           held.started_ms() == stored.started_ms() &&
+           held.left() == stored.left();
+  });
+}
+
+bool ProxyNode::DepartureStored(const std::string& instance) const {
+  return std::none_of(unstored_departures_.begin(), unstored_departures_.end(),
+                      [&instance](const rpc::Departure& held) {
+                        return held.instance() == instance;
+                      });
+}
+
+void ProxyNode::LearnDepartures(const rpc::Envelope& envelope,
+                                base::MonoTime now) {
+  departures_from_.insert(envelope.from());
+  first_departures_ = first_departures_.value_or(now);
+  for (const rpc::Departure& departure : envelope.floor().departures()) {
+    local_.Learn(departure);
+  }
+}
+
+bool ProxyNode::DeparturesKnown(base::MonoTime now) {
+  const std::vector<std::string>& relays = parents_.Candidates();
+  const bool all = std::all_of(relays.begin(), relays.end(),
+                               [this](const std::string& relay) {
+                                 return departures_from_.count(relay) != 0;
+                               });
+  const bool others_late =
+      first_departures_ && now - *first_departures_ >= kOtherRelaysDelay;
+  const bool no_relay = first_timer_ && now - *first_timer_ >= kNoRelayDelay;
+  departures_known_ = departures_known_ || all || others_late || no_relay;
+  return departures_known_;
+}
+
 void ProxyNode::SendAllLocal(const std::string& relay) {
   for (const rpc::Endpoint& endpoint : local_.Entries()) {
     *outbox_.Add(options_.identity_.host_, relay).mutable_endpoint() = endpoint;
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -86,6 +86,9 @@
       *notice.add_entries() = record.quarantine();
       quarantine_.Merge(notice);
     }
+    if (record.has_departure()) {
+      departures_.Record(record.departure());
+    }
   }
   // Fences the epochs older than the configuration's claim group.
   claims_.SetGroup(config_.State().Claims());
@@ -159,6 +162,9 @@
     case rpc::Envelope::kClaimTransfer:
       claims_.OnTransfer(envelope.from(), envelope.claim_transfer());
       break;
+    case rpc::Envelope::kDeparture:
+      OnDeparture(envelope);
+      break;
     case rpc::Envelope::kCrash:
       OnCrash(envelope, now);
       break;
@@ -175,6 +181,9 @@
       *outbox_.Add(options_.id_, envelope.from()).mutable_floor();
   floor.set_revision(config_.Floor());
   floor.set_relay_revision(config_.State().Revision());
+  for (rpc::Departure& departure : departures_.OfHost(envelope.from())) {
+    *floor.add_departures() = std::move(departure);
+  }
   distributor_.OnResume(envelope.from(), envelope.resume(), config_.State(),
                         config_.Deltas(), now, outbox_);
   if (hosts_.UsesDiscovery()) {
@@ -293,6 +302,7 @@
   distributor_.DropUnresponsive(now);
   claims_.OnTimer(now, outbox_);
   quarantine_.Expire(now.wall_);
+  departures_.Expire(now.wall_);
   SendHostLeases(now);
   ExpireEndpoints(now);
   SendRegistryDigests(now);
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -22,6 +22,7 @@
 #include "distribution/config_store.h"
 #include "distribution/control_hosts.h"
 #include "distribution/parent_selector.h"
+#include "registry/departures.h"
 #include "registry/endpoint_registry.h"
 #include "request/claim_ledger.h"
 #include "request/quarantine.h"
@@ -105,6 +106,9 @@
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
   void OnHostLeases(const rpc::HostLeases& leases, const base::Now& now);
+  // Journals a departure and passes it on to the other relays. The host is told
+  // that it is stored, once the journal has been synced.
+  void OnDeparture(const rpc::Envelope& envelope);
   void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
   void OnQuarantine(const rpc::Envelope& envelope);
   // Tells the other relays of the zone which hosts this one hears, so that a
@@ -152,6 +156,7 @@
   ConfigDistributor distributor_;
   ParentSelector parents_;
   registry::EndpointRegistry endpoints_;
+  registry::Departures departures_;
   request::ClaimLedger claims_;
   request::QuarantineList quarantine_;
   rollout::EvidenceMerger evidence_;
--- a/src/distribution/relay_storage.cc
+++ b/src/distribution/relay_storage.cc
@@ -36,6 +36,9 @@
   for (const auto& [fingerprint, entry] : quarantine_.Entries()) {
     *records.emplace_back().mutable_quarantine() = entry;
   }
+  for (rpc::Departure& departure : departures_.All()) {
+    *records.emplace_back().mutable_departure() = std::move(departure);
+  }
   const ResultCode replaced = journal_.Replace(records);
   size_after_compaction_ = journal_.Size();
   return replaced;
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -365,6 +365,26 @@
   }
 }
 
+void RelayNode::OnDeparture(const rpc::Envelope& envelope) {
+  const rpc::Departure& departure = envelope.departure();
+  const bool from_host = envelope.from() == departure.host();
+  if (departures_.Record(departure)) {
+    rpc::JournalRecord record;
+    *record.mutable_departure() = departure;
+    (void)journal_.Append(record);
+    journal_dirty_ = true;
+    for (const std::string& relay : relays_) {
+      if (from_host) {
+        *outbox_.Add(options_.id_, relay).mutable_departure() = departure;
+      }
+    }
+  }
+  if (from_host) {
+    *outbox_.Add(options_.id_, departure.host()).mutable_departure_stored() =
+        departure;
+  }
+}
+
 void RelayNode::OnCrash(const rpc::Envelope& envelope, const base::Now& now) {
   SendQuarantine(quarantine_.OnCrash(envelope.crash(), now.wall_),
                  /*to_relays=*/true);
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -2,6 +2,8 @@
 #include "registry/local_endpoints.h"
 
 #include <algorithm>
+#include <utility>
+
 #include "registry/endpoint_registry.h"
 
 namespace buckthorngate::registry {
@@ -21,6 +23,12 @@
 }
 
 bool LocalEndpoints::IsStale(const Announcement& announcement) const {
+  const rpc::Departure* departure = departures_.Find(
+      identity_.host_, announcement.instance_, announcement.started_ms_);
+  if (departure != nullptr && departure->left()) {
+    // It was still in flight when the upstream deregistered.
+    return true;
+  }
   const auto found = upstreams_.find(announcement.address_);
   if (found == upstreams_.end()) {
     return false;
@@ -44,36 +52,52 @@
   return found == upstreams_.end() ? std::string() : found->first;
 }
 
+std::string LocalEndpoints::InstanceAt(const std::string& address) const {
+  const auto found = upstreams_.find(address);
+  return found == upstreams_.end() ? std::string() : found->second.instance_;
+}
+
+bool LocalEndpoints::Draining(const std::string& address) const {
+  const auto found = upstreams_.find(address);
+  return found != upstreams_.end() &&
+         found->second.endpoint_.state() == rpc::ENDPOINT_STATE_DRAINING;
+}
+
 std::string LocalEndpoints::EndpointId(const std::string& address) const {
   return identity_.host_ + "/" + address;
 }
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
-  if (Check(announcement) != AnnouncementCheck::kAccepted) {
+  if (closed_ || Check(announcement) != AnnouncementCheck::kAccepted) {
     return false;
   }
   const auto [found, added] = upstreams_.try_emplace(announcement.address_);
   Upstream& upstream = found->second;
-  const bool same_instance = upstream.instance_ == announcement.instance_ &&
-                             upstream.started_ms_ == announcement.started_ms_;
-  if (upstream.deregistered_ && same_instance &&
-      !announcement.instance_.empty()) {
-    // The announcement was still in flight when the upstream deregistered.
-    return false;
+  const bool same_start = !added &&
+                          upstream.instance_ == announcement.instance_ &&
+                          upstream.started_ms_ == announcement.started_ms_;
+  const bool departing =
+      departures_.Find(identity_.host_, announcement.instance_,
+                       announcement.started_ms_) != nullptr;
+  if (announcement.draining_ && !departing) {
+    RecordDeparture(announcement.instance_, announcement.started_ms_,
+                    /*left=*/false);
   }
-  upstream.deregistered_ = false;
+  upstream.draining_ =
+      announcement.draining_ || departing || (same_start && upstream.draining_);
+  const rpc::EndpointState state = upstream.draining_ || draining_all_
+                                       ? rpc::ENDPOINT_STATE_DRAINING
+                                       : rpc::ENDPOINT_STATE_READY;
   upstream.renewed_ = now;
   rpc::Endpoint& endpoint = upstream.endpoint_;
   upstream.instance_ = announcement.instance_;
   upstream.started_ms_ = announcement.started_ms_;
   upstream.sequence_ = announcement.sequence_;
-  const bool unchanged = !added && same_instance &&
-                         endpoint.service() == announcement.service_ &&
-                         endpoint.version() == announcement.version_ &&
-                         endpoint.slots() == announcement.slots_ &&
-                         (endpoint.state() == rpc::ENDPOINT_STATE_READY ||
-                          endpoint.state() == rpc::ENDPOINT_STATE_DRAINING);
+  const bool unchanged =
+      same_start && endpoint.service() == announcement.service_ &&
+      endpoint.version() == announcement.version_ &&
+      endpoint.slots() == announcement.slots_ && endpoint.state() == state;
   if (unchanged) {
     return false;
   }
@@ -87,7 +111,7 @@
   endpoint.set_peer_address(identity_.peer_address_);
   endpoint.set_control_address(identity_.control_address_);
   endpoint.set_slots(announcement.slots_);
-  endpoint.set_state(rpc::ENDPOINT_STATE_READY);
+  endpoint.set_state(state);
   ++version_;
   return true;
 }
@@ -104,31 +128,95 @@
   return true;
 }
 
+void LocalEndpoints::RecordDeparture(const std::string& instance,
+                                     int64_t started_ms,
+                                     bool left) {
+  if (instance.empty()) {
+    // Its later starts could not be told from this one.
+    return;
+  }
+  rpc::Departure departure;
+  departure.set_host(identity_.host_);
+  departure.set_instance(instance);
+  departure.set_started_ms(started_ms);
+  departure.set_left(left);
+  if (departures_.Record(departure)) {
+    new_departures_.push_back(std::move(departure));
+  }
+}
+
+std::vector<rpc::Departure> LocalEndpoints::TakeDepartures() {
+  return std::exchange(new_departures_, {});
+}
+
+bool LocalEndpoints::Learn(const rpc::Departure& departure) {
+  if (departure.host() != identity_.host_ || !departures_.Record(departure)) {
+    return false;
+  }
+  const std::string address = AddressOf(departure.instance());
+  const auto found = upstreams_.find(address);
+  if (found == upstreams_.end() ||
+      found->second.started_ms_ > departure.started_ms()) {
+    return false;
+  }
+  found->second.draining_ = true;
+  return SetState(address, departure.left() ? rpc::ENDPOINT_STATE_GONE
+                                            : rpc::ENDPOINT_STATE_DRAINING);
+}
+
 bool LocalEndpoints::Drain(const std::string& address) {
+  const auto found = upstreams_.find(address);
+  if (found == upstreams_.end() ||
+      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_GONE) {
+    return false;
+  }
+  found->second.draining_ = true;
+  RecordDeparture(found->second.instance_, found->second.started_ms_,
+                  /*left=*/false);
   return SetState(address, rpc::ENDPOINT_STATE_DRAINING);
 }
 
 bool LocalEndpoints::Leave(const std::string& address) {
   const auto found = upstreams_.find(address);
-  if (found != upstreams_.end()) {
-    found->second.deregistered_ = true;
+  if (found == upstreams_.end()) {
+    return false;
   }
+  RecordDeparture(found->second.instance_, found->second.started_ms_,
+                  /*left=*/true);
   return SetState(address, rpc::ENDPOINT_STATE_GONE);
 }
 
+bool LocalEndpoints::LeaveInstance(const std::string& instance,
+                                   int64_t started_ms) {
+  const auto found = upstreams_.find(AddressOf(instance));
+  if (found == upstreams_.end()) {
+    RecordDeparture(instance, started_ms, /*left=*/true);
+    return false;
+  }
+  const Upstream& upstream = found->second;
+  const int64_t leaves = started_ms == 0 ? upstream.started_ms_ : started_ms;
+  RecordDeparture(instance, leaves, /*left=*/true);
+  return upstream.started_ms_ <= leaves &&
+         SetState(found->first, rpc::ENDPOINT_STATE_GONE);
+}
+
 bool LocalEndpoints::MarkCrashed(const std::string& address) {
   return SetState(address, rpc::ENDPOINT_STATE_CRASHED);
 }
 
 void LocalEndpoints::DrainAll() {
+  draining_all_ = true;
   for (const auto& [address, upstream] : upstreams_) {
-    Drain(address);
+    if (upstream.endpoint_.state() == rpc::ENDPOINT_STATE_READY) {
+      SetState(address, rpc::ENDPOINT_STATE_DRAINING);
+    }
   }
 }
 
 void LocalEndpoints::LeaveAll() {
+  closed_ = true;
   for (const auto& [address, upstream] : upstreams_) {
-    Leave(address);
+    SetState(address, rpc::ENDPOINT_STATE_GONE);
   }
 }
 
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "buckthorngate/result_code.h"
 #include "mesh.pb.h"
+#include "registry/departures.h"
 
 namespace buckthorngate::registry {
 
@@ -39,6 +40,8 @@
   uint64_t sequence_ = 0;
   // Remaining warm-up time, if the upstream reports it.
   std::optional<base::Duration> warm_up_left_;
+  // The upstream reports that it drains. That holds until it starts again.
+  bool draining_ = false;
 };
 
 // Identity of the daemon that writes the entries.
@@ -66,13 +69,26 @@
   // Adds an upstream or renews its lease. Returns true if its entry changed.
   // Changes nothing for an announcement that Check does not accept.
   bool Announce(const Announcement& announcement, base::MonoTime now);
-  // Each sets the upstream's state and returns true if its entry changed. Leave
-  // deregisters the instance: its later announcements are ignored.
+  // Each sets the upstream's state and returns true if its entry changed. They
+  // are the upstream's own reports, so they record a departure: announcements
+  // of that start cannot bring it back. Leave deregisters it; its later
+  // announcements are ignored.
   bool Drain(const std::string& address);
   bool Leave(const std::string& address);
+  // Deregisters an instance that this daemon may not know. `started_ms` is the
+  // start that leaves, 0 if not reported; a later start of the instance stays.
+  bool LeaveInstance(const std::string& instance, int64_t started_ms);
   bool MarkCrashed(const std::string& address);
 
-  // Apply to all upstreams when the daemon shuts down.
+  // Adds a departure that an earlier start of this daemon was told of. Returns
+  // true if the entry of an upstream changed.
+  bool Learn(const rpc::Departure& departure);
+  // Departures that were recorded here since the last call, without an end.
+  std::vector<rpc::Departure> TakeDepartures();
+
+  // Apply to all upstreams when the daemon shuts down, which is no departure of
+  // theirs. No upstream is announced as ready after DrainAll, and none at all
+  // after LeaveAll.
   void DrainAll();
   void LeaveAll();
 
@@ -94,6 +110,10 @@
   // Increases with each change.
   uint64_t Version() const { return version_; }
   std::string EndpointId(const std::string& address) const;
+  // Whether the entry of the address is draining.
+  bool Draining(const std::string& address) const;
+  // Returns the instance that announced the address, or an empty string.
+  std::string InstanceAt(const std::string& address) const;
   // Returns the address that the instance announced, or an empty string.
   std::string AddressOf(const std::string& instance) const;
 
@@ -104,17 +124,23 @@
     std::string instance_;
     int64_t started_ms_ = 0;
     uint64_t sequence_ = 0;
-    // The instance deregistered. Only a new instance may use the address again.
-    bool deregistered_ = false;
+    bool draining_ = false;  // As reported by this start of the upstream.
   };
 
   // Whether the announcement is older than the stored one of its address.
   bool IsStale(const Announcement& announcement) const;
   bool SetState(const std::string& address, rpc::EndpointState state);
+  void RecordDeparture(const std::string& instance,
+                       int64_t started_ms,
+                       bool left);
 
   HostIdentity identity_;
   const base::Duration lease_;
   std::map<std::string, Upstream> upstreams_;  // By address.
+  Departures departures_;
+  std::vector<rpc::Departure> new_departures_;
+  bool draining_all_ = false;  // DrainAll was called.
+  bool closed_ = false;        // LeaveAll was called.
   // Invariant: larger than the sequence number of every entry.
   uint64_t next_sequence_ = 1;
   uint64_t version_ = 0;
--- a/tests/platform_fuzz.cc
+++ b/tests/platform_fuzz.cc
@@ -27,8 +27,7 @@
 // A heartbeat that is taken names an endpoint that can be used.
 bool UpstreamHeartbeat(std::string_view input) {
   const auto heartbeat = platform::DecodeHeartbeat(input, "i-1");
-  return !heartbeat || (!heartbeat->announcement_.service_.empty() &&
-                        heartbeat->announcement_.slots_ > 0);
+  return !heartbeat || (!heartbeat->service_.empty() && heartbeat->slots_ > 0);
 }
 
 std::vector<std::string> OperatorSeeds() {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -117,8 +117,8 @@
 BOOST_AUTO_TEST_CASE(HeartbeatsOfForeignWritersNameNoEndpoint) {
   const auto heartbeat = platform::DecodeHeartbeat(kHeartbeat, "i-1");
   BOOST_REQUIRE(heartbeat.has_value());
-  BOOST_TEST(heartbeat->announcement_.started_ms_ == 1'700'000'000'000);
-  BOOST_TEST(heartbeat->announcement_.instance_ == "i-1");
+  BOOST_TEST(heartbeat->started_ms_ == 1'700'000'000'000);
+  BOOST_TEST(heartbeat->instance_ == "i-1");
   const std::string good = kHeartbeat;
   const std::string bads[] = {
       "",
@@ -205,9 +205,13 @@
     asked_ = service;
     return {code_, leader_, daemon::control::MoveProgress::kRunning, "v2"};
   }
-  ResultCode Announce(const registry::Announcement&) override { return code_; }
-  void Drain(const std::string&) override { ++drains_; }
-  void Leave(const std::string&) override {}
+  ResultCode Announce(const registry::Announcement& announcement) override {
+    drains_ += code_ == ResultCode::kOk && announcement.draining_ ? 1 : 0;
+    return code_;
+  }
+  void Leave(const std::string&, int64_t started_ms) override {
+    left_start_ms_ = started_ms;
+  }
   bool Ready() override { return code_ == ResultCode::kOk; }
 
   ResultCode code_ = ResultCode::kOk;
@@ -216,6 +220,7 @@
   std::string asked_;
   uint64_t base_ = 0;
   int drains_ = 0;
+  int64_t left_start_ms_ = -1;
 
  private:
   rpc::PublishReply Reply() const {
@@ -297,6 +302,23 @@
   BOOST_TEST(served.Api().drains_ == 1);
 }
 
+// Guards against a deregistration of an earlier start under the same id that
+// removes the upstream's new start.
+BOOST_AUTO_TEST_CASE(ADeregistrationNamesTheStartThatLeaves) {
+  ServedAdapter served;
+  const auto deregister = [&served](const std::string& body) {
+    return served.Client()
+        .Post("/instances/i-1/deregister", body, "application/json")
+        ->status;
+  };
+  BOOST_TEST(deregister(R"({"born":1700000000000})") == 200);
+  BOOST_TEST(served.Api().left_start_ms_ == 1'700'000'000'000);
+  for (const std::string& unreadable : {"", "x", "{}", R"({"born":"x"})"}) {
+    BOOST_TEST(deregister(unreadable) == 200);
+    BOOST_TEST(served.Api().left_start_ms_ == 0);
+  }
+}
+
 ResultCode StartAt(const std::string& control) {
   FakeApi api;
   daemon::startup::Settings settings;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -96,6 +96,114 @@
   BOOST_TEST((local.Check(own) == registry::AnnouncementCheck::kAccepted));
 }
 
+registry::Announcement AnnouncementOf(const std::string& instance,
+                                      int64_t started_ms,
+                                      uint64_t sequence) {
+  registry::Announcement announcement = {"a", "v1", "127.0.0.1:1", 20,
+                                         instance};
+  announcement.started_ms_ = started_ms;
+  announcement.sequence_ = sequence;
+  return announcement;
+}
+
+// The daemon of review/3, started again: it has learned the departures that
+// were recorded by its earlier start.
+registry::LocalEndpoints Restarted(registry::LocalEndpoints& earlier) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 2});
+  for (const rpc::Departure& departure : earlier.TakeDepartures()) {
+    local.Learn(departure);
+  }
+  return local;
+}
+
+// Guards against DRAIN of review/3 at its root: a heartbeat that was sent
+// before the upstream deregistered brings it back in a daemon that has
+// restarted.
+BOOST_AUTO_TEST_CASE(ADepartureHoldsInALaterStartOfTheDaemon) {
+  registry::LocalEndpoints first({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(first.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  BOOST_TEST(first.Leave("127.0.0.1:1"));
+  registry::LocalEndpoints local = Restarted(first);
+  BOOST_TEST(!local.Announce(AnnouncementOf("x", 10, 2), At(1)));
+  BOOST_TEST(!local.Announce(AnnouncementOf("x", 9, 3), At(1)));
+  BOOST_TEST(local.Entries().empty());
+  // A later start under the same id, and another instance, are new.
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 11, 1), At(1)));
+  BOOST_TEST(local.Announce(AnnouncementOf("y", 12, 1), At(1)));
+}
+
+// Guards against the same by `draining`: it holds in a later start of the
+// daemon, if the upstream's slots change, and after its lease has expired.
+BOOST_AUTO_TEST_CASE(ADrainHoldsUntilTheUpstreamStartsAgain) {
+  registry::LocalEndpoints first({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(first.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  registry::Announcement draining = AnnouncementOf("x", 10, 2);
+  draining.draining_ = true;
+  BOOST_TEST(first.Announce(draining, At(0)));
+  registry::Announcement resized = AnnouncementOf("x", 10, 3);
+  resized.slots_ = 21;
+  first.Announce(resized, At(0));
+  BOOST_TEST(first.Draining("127.0.0.1:1"));
+  BOOST_TEST(first.Expire(At(60)));
+  first.Announce(AnnouncementOf("x", 10, 4), At(60));
+  BOOST_TEST(first.Draining("127.0.0.1:1"));
+  registry::LocalEndpoints local = Restarted(first);
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 5), At(61)));
+  BOOST_TEST(local.Draining("127.0.0.1:1"));
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 11, 1), At(61)));
+  BOOST_TEST(!local.Draining("127.0.0.1:1"));
+}
+
+// Guards against the same by a deregistration that reaches a daemon which has
+// restarted and knows no upstream yet.
+BOOST_AUTO_TEST_CASE(AnInstanceMayLeaveBeforeItIsKnown) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(!local.LeaveInstance("x", 10));
+  BOOST_TEST(!local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  BOOST_TEST(local.Entries().empty());
+}
+
+// Guards against a late deregistration that removes the next start under the
+// same id.
+BOOST_AUTO_TEST_CASE(ADeregistrationRemovesNoLaterStart) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 11, 1), At(0)));
+  BOOST_TEST(!local.LeaveInstance("x", 10));
+  BOOST_TEST(!local.Announce(AnnouncementOf("x", 11, 2), At(0)));
+  BOOST_TEST((local.Entries()[0].state() == rpc::ENDPOINT_STATE_READY));
+  BOOST_TEST(local.LeaveInstance("x", 11));
+}
+
+// Guards against a stop of the daemon that is taken for the departure of the
+// upstream, which goes on and is announced to the daemon's next start; and
+// against an upstream that comes back while its daemon stops.
+BOOST_AUTO_TEST_CASE(AStopOfTheDaemonIsNoDepartureOfItsUpstream) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  local.DrainAll();
+  local.Announce(AnnouncementOf("y", 11, 1), At(0));
+  BOOST_TEST(local.Draining("127.0.0.1:1"));
+  local.LeaveAll();
+  BOOST_TEST(!local.Announce(AnnouncementOf("y", 11, 2), At(0)));
+  BOOST_TEST(local.TakeDepartures().empty());
+}
+
+BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
+  registry::Departures departures;
+  rpc::Departure departure;
+  departure.set_host("h");
+  for (size_t i = 0; i < registry::kMaxDepartures + 10; ++i) {
+    departure.set_instance("i-" + std::to_string(i));
+    departure.set_expires_ms(static_cast<int64_t>(1000 + i));
+    BOOST_TEST(departures.Record(departure));
+  }
+  BOOST_TEST(departures.All().size() == registry::kMaxDepartures);
+  BOOST_TEST(departures.Find("h", "i-0", 0) == nullptr);
+  BOOST_TEST(departures.Find("h", "i-20", 0) != nullptr);
+  departures.Expire(base::FromUnixMs(1'000'000));
+  BOOST_TEST(departures.All().empty());
+}
+
 // The same messages in any order lead to the same entries.
 BOOST_AUTO_TEST_CASE(MergeIsIndependentOfOrder) {
   base::Random random(5);
@@ -244,6 +352,56 @@
   BOOST_TEST(unseen == 0);
 }
 
+// Guards against DRAIN of review/3 in a mesh: the daemon is killed as soon as
+// it may acknowledge the deregistration, its relay too, and a heartbeat of
+// before arrives at the daemon's next start.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftStaysGoneAfterRestarts) {
+  MeshWithTwoZones zones(6);
+  TestMesh& mesh = zones.Mesh();
+  zones.RunAnnouncing(std::chrono::seconds(2));
+  BOOST_REQUIRE(mesh.Proxy("proxy-1-2").Endpoints().HasReady("a", "v1"));
+  BOOST_REQUIRE(mesh.Proxy("proxy-1-1").Local().Leave("127.0.0.1:1"));
+  mesh.Net().Run(std::chrono::milliseconds(100));
+  for (const char* id : {"proxy-1-1", "relay-1"}) {
+    mesh.Crash(id);
+  }
+  for (const char* id : {"relay-1", "proxy-1-1"}) {
+    mesh.Restart(id);
+  }
+  mesh.Net().Run(std::chrono::seconds(2));
+  zones.Announce();
+  mesh.Net().Run(std::chrono::seconds(1));
+  for (const char* id : {"proxy-1-1", "proxy-1-2", "proxy-2-1"}) {
+    BOOST_TEST(!mesh.Proxy(id).Endpoints().HasReady("a", "v1"), id);
+  }
+}
+
+// Guards against announcements that are accepted before the departures are
+// known, and against departures that are acknowledged before a relay has synced
+// them.
+BOOST_AUTO_TEST_CASE(DeparturesAreKnownAfterAStartAndStoredByARelay) {
+  MeshWithTwoZones zones(7);
+  TestMesh& mesh = zones.Mesh();
+  distribution::ProxyNode& proxy = mesh.Proxy("proxy-1-1");
+  BOOST_TEST(proxy.DeparturesKnown(mesh.Net().Now().mono_));
+  zones.Announce();
+  mesh.Crash("relay-1");
+  BOOST_TEST(proxy.Local().Leave("127.0.0.1:1"));
+  mesh.Net().Run(std::chrono::seconds(1));
+  BOOST_TEST(!proxy.DepartureStored("x"));
+  mesh.Restart("relay-1");
+  mesh.Net().Run(std::chrono::seconds(1));
+  BOOST_TEST(proxy.DepartureStored("x"));
+  mesh.Crash("relay-1");
+  mesh.Crash("proxy-1-1");
+  mesh.Restart("proxy-1-1");
+  mesh.Net().Run(std::chrono::seconds(1));
+  BOOST_TEST(!mesh.Proxy("proxy-1-1").DeparturesKnown(mesh.Net().Now().mono_));
+  mesh.Restart("relay-1");
+  mesh.Net().Run(std::chrono::seconds(2));
+  BOOST_TEST(mesh.Proxy("proxy-1-1").DeparturesKnown(mesh.Net().Now().mono_));
+}
+
 // Two hosts of zone-1 with one upstream each and shifted heartbeat phases.
 class ZoneWithTwoUpstreams {
  public:
