--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -69,7 +69,7 @@
     if (found->second->IsSameStart(info)) {
       return;
     }
-    found->second->admission_.Drain();
+    found->second->Drain(clock_.Read().mono_);
     connections_.Forget(found->second->info_.address_);
   }
   upstreams_[info.endpoint_id_] = std::make_shared<Upstream>(info);
@@ -78,7 +78,7 @@
 void Destination::DrainUpstream(const std::string& endpoint_id) {
   const auto found = upstreams_.find(endpoint_id);
   if (found != upstreams_.end()) {
-    found->second->admission_.Drain();
+    found->second->Drain(clock_.Read().mono_);
   }
 }
 
@@ -89,7 +89,7 @@
 
 void Destination::DrainAll() {
   for (const auto& [id, upstream] : upstreams_) {
-    upstream->admission_.Drain();
+    upstream->Drain(clock_.Read().mono_);
   }
 }
 
@@ -127,6 +127,9 @@
     admission.Cancel(ticket);
     co_return ResultCode::kCallerGone;
   }
+  if (!waiter.admitted_ && admission.Draining()) {
+    co_return ResultCode::kEndpointDraining;
+  }
   co_return waiter.admitted_ ? ResultCode::kOk
                              : ResultCode::kEndpointOverloaded;
 }
@@ -244,6 +247,9 @@
     }
     co_return failed;
   }
+  if (upstream->MayHaveEnded(clock_.Read().mono_)) {
+    co_return FailedHop(ResultCode::kEndpointDraining, /*not_run=*/true);
+  }
   const std::shared_ptr<http::Exchange> exchange =
       std::make_shared<http::Exchange>(connections_, *connection,
                                        *request.cancel_);
@@ -357,7 +363,7 @@
     upstream->crash_id_ = host_ + "/" + std::to_string(next_crash_++) + "/" +
                           std::to_string(base::ToUnixMs(clock_.Read().wall_));
   }
-  upstream->admission_.Drain();
+  upstream->Drain(clock_.Read().mono_);
   rpc::CrashReport report;
   report.set_crash_id(upstream->crash_id_);
   report.set_service(upstream->info_.service_);
--- a/src/daemon/serving/destination_upstream.h
+++ b/src/daemon/serving/destination_upstream.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -16,6 +17,10 @@
 // Bound of the admission queue, per slot of the upstream.
 inline constexpr double kQueuedRequestsPerSlot = 1.0;
 
+// An admitted request is sent within the time limit of connecting, unless the
+// process was suspended. Upstreams that drain serve longer than this.
+inline constexpr base::Duration kMaxSendDelay = std::chrono::seconds(1);
+
 // Logs why an exchange with an upstream failed before its answer was complete.
 void LogUpstreamFailed(const std::string& request_id,
                        const std::string& endpoint_id,
@@ -41,6 +46,7 @@
   std::map<uint64_t, Waiter*> waiters_;
   // Identifies the crash of this upstream; set when the crash is detected.
   std::string crash_id_;
+  std::optional<base::MonoTime> drained_at_;
 
   // Whether `info` announces this upstream again; a draining one does not come
   // back.
@@ -56,8 +62,20 @@
     return static_cast<uint32_t>(admission_.Running() + admission_.Waiting());
   }
 
+  // Refuses new and waiting requests from now on.
+  void Drain(base::MonoTime now) {
+    drained_at_ = drained_at_.value_or(now);
+    admission_.Drain();
+    NotifyDequeued(now);
+  }
+  // Whether the upstream has drained for so long that it may have ended. What
+  // has not been sent to it by then, stays unsent.
+  bool MayHaveEnded(base::MonoTime now) const {
+    return drained_at_ && now - *drained_at_ > kMaxSendDelay;
+  }
+
   // Wakes the requests that left the admission queue: admitted, preempted by a
-  // more urgent request, or refused for lack of time.
+  // more urgent request, or refused for lack of time or by a drain.
   void NotifyDequeued(base::MonoTime now) {
     for (const request::AdmissionQueue::Decision& decision :
          admission_.TakeDecisions(now)) {
--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -146,7 +146,7 @@
   if (precedence >= last_precedence && !sooner) {
     return false;
   }
-  preempted_.push_back(last->first);
+  refused_.push_back(last->first);
   waiting_.erase(last);
   return true;
 }
@@ -222,6 +222,14 @@
                      : std::min(slots, limit_ + 1.0 / limit_);
 }
 
+void AdmissionQueue::Drain() {
+  draining_ = true;
+  for (const auto& [ticket, waiter] : waiting_) {
+    refused_.push_back(ticket);
+  }
+  waiting_.clear();
+}
+
 bool AdmissionQueue::Cancel(uint64_t ticket) {
   return waiting_.erase(ticket) != 0;
 }
@@ -271,7 +279,7 @@
 std::vector<AdmissionQueue::Decision> AdmissionQueue::TakeDecisions(
     base::MonoTime now) {
   std::vector<Decision> decisions;
-  for (const uint64_t ticket : std::exchange(preempted_, {})) {
+  for (const uint64_t ticket : std::exchange(refused_, {})) {
     decisions.push_back({ticket, false});
   }
   ShedWaiters(now, decisions);
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -80,7 +80,8 @@
   bool Cancel(uint64_t ticket);
 
   // Outcome for a request that has left the queue: admitted, or refused because
-  // it was preempted, or because it can no longer be answered in time.
+  // it was preempted, because it can no longer be answered in time, or because
+  // the upstream drains.
   struct Decision {
     uint64_t ticket_ = 0;
     bool admitted_ = false;
@@ -88,8 +89,10 @@
   // Returns each decision on a waiter once.
   std::vector<Decision> TakeDecisions(base::MonoTime now);
 
-  // Refuses all new requests from now on; running and waiting ones go on.
-  void Drain() { draining_ = true; }
+  // Refuses all new requests and those that wait; running ones go on. The
+  // upstream may end before a slot becomes free for a waiting request, which
+  // other endpoints can still serve.
+  void Drain();
   bool Draining() const { return draining_; }
 
   size_t Running() const { return running_.size(); }
@@ -155,8 +158,9 @@
   std::map<uint64_t, AdmissionRequest> running_;
   std::map<std::string, uint32_t> running_by_caller_;
   std::map<uint64_t, AdmissionRequest> waiting_;
-  // Waiters refused in favour of more urgent requests since TakeDecisions.
-  std::vector<uint64_t> preempted_;
+  // Waiters refused since TakeDecisions: in favour of more urgent requests, or
+  // by Drain.
+  std::vector<uint64_t> refused_;
   // Concurrency limit. Invariant: 1 <= limit_ <= slots.
   double limit_;
   // Exponential moving averages of the service time.
@@ -164,6 +168,7 @@
   std::map<std::string, base::Duration> usual_time_by_kind_;
   // Lowest recent service time, taken as that of the upstream without load.
   base::Duration unloaded_time_{0};
+  // Invariant: while it is set, no request waits.
   bool draining_ = false;
 };
 
--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -3,7 +3,10 @@
 #define BOOST_TEST_MODULE departure
 #include <boost/test/unit_test.hpp>
 
+#include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "platform_daemon.h"
 
@@ -64,6 +67,43 @@
   BOOST_TEST(shop.upstream_.Calls("/shop/late").empty());
 }
 
+// Guards against DRAIN of review/2: requests that wait in the queue of an
+// upstream are sent to it long after it has reported that it leaves.
+void ExpectTheQueueIsRefusedAtOnce(const std::string& report) {
+  ServedShop shop;
+  shop.own_.slots_ = 1;
+  ++shop.own_.sequence_;
+  BOOST_REQUIRE(shop.daemon_.Beat(shop.own_) == 200);
+  shop.upstream_.SetWork(std::chrono::milliseconds(1500));
+  std::vector<std::future<int>> answers;
+  for (int i = 0; i < 2; ++i) {
+    answers.push_back(std::async(std::launch::async, [&shop] {
+      return shop.daemon_.Get("/shop/queue", {{"X-Deadline-Ms", "4000"}});
+    }));
+    // The second comes when the first has the only slot.
+    BOOST_REQUIRE(PollUntil(
+        [&shop] { return shop.upstream_.Calls("/shop/queue").size() == 1; }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  ++shop.own_.sequence_;
+  shop.own_.state_ = "draining";
+  BOOST_TEST((report == "deregister" ? shop.daemon_.Deregister(shop.own_)
+                                     : shop.daemon_.Beat(shop.own_)) == 200);
+  BOOST_TEST((answers[1].wait_for(std::chrono::milliseconds(500)) ==
+              std::future_status::ready));
+  BOOST_TEST(answers[0].get() == 200);
+  BOOST_TEST(answers[1].get() == 503);
+  BOOST_TEST(shop.upstream_.Calls("/shop/queue").size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainEndsTheWaitForASlot) {
+  ExpectTheQueueIsRefusedAtOnce("draining");
+}
+
+BOOST_AUTO_TEST_CASE(ADeregistrationEndsTheWaitForASlot) {
+  ExpectTheQueueIsRefusedAtOnce("deregister");
+}
+
 // A restart of the daemon alone is no departure.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatStaysIsUsedAfterARestart) {
   ServedShop shop;
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -210,6 +211,29 @@
   BOOST_TEST(queue.Running() == 1u);
 }
 
+// Guards against DRAIN of review/2: requests that wait for a slot when their
+// upstream drains are sent to it once a slot becomes free. Each is refused at
+// once, and exactly once.
+BOOST_AUTO_TEST_CASE(ADrainRefusesTheRequestsThatWait) {
+  AdmissionQueue queue({2, 2.0});
+  for (uint64_t ticket = 1; ticket <= 5; ++ticket) {
+    queue.Enter(ticket, "c", AtMs(100'000), AtMs(0));
+  }
+  BOOST_REQUIRE(queue.Waiting() == 3u);
+  queue.Drain();
+  BOOST_TEST(queue.Waiting() == 0u);
+  std::set<uint64_t> refused;
+  for (const AdmissionQueue::Decision& decision :
+       queue.TakeDecisions(AtMs(1))) {
+    BOOST_TEST(!decision.admitted_);
+    BOOST_TEST(refused.insert(decision.ticket_).second);
+  }
+  BOOST_TEST((refused == std::set<uint64_t>{3, 4, 5}));
+  queue.Leave(1, std::chrono::milliseconds(1), false, AtMs(2));
+  BOOST_TEST(queue.TakeDecisions(AtMs(3)).empty());
+  BOOST_TEST(queue.Running() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(TheLimitFollowsASlowingUpstream) {
   AdmissionQueue queue({20, 1.0});
   uint64_t ticket = 0;
