--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -143,6 +143,9 @@
     {kAttemptLeftOpen, Level::kWarning, "attempt-left-open",
      "The daemon of an attempt's endpoint answers no probe; the attempt stays "
      "open."},
+    {kQuarantineCleared, Level::kInfo, "quarantine-cleared",
+     "A suspected or quarantined request was answered, so it did not crash the "
+     "upstreams."},
     {kSettingsReloaded, Level::kInfo, "settings-reloaded",
      "The settings file was reloaded."},
     {kLogLinesDropped, Level::kWarning, "log-lines-dropped",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -73,6 +73,7 @@
   kConnectionNotMade = 513,
   kRetryDenied = 514,
   kAttemptLeftOpen = 515,
+  kQuarantineCleared = 516,
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
   kTaskFailed = 522,
--- a/src/cli/query.cc
+++ b/src/cli/query.cc
@@ -68,6 +68,14 @@
   }
 }
 
+// State of an entry of the quarantine list.
+const char* StateOf(const rpc::QuarantineEntry& entry) {
+  if (entry.answered()) {
+    return "answered";
+  }
+  return entry.quarantined() ? "quarantined" : "suspect";
+}
+
 }  // namespace
 
 int Status(const Options& options) {
@@ -166,8 +174,8 @@
   }
   for (const rpc::QuarantineEntry& entry : reply->quarantine()) {
     std::cout << entry.fingerprint() << " crashes " << entry.crashes() << " "
-              << (entry.quarantined() ? "quarantined" : "suspect") << " until "
-              << FormatTime(entry.expires_ms()) << "\n";
+              << StateOf(entry) << " until " << FormatTime(entry.expires_ms())
+              << "\n";
   }
   return kExitOk;
 }
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -20,10 +20,6 @@
 // Keep-alive timeout of upstreams that do not send one.
 constexpr base::Duration kUpstreamIdleTimeout = std::chrono::seconds(3);
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(300);
-constexpr base::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
-// An exiting process closes its sockets one after the other within this time,
-// so a crashed upstream may still accept a connection.
-constexpr base::Duration kSocketCloseTime = std::chrono::milliseconds(50);
 // Queued requests are checked for expiry at least this often.
 constexpr base::Duration kQueueCheckInterval = std::chrono::milliseconds(50);
 
@@ -303,8 +299,12 @@
     answer.crashed_ = co_await ReportIfCrashed(upstream, request.fingerprint_);
   }
   if (answer.rest_ != nullptr) {
-    answer.rest_ = std::make_shared<SlotHoldingBody>(exchange, slot, request);
+    answer.rest_ =
+        std::make_shared<SlotHoldingBody>(*this, exchange, slot, request);
   } else {
+    if (answer.code_ == ResultCode::kOk) {
+      RecordAnswered(request.fingerprint_);
+    }
     // Failures don't count as samples of the service time, since they may be
     // much faster than real work.
     slot->Release(answer.code_ != ResultCode::kOk ||
@@ -350,28 +350,4 @@
       blackboard::CallSide::kDestination, clock_.Read().mono_ - arrived);
 }
 
-http::Task<bool> Destination::ReportIfCrashed(
-    std::shared_ptr<Upstream> upstream,
-    std::string fingerprint) {
-  // An upstream that no longer accepts connections has crashed.
-  const http::Probed found = co_await http::StillListens(
-      loop_, upstream->info_.address_, kCrashProbeTimeout, kSocketCloseTime);
-  if (found != http::Probed::kNotReached) {
-    co_return false;
-  }
-  if (upstream->crash_id_.empty()) {
-    upstream->crash_id_ = host_ + "/" + std::to_string(next_crash_++) + "/" +
-                          std::to_string(base::ToUnixMs(clock_.Read().wall_));
-  }
-  upstream->Drain(clock_.Read().mono_);
-  rpc::CrashReport report;
-  report.set_crash_id(upstream->crash_id_);
-  report.set_service(upstream->info_.service_);
-  if (!fingerprint.empty()) {
-    report.add_fingerprints(fingerprint);
-  }
-  on_crash_(upstream->info_.address_, report);
-  co_return true;
-}
-
 }  // namespace buckthorngate::daemon::serving
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -19,6 +19,7 @@
 #include "http/event_loop.h"
 #include "mesh.pb.h"
 #include "request/admission.h"
+#include "request/answered_requests.h"
 #include "request/dialect.h"
 
 namespace buckthorngate::daemon::serving {
@@ -28,6 +29,9 @@
 using CrashHandler = std::function<void(const std::string& address,
                                         const rpc::CrashReport& report)>;
 
+// Called when an upstream has answered requests that the quarantine lists.
+using AnsweredHandler = std::function<void(const rpc::AnsweredReport& report)>;
+
 // An upstream of this host, as announced by itself.
 struct UpstreamInfo {
   std::string endpoint_id_;
@@ -55,6 +59,15 @@
               CrashHandler on_crash);
   ~Destination() override;
 
+  // Sets the handler for answered requests; to be called before the loop
+  // starts.
+  void OnAnswered(AnsweredHandler handler) {
+    on_answered_ = std::move(handler);
+  }
+  // Reports the listed requests that were answered here lately. To be called
+  // when the quarantine has changed.
+  void ReportListedAnswered();
+
   // Adds an upstream. It replaces one with the same endpoint id, unless it is
   // the same start of the same upstream.
   void SetUpstream(const UpstreamInfo& info);
@@ -98,9 +111,12 @@
   // kOk, or the failure code if the upstream's answer states that it did not
   // execute the request.
   ResultCode NotExecutedCode(const http::AnswerHead& head) const;
+  // An upstream has answered the request completely.
+  void RecordAnswered(const std::string& fingerprint);
   // After a failed exchange: probes the upstream, reports a crash if it no
   // longer listens, and returns whether it crashed. `fingerprint` identifies
-  // the request suspected of causing the crash; empty if there is none.
+  // the request suspected of causing the crash; empty if there is none. One
+  // that was answered lately is not suspected.
   http::Task<bool> ReportIfCrashed(std::shared_ptr<Upstream> upstream,
                                    std::string fingerprint);
 
@@ -110,6 +126,8 @@
   http::EventLoop& loop_;
   blackboard::Blackboard& board_;
   const CrashHandler on_crash_;
+  AnsweredHandler on_answered_ = [](const rpc::AnsweredReport&) {};
+  request::AnsweredRequests answered_;
   http::ConnectionPool connections_;
   std::map<std::string, std::shared_ptr<Upstream>> upstreams_;
   uint64_t next_ticket_ = 1;
--- a/src/daemon/serving/destination_upstream.h
+++ b/src/daemon/serving/destination_upstream.h
@@ -126,19 +126,25 @@
 // ended.
 class Destination::SlotHoldingBody : public http::BodyReader {
  public:
-  SlotHoldingBody(std::shared_ptr<http::Exchange> body,
+  SlotHoldingBody(Destination& owner,
+                  std::shared_ptr<http::Exchange> body,
                   std::shared_ptr<Slot> slot,
                   const HopRequest& request)
-      : body_(std::move(body)),
+      : owner_(owner),
+        body_(std::move(body)),
         slot_(std::move(slot)),
         request_id_(request.request_id_),
-        endpoint_id_(request.endpoint_id_) {}
+        endpoint_id_(request.endpoint_id_),
+        fingerprint_(request.fingerprint_) {}
 
   http::Task<http::BodyState> Read(std::string& piece, size_t most) override {
     const http::BodyState state = co_await body_->Read(piece, most);
     if (state != http::BodyState::kMore) {
       slot_->Release(/*failed=*/state == http::BodyState::kFailed);
     }
+    if (state == http::BodyState::kEnd) {
+      owner_.RecordAnswered(fingerprint_);
+    }
     if (state == http::BodyState::kFailed) {
       LogUpstreamFailed(request_id_, endpoint_id_, body_->FailureInfo());
     }
@@ -148,10 +154,12 @@
   std::string_view Failure() const override { return body_->Failure(); }
 
  private:
+  Destination& owner_;
   const std::shared_ptr<http::Exchange> body_;
   const std::shared_ptr<Slot> slot_;
   const std::string request_id_;
   const std::string endpoint_id_;
+  const std::string fingerprint_;
 };
 
 }  // namespace buckthorngate::daemon::serving
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -111,6 +111,10 @@
       peers_(loop_, destination_),
       admin_(MakeAdminHandlers()),
       views_(settings.zone_) {
+  destination_.OnAnswered([this](const rpc::AnsweredReport& report) {
+    node_loop_.PostTask(
+        [this, report](const base::Now&) { node_->SendAnswered(report); });
+  });
   peers_.SetLimits(PeerLimits(http::ServerLimits()));
   callers_.OnMalformed([](int status, std::string_view what) {
     base::LogEvent(
@@ -197,6 +201,9 @@
     callers_.SetLimits(limits);
     peers_.SetLimits(PeerLimits(limits));
   });
+  if (!node_->Quarantine().empty()) {
+    loop_.Post([this] { destination_.ReportListedAnswered(); });
+  }
   if (node_->Endpoints().Version() == addresses_version_) {
     return;
   }
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -194,6 +194,10 @@
 
 void ProxyNode::OnQuarantine(const rpc::QuarantineNotice& notice) {
   for (const rpc::QuarantineEntry& entry : notice.entries()) {
+    if (entry.answered()) {
+      view_version_ += quarantine_.erase(entry.fingerprint());
+      continue;
+    }
     rpc::QuarantineEntry& held = quarantine_[entry.fingerprint()];
     if (entry.crashes() > held.crashes() || entry.quarantined()) {
       held = entry;
@@ -251,6 +255,12 @@
   }
 }
 
+void ProxyNode::SendAnswered(const rpc::AnsweredReport& report) {
+  for (const std::string& relay : parents_.Candidates()) {
+    *outbox_.Add(options_.identity_.host_, relay).mutable_answered() = report;
+  }
+}
+
 void ProxyNode::SendResumes(const base::Now& now) {
   const uint64_t revision = config_.State().Revision();
   for (const std::string& relay : parents_.DueResumes(revision, now.mono_)) {
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -63,6 +63,7 @@
   void SendEvidence(std::vector<rpc::RouteEvidence> routes);
   void SendBrake(const rpc::BrakeNotice& notice);
   void SendCrash(const rpc::CrashReport& report);
+  void SendAnswered(const rpc::AnsweredReport& report);
 
   // Whether the relays have reported the departures that an earlier start of
   // this daemon was told of. Before that, announcements must not be accepted.
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -168,6 +168,9 @@
     case rpc::Envelope::kCrash:
       OnCrash(envelope, now);
       break;
+    case rpc::Envelope::kAnswered:
+      OnAnswered(envelope.answered(), now);
+      break;
     case rpc::Envelope::kQuarantine:
       OnQuarantine(envelope);
       break;
--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -97,7 +97,8 @@
   // Rewrites the journal once the failed disk accepts writes again.
   void RepairStorage(const base::Now& now);
 
-  // relay_zone.cc: registry, evidence, quarantine.
+  // relay_zone.cc: registry, departures, evidence. relay_quarantine.cc: the
+  // quarantine.
   void OnEndpoint(const rpc::Envelope& envelope, const base::Now& now);
   // Returns a newer entry to the host whose announcement it supersedes, so that
   // the host announces the endpoint above it.
@@ -110,6 +111,7 @@
   // that it is stored, once the journal has been synced.
   void OnDeparture(const rpc::Envelope& envelope);
   void OnCrash(const rpc::Envelope& envelope, const base::Now& now);
+  void OnAnswered(const rpc::AnsweredReport& report, const base::Now& now);
   void OnQuarantine(const rpc::Envelope& envelope);
   // Tells the other relays of the zone which hosts this one hears, so that a
   // host that only some of them hear keeps its endpoints.
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -1,4 +1,4 @@
-// A relay: endpoint registry of the zone, evidence and quarantined requests.
+// A relay: endpoint registry of the zone, departures and evidence.
 #include <algorithm>
 #include <utility>
 
@@ -338,33 +338,6 @@
   }
 }
 
-void RelayNode::SendQuarantine(const std::vector<rpc::QuarantineEntry>& entries,
-                               bool to_relays) {
-  if (entries.empty()) {
-    return;
-  }
-  rpc::Envelope content;
-  for (const rpc::QuarantineEntry& entry : entries) {
-    *content.mutable_quarantine()->add_entries() = entry;
-    rpc::JournalRecord record;
-    *record.mutable_quarantine() = entry;
-    (void)journal_.Append(record);
-    journal_dirty_ = true;
-    if (entry.quarantined()) {
-      LogEvent(
-          EventId::kRequestQuarantined,
-          {{"fingerprint", entry.fingerprint()}, {"service", entry.service()}});
-    }
-  }
-  SendToProxies(content, /*active_only=*/false);
-  if (to_relays) {
-    for (const std::string& relay : relays_) {
-      *outbox_.Add(options_.id_, relay).mutable_quarantine() =
-          content.quarantine();
-    }
-  }
-}
-
 void RelayNode::OnDeparture(const rpc::Envelope& envelope) {
   const rpc::Departure& departure = envelope.departure();
   const bool from_host = envelope.from() == departure.host();
@@ -385,13 +358,4 @@
   }
 }
 
-void RelayNode::OnCrash(const rpc::Envelope& envelope, const base::Now& now) {
-  SendQuarantine(quarantine_.OnCrash(envelope.crash(), now.wall_),
-                 /*to_relays=*/true);
-}
-
-void RelayNode::OnQuarantine(const rpc::Envelope& envelope) {
-  SendQuarantine(quarantine_.Merge(envelope.quarantine()), /*to_relays=*/false);
-}
-
 }  // namespace buckthorngate::distribution
--- a/src/request/quarantine.cc
+++ b/src/request/quarantine.cc
@@ -3,12 +3,39 @@
 
 #include <algorithm>
 
+#include "request/answered_requests.h"
+
 namespace buckthorngate::request {
 namespace {
 
 // Bounds the memory of seen crashes.
 constexpr size_t kMaxSeenCrashes = 4096;
 
+// When the entry, which no answer has cleared, was last changed by a crash.
+int64_t CrashedMs(const rpc::QuarantineEntry& entry) {
+  const std::chrono::milliseconds lifetime =
+      entry.quarantined() ? std::chrono::milliseconds(kQuarantineLifetime)
+                          : std::chrono::milliseconds(kSuspectLifetime);
+  return entry.expires_ms() - lifetime.count();
+}
+
+// Whether `offered` replaces `held`, an entry of the same fingerprint. An entry
+// that an answer has cleared is replaced only by crashes after its end.
+bool Supersedes(const rpc::QuarantineEntry& offered,
+                const rpc::QuarantineEntry& held) {
+  if (offered.answered() && held.answered()) {
+    return offered.expires_ms() > held.expires_ms();
+  }
+  if (held.answered()) {
+    return CrashedMs(offered) >= held.expires_ms();
+  }
+  if (offered.answered()) {
+    return held.crashes() == 0 || CrashedMs(held) < offered.expires_ms();
+  }
+  return offered.crashes() > held.crashes() ||
+         (offered.quarantined() && !held.quarantined());
+}
+
 }  // namespace
 
 std::vector<rpc::QuarantineEntry> QuarantineList::OnCrash(
@@ -23,6 +50,12 @@
     }
     const uint32_t lifted = LiftedCrashes(fingerprint);
     rpc::QuarantineEntry& entry = entries_[fingerprint];
+    if (entry.answered() && entry.expires_ms() > base::ToUnixMs(now)) {
+      continue;
+    }
+    if (entry.answered()) {
+      entry.Clear();
+    }
     entry.set_fingerprint(fingerprint);
     entry.set_service(report.service());
     entry.set_crashes(std::max(entry.crashes(), lifted) + 1);
@@ -39,6 +72,24 @@
   return changed;
 }
 
+std::vector<rpc::QuarantineEntry> QuarantineList::OnAnswered(
+    const rpc::AnsweredReport& report,
+    base::WallTime now) {
+  std::vector<rpc::QuarantineEntry> changed;
+  for (const std::string& fingerprint : report.fingerprints()) {
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end() || found->second.answered()) {
+      continue;
+    }
+    rpc::QuarantineEntry& entry = found->second;
+    entry.set_answered(true);
+    entry.set_quarantined(false);
+    entry.set_expires_ms(base::ToUnixMs(now + kAnswerEvidenceAge));
+    changed.push_back(entry);
+  }
+  return changed;
+}
+
 std::vector<rpc::QuarantineEntry> QuarantineList::Merge(
     const rpc::QuarantineNotice& notice) {
   std::vector<rpc::QuarantineEntry> changed;
@@ -47,9 +98,7 @@
       continue;
     }
     rpc::QuarantineEntry& held = entries_[offered.fingerprint()];
-    const bool supersedes = offered.crashes() > held.crashes() ||
-                            (offered.quarantined() && !held.quarantined());
-    if (supersedes) {
+    if (Supersedes(offered, held)) {
       held = offered;
       changed.push_back(offered);
     }
--- a/src/request/quarantine.h
+++ b/src/request/quarantine.h
@@ -5,6 +5,13 @@
 // quarantined: daemons refuse its requests as not run, until the entry expires
 // or a publication lifts it. Relays keep the list and store it in their
 // journals.
+//
+// Running at a crash is weak evidence: a page that is asked for often is
+// running somewhere at each crash. An answer outweighs it, because a request
+// that crashes upstreams is never answered. Daemons name no suspects that they
+// have answered lately, and report listed ones that they answer
+// (answered_requests.h); a relay then clears the entry and counts no crashes
+// for kAnswerEvidenceAge.
 #ifndef SRC_REQUEST_QUARANTINE_H_
 #define SRC_REQUEST_QUARANTINE_H_
 
@@ -31,6 +38,12 @@
   std::vector<rpc::QuarantineEntry> OnCrash(const rpc::CrashReport& report,
                                             base::WallTime now);
 
+  // Clears the listed fingerprints of the report. Returns the entries that
+  // changed.
+  std::vector<rpc::QuarantineEntry> OnAnswered(
+      const rpc::AnsweredReport& report,
+      base::WallTime now);
+
   // Merges entries of another relay's list or of the journal. Returns those
   // that changed this list.
   std::vector<rpc::QuarantineEntry> Merge(const rpc::QuarantineNotice& notice);
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -360,6 +360,45 @@
   BOOST_TEST(list.find("quarantined") != std::string::npos);
 }
 
+// Guards against CONFIG of review/4 with real processes: two upstreams end by
+// themselves while the same page is asked for at all daemons; it is refused
+// from then on, because it was running at both crashes.
+BOOST_AUTO_TEST_CASE(APageThatIsAskedForOftenIsNotQuarantined) {
+  ServedMesh served(1, 3);
+  ProcessMesh& mesh = served.Mesh();
+  std::vector<std::string> upstreams = {
+      mesh.StartUpstream("proxy-1-2", "shop"),
+      mesh.StartUpstream("proxy-1-3", "shop")};
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  std::atomic<bool> stop{false};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string& proxy = mesh.Proxies()[i % mesh.Proxies().size()];
+      while (!stop) {
+        (void)mesh.Call(proxy, "GET", "/shop/slow?ms=100");
+      }
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  for (const std::string& upstream : upstreams) {
+    mesh.Kill(upstream);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  }
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const std::string& proxy : mesh.Proxies()) {
+    const HttpAnswer answer = mesh.Call(proxy, "GET", "/shop/slow?ms=100");
+    BOOST_TEST(answer.status_ == 200,
+               proxy << ": " << answer.Header("Bg-Result"));
+  }
+  std::string list;
+  mesh.Tool({"quarantine"}, &list);
+  BOOST_TEST(list.find("quarantined") == std::string::npos, list);
+}
+
 BOOST_AUTO_TEST_CASE(ADrainingUpstreamGetsNoNewRequestsAndCutsNone) {
   ServedMesh served(1, 2);
   ProcessMesh& mesh = served.Mesh();
--- a/tests/request_test.cc
+++ b/tests/request_test.cc
@@ -12,6 +12,7 @@
 #include "call_tree_model.h"
 #include "config/config_state.h"
 #include "request/admission.h"
+#include "request/answered_requests.h"
 #include "request/endpoint_picker.h"
 #include "request/quarantine.h"
 #include "request/retry.h"
@@ -342,6 +343,86 @@
   BOOST_TEST(list.Entries().empty());
 }
 
+rpc::AnsweredReport MakeAnsweredReport(const std::string& fingerprint) {
+  rpc::AnsweredReport report;
+  report.add_fingerprints(fingerprint);
+  return report;
+}
+
+// Guards against CONFIG of review/4: a page that is asked for often is running
+// at each crash and was quarantined at the second one.
+BOOST_AUTO_TEST_CASE(AnAnsweredRequestIsNoSuspect) {
+  request::QuarantineList list;
+  const base::WallTime now(std::chrono::hours(1));
+  list.OnCrash(MakeCrashReport("1", {"page", "killer"}), now);
+  BOOST_TEST(list.OnAnswered(MakeAnsweredReport("page"), now).size() == 1u);
+  BOOST_TEST(list.OnAnswered(MakeAnsweredReport("page"), now).empty());
+  BOOST_TEST(list.OnAnswered(MakeAnsweredReport("unknown"), now).empty());
+  list.OnCrash(MakeCrashReport("2", {"page", "killer"}), now);
+  BOOST_TEST(list.Entries().at("killer").quarantined());
+  BOOST_TEST(!list.Entries().at("page").quarantined());
+  // The evidence ends: then crashes count again, from the first.
+  const base::WallTime later = now + 2 * request::kAnswerEvidenceAge;
+  list.OnCrash(MakeCrashReport("3", {"page"}), later);
+  BOOST_TEST(list.Entries().at("page").crashes() == 1u);
+  BOOST_TEST(!list.Entries().at("page").answered());
+  list.OnCrash(MakeCrashReport("4", {"page"}), later);
+  BOOST_TEST(list.Entries().at("page").quarantined());
+}
+
+// Guards against lists of relays that differ for good: the report of an answer
+// and those of crashes reach them in any order.
+BOOST_AUTO_TEST_CASE(AnAnswerClearsTheEntriesOfAllRelays) {
+  const base::WallTime now(std::chrono::hours(1));
+  request::QuarantineList first;
+  request::QuarantineList second;
+  rpc::QuarantineNotice crashes;
+  for (const char* crash : {"1", "2"}) {
+    for (const rpc::QuarantineEntry& entry :
+         first.OnCrash(MakeCrashReport(crash, {"page"}), now)) {
+      *crashes.add_entries() = entry;
+    }
+  }
+  BOOST_TEST(first.Entries().at("page").quarantined());
+  rpc::QuarantineNotice cleared;
+  *cleared.add_entries() =
+      first.OnAnswered(MakeAnsweredReport("page"), now).front();
+  BOOST_TEST(second.Merge(cleared).size() == 1u);
+  BOOST_TEST(second.Merge(crashes).empty());
+  BOOST_TEST(!second.Entries().at("page").quarantined());
+  request::QuarantineList third;
+  BOOST_TEST(third.Merge(crashes).size() == 2u);
+  BOOST_TEST(third.Merge(cleared).size() == 1u);
+  BOOST_TEST(!third.Entries().at("page").quarantined());
+  // A journal that goes on after the end of the evidence is read to its end.
+  const base::WallTime later = now + 2 * request::kAnswerEvidenceAge;
+  rpc::QuarantineNotice again;
+  for (const char* crash : {"3", "4"}) {
+    for (const rpc::QuarantineEntry& entry :
+         first.OnCrash(MakeCrashReport(crash, {"page"}), later)) {
+      *again.add_entries() = entry;
+    }
+  }
+  third.Merge(again);
+  BOOST_TEST(third.Entries().at("page").quarantined());
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAreRememberedForAWhileAndInBoundedMemory) {
+  request::AnsweredRequests answered;
+  answered.Record("page", AtMs(0));
+  BOOST_TEST(answered.AnsweredLately("page", AtMs(1000)));
+  BOOST_TEST(!answered.AnsweredLately("other", AtMs(1000)));
+  BOOST_TEST(!answered.AnsweredLately("page", AtMs(61'000)));
+  for (size_t i = 0; i < request::kMaxGeneration; ++i) {
+    answered.Record("x" + std::to_string(i), AtMs(1));
+  }
+  BOOST_TEST(answered.AnsweredLately("page", AtMs(1000)));
+  for (size_t i = 0; i < request::kMaxGeneration; ++i) {
+    answered.Record("y" + std::to_string(i), AtMs(1));
+  }
+  BOOST_TEST(!answered.AnsweredLately("page", AtMs(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(TheBrakeClosesOnTheNewVersionOnlyAndForOneStep) {
   rollout::Brake brake;
   int calls = 0;
@@ -390,5 +471,33 @@
   BOOST_TEST(mesh.Proxy("proxy-2").Quarantine().at("killer").quarantined());
 }
 
+// Guards against a quarantine that nothing ends: refused requests are never
+// answered, but those that were in flight are.
+BOOST_AUTO_TEST_CASE(AnAnswerEndsAQuarantineInAllZones) {
+  TestMesh mesh(9);
+  mesh.AddSources(1);
+  mesh.AddRelay("relay-1", "zone-1");
+  mesh.AddRelay("relay-2", "zone-2");
+  mesh.AddProxy("proxy-1", "zone-1");
+  mesh.AddProxy("proxy-2", "zone-2");
+  mesh.Net().Run(std::chrono::seconds(2));
+  for (const char* crash : {"1", "2"}) {
+    mesh.Proxy("proxy-1").SendCrash(MakeCrashReport(crash, {"page"}));
+    mesh.Net().Run(std::chrono::milliseconds(200));
+  }
+  BOOST_TEST(mesh.Proxy("proxy-1").Quarantine().at("page").quarantined());
+  mesh.Proxy("proxy-2").SendAnswered(MakeAnsweredReport("page"));
+  mesh.Net().Run(std::chrono::milliseconds(200));
+  for (const char* id : {"proxy-1", "proxy-2"}) {
+    BOOST_TEST(mesh.Proxy(id).Quarantine().count("page") == 0u, id);
+  }
+  for (const char* id : {"relay-1", "proxy-1"}) {
+    mesh.Crash(id);
+    mesh.Restart(id);
+  }
+  mesh.Net().Run(std::chrono::seconds(3));
+  BOOST_TEST(mesh.Proxy("proxy-1").Quarantine().count("page") == 0u);
+}
+
 }  // namespace
 }  // namespace buckthorngate::tests
