--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -371,8 +371,10 @@
       mesh.StartUpstream("proxy-1-3", "shop")};
   std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   std::atomic<bool> stop{false};
+  constexpr size_t kCallers = 12;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 12; ++i) {
+  callers.reserve(kCallers);
+  for (size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       const std::string& proxy = mesh.Proxies()[i % mesh.Proxies().size()];
       while (!stop) {
