Reports of upstreams that an expired entry, a stop or a slow relay hid

A deregistration or an admin drain of an upstream whose lease had expired didn't reach the destination's queue, and the drain wasn't recorded. A drain that was reported at the very end of a stop was acknowledged and not recorded. A departure that a slow relay reported after the announcement was accepted changed the entry, but not the destination. The admin call answered 200 to announcements that were not taken.

Tests: AReportCountsForAnExpiredEntryAndUntilTheExit, ADepartureThatIsReportedLateDrainsTheEndpoint, AnAnnouncementThatIsNotTakenIsNotAcknowledged.

--- a/src/daemon/control/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -131,11 +131,14 @@
           std::string(Describe(ResultCode::kMissingKey).message_) + "\n");
     }
     const ResultCode code = handlers_.announce_(announcement);
-    if (code == ResultCode::kUnknownService) {
-      return TextAnswer(base::kStatusBadRequest,
-                        std::string(Describe(code).message_) + "\n");
+    // An announcement that is older than the known one has nothing to repeat.
+    if (code == ResultCode::kOk || code == ResultCode::kNumberStale) {
+      return TextAnswer(base::kStatusOk, "ok\n");
     }
-    return TextAnswer(base::kStatusOk, "ok\n");
+    const int status = code == ResultCode::kUnknownService
+                           ? base::kStatusBadRequest
+                           : base::kStatusUnavailable;
+    return TextAnswer(status, std::string(Describe(code).message_) + "\n");
   }
 
   BufferedResponse HandlePage(std::string_view path) {
--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -58,12 +58,13 @@
 
   // Registration of this host's upstreams. Announce returns kOk, kNumberStale
   // for an announcement that is older than the known one and was ignored,
-  // kUnknownService for one of another service than the settings name, or
+  // kUnknownService for one of another service than the settings name,
   // kNoEndpoint on a daemon without a proxy, or kTimedOut if this daemon has
-  // started and does not know yet which upstreams have left. Leave deregisters
-  // the start at `started_ms` (Unix time, 0 if not reported) of an instance and
-  // all earlier ones. This daemon has applied a change when the call returns,
-  // and a relay has stored a drain or a deregistration, if one can be reached.
+  // just started and does not know yet which upstreams have left. Leave
+  // deregisters the start at `started_ms` (Unix time, 0 if not reported) of an
+  // instance and all earlier ones. This daemon has applied a change when the
+  // call returns, and a relay has stored a drain or a deregistration, if one
+  // can be reached.
   virtual ResultCode Announce(const registry::Announcement& announcement) = 0;
   virtual void Leave(const std::string& instance, int64_t started_ms) = 0;
 
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -176,6 +176,7 @@
 void ProxyRole::Impl::AfterFlush(const base::Now& now) {
   board_.Stalls().Tick(now.mono_);
   claims_.DeliverOutcomes(node_->TakeClaimOutcomes());
+  DrainDepartedUpstreams();
   if (now.mono_ >= next_evidence_time_) {
     next_evidence_time_ = now.mono_ + kEvidenceInterval;
     node_->SendEvidence(board_.Evidence().TakeSums(now.mono_));
--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -60,6 +60,9 @@
   // the endpoint that has left, or an empty string.
   void Remove(
       const std::function<std::string(registry::LocalEndpoints&)>& leave);
+  // Runs on the node loop: drains upstreams that were announced before their
+  // departure became known.
+  void DrainDepartedUpstreams();
   // Polls on the node loop until the condition holds or `timeout` has passed;
   // returns whether it holds.
   bool AwaitOnNode(const std::function<bool(const base::Now&)>& condition,
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -118,12 +118,16 @@
     if (announcement.warm_up_left_) {
       info.warm_up_end_ = clock_.Read().mono_ + *announcement.warm_up_left_;
     }
-    loop_.RunAndWait([this, &info, draining] {
-      destination_.SetUpstream(info);
-      if (draining) {
-        destination_.DrainUpstream(info.endpoint_id_);
-      }
+    loop_.RunAndWait([this, &info] { destination_.SetUpstream(info); });
+    // Its departure may have become known in between.
+    bool ready = false;
+    node_loop_.RunAndWait([&](const base::Now&) {
+      ready = node_->Local().Ready(announcement.address_);
     });
+    if (!ready) {
+      loop_.RunAndWait(
+          [this, &info] { destination_.DrainUpstream(info.endpoint_id_); });
+    }
     LogAccepted(info, announcement, draining);
   }
   if (upstreams_draining_) {
@@ -132,20 +136,24 @@
   return check;
 }
 
+void ProxyRole::Impl::DrainDepartedUpstreams() {
+  for (const std::string& id : node_->TakeDepartedEndpoints()) {
+    loop_.Post([this, id] { destination_.DrainUpstream(id); });
+    base::LogEvent(base::EventId::kEndpointDraining,
+                   {{"endpoint", id}, {"detail", "as a relay reports late"}});
+  }
+}
+
 void ProxyRole::Impl::DrainUpstream(const std::string& address) {
   std::string id;
   std::string instance;
   {
     const std::lock_guard<std::mutex> lock(upstreams_mutex_);
-    bool changed = false;
     node_loop_.RunAndWait([&](const base::Now&) {
       id = node_->Local().EndpointId(address);
       instance = node_->Local().InstanceAt(address);
-      changed = node_->Local().Drain(address);
+      node_->Local().Drain(address);
     });
-    if (!changed) {
-      return;
-    }
     loop_.RunAndWait([this, &id] { destination_.DrainUpstream(id); });
   }
   base::LogEvent(base::EventId::kEndpointDraining,
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -68,6 +68,9 @@
   // Whether the relays have reported the departures that an earlier start of
   // this daemon was told of. Before that, announcements must not be accepted.
   bool DeparturesKnown(base::MonoTime now);
+  // Ids of this host's endpoints that were announced before their departure
+  // became known, since the last call.
+  std::vector<std::string> TakeDepartedEndpoints();
   // Whether a relay has synced the departure of the instance, if there is one.
   bool DepartureStored(const std::string& instance) const;
 
@@ -140,6 +143,7 @@
   // Last sequence sent of each local endpoint.
   std::map<std::string, uint64_t> sent_sequences_;
   uint64_t local_version_sent_ = 0;
+  std::vector<std::string> departed_endpoints_;
   // Departures that no relay has stored yet.
   std::vector<rpc::Departure> unstored_departures_;
   base::MonoTime next_departure_send_;
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -1,6 +1,7 @@
 // A proxy: the endpoint registry that it mirrors from its active relay, and the
 // announcements of its own endpoints.
 #include <algorithm>
+#include <utility>
 
 #include "distribution/proxy_node.h"
 
@@ -126,10 +127,17 @@
   departures_from_.insert(envelope.from());
   first_departures_ = first_departures_.value_or(now);
   for (const rpc::Departure& departure : envelope.floor().departures()) {
-    local_.Learn(departure);
+    const std::string address = local_.AddressOf(departure.instance());
+    if (local_.Learn(departure)) {
+      departed_endpoints_.push_back(local_.EndpointId(address));
+    }
   }
 }
 
+std::vector<std::string> ProxyNode::TakeDepartedEndpoints() {
+  return std::exchange(departed_endpoints_, {});
+}
+
 bool ProxyNode::DeparturesKnown(base::MonoTime now) {
   const std::vector<std::string>& relays = parents_.Candidates();
   const bool all = std::all_of(relays.begin(), relays.end(),
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -341,21 +341,23 @@
 void RelayNode::OnDeparture(const rpc::Envelope& envelope) {
   const rpc::Departure& departure = envelope.departure();
   const bool from_host = envelope.from() == departure.host();
-  if (departures_.Record(departure)) {
+  const bool added = departures_.Record(departure);
+  if (added) {
     rpc::JournalRecord record;
     *record.mutable_departure() = departure;
     (void)journal_.Append(record);
     journal_dirty_ = true;
+  }
+  if (!from_host) {
+    return;
+  }
+  if (added) {
     for (const std::string& relay : relays_) {
-      if (from_host) {
-        *outbox_.Add(options_.id_, relay).mutable_departure() = departure;
-      }
+      *outbox_.Add(options_.id_, relay).mutable_departure() = departure;
     }
   }
-  if (from_host) {
-    *outbox_.Add(options_.id_, departure.host()).mutable_departure_stored() =
-        departure;
-  }
+  *outbox_.Add(options_.id_, departure.host()).mutable_departure_stored() =
+      departure;
 }
 
 }  // namespace buckthorngate::distribution
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -57,10 +57,18 @@
   return found == upstreams_.end() ? std::string() : found->second.instance_;
 }
 
-bool LocalEndpoints::Draining(const std::string& address) const {
+bool LocalEndpoints::HasState(const std::string& address,
+                              rpc::EndpointState state) const {
   const auto found = upstreams_.find(address);
-  return found != upstreams_.end() &&
-         found->second.endpoint_.state() == rpc::ENDPOINT_STATE_DRAINING;
+  return found != upstreams_.end() && found->second.endpoint_.state() == state;
+}
+
+bool LocalEndpoints::Ready(const std::string& address) const {
+  return HasState(address, rpc::ENDPOINT_STATE_READY);
+}
+
+bool LocalEndpoints::Draining(const std::string& address) const {
+  return HasState(address, rpc::ENDPOINT_STATE_DRAINING);
 }
 
 std::string LocalEndpoints::EndpointId(const std::string& address) const {
@@ -69,14 +77,9 @@
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
-  if (closed_ || Check(announcement) != AnnouncementCheck::kAccepted) {
+  if (Check(announcement) != AnnouncementCheck::kAccepted) {
     return false;
   }
-  const auto [found, added] = upstreams_.try_emplace(announcement.address_);
-  Upstream& upstream = found->second;
-  const bool same_start = !added &&
-                          upstream.instance_ == announcement.instance_ &&
-                          upstream.started_ms_ == announcement.started_ms_;
   const bool departing =
       departures_.Find(identity_.host_, announcement.instance_,
                        announcement.started_ms_) != nullptr;
@@ -84,6 +87,14 @@
     RecordDeparture(announcement.instance_, announcement.started_ms_,
                     /*left=*/false);
   }
+  if (closed_) {
+    return false;
+  }
+  const auto [found, added] = upstreams_.try_emplace(announcement.address_);
+  Upstream& upstream = found->second;
+  const bool same_start = !added &&
+                          upstream.instance_ == announcement.instance_ &&
+                          upstream.started_ms_ == announcement.started_ms_;
   upstream.draining_ =
       announcement.draining_ || departing || (same_start && upstream.draining_);
   const rpc::EndpointState state = upstream.draining_ || draining_all_
@@ -166,14 +177,15 @@
 
 bool LocalEndpoints::Drain(const std::string& address) {
   const auto found = upstreams_.find(address);
-  if (found == upstreams_.end() ||
-      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_GONE) {
+  if (found == upstreams_.end()) {
     return false;
   }
   found->second.draining_ = true;
   RecordDeparture(found->second.instance_, found->second.started_ms_,
                   /*left=*/false);
-  return SetState(address, rpc::ENDPOINT_STATE_DRAINING);
+  // An expired entry stays gone.
+  return found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
+         SetState(address, rpc::ENDPOINT_STATE_DRAINING);
 }
 
 bool LocalEndpoints::Leave(const std::string& address) {
@@ -196,8 +208,11 @@
   const Upstream& upstream = found->second;
   const int64_t leaves = started_ms == 0 ? upstream.started_ms_ : started_ms;
   RecordDeparture(instance, leaves, /*left=*/true);
-  return upstream.started_ms_ <= leaves &&
-         SetState(found->first, rpc::ENDPOINT_STATE_GONE);
+  if (upstream.started_ms_ > leaves) {
+    return false;
+  }
+  SetState(found->first, rpc::ENDPOINT_STATE_GONE);
+  return true;
 }
 
 bool LocalEndpoints::MarkCrashed(const std::string& address) {
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -69,15 +69,17 @@
   // Adds an upstream or renews its lease. Returns true if its entry changed.
   // Changes nothing for an announcement that Check does not accept.
   bool Announce(const Announcement& announcement, base::MonoTime now);
-  // Each sets the upstream's state and returns true if its entry changed. They
-  // are the upstream's own reports, so they record a departure: announcements
-  // of that start cannot bring it back. Leave deregisters it; its later
-  // announcements are ignored.
+  // The upstream's own reports. Each records a departure: announcements of that
+  // start cannot bring the upstream back. Leave deregisters it; its later
+  // announcements are ignored. Both return true if its entry changed.
   bool Drain(const std::string& address);
   bool Leave(const std::string& address);
   // Deregisters an instance that this daemon may not know. `started_ms` is the
   // start that leaves, 0 if not reported; a later start of the instance stays.
+  // Returns true if the known upstream of the instance has left, also if its
+  // entry had expired before.
   bool LeaveInstance(const std::string& instance, int64_t started_ms);
+  // Returns true if the upstream's entry changed.
   bool MarkCrashed(const std::string& address);
 
   // Adds a departure that an earlier start of this daemon was told of. Returns
@@ -110,6 +112,8 @@
   // Increases with each change.
   uint64_t Version() const { return version_; }
   std::string EndpointId(const std::string& address) const;
+  // Whether the entry of the address may get new requests.
+  bool Ready(const std::string& address) const;
   // Whether the entry of the address is draining.
   bool Draining(const std::string& address) const;
   // Returns the instance that announced the address, or an empty string.
@@ -129,6 +133,7 @@
 
   // Whether the announcement is older than the stored one of its address.
   bool IsStale(const Announcement& announcement) const;
+  bool HasState(const std::string& address, rpc::EndpointState state) const;
   bool SetState(const std::string& address, rpc::EndpointState state);
   void RecordDeparture(const std::string& instance,
                        int64_t started_ms,
--- a/tests/blocking_server_test.cc
+++ b/tests/blocking_server_test.cc
@@ -189,7 +189,7 @@
     if (with_upstreams) {
       handlers.announce_ = [this](const registry::Announcement& announcement) {
         announcement_ = announcement;
-        return ResultCode::kOk;
+        return code_;
       };
       handlers.drain_ = [this](const std::string& address) {
         drained_ = address;
@@ -209,6 +209,7 @@
   }
 
   registry::Announcement announcement_;
+  ResultCode code_ = ResultCode::kOk;
   std::string drained_;
   std::string left_;
   std::atomic<bool> ready_{false};
@@ -218,6 +219,21 @@
   std::unique_ptr<daemon::control::AdminServer> server_;
 };
 
+// Guards against announcements that are answered 200 though the daemon has not
+// taken them.
+BOOST_AUTO_TEST_CASE(AnAnnouncementThatIsNotTakenIsNotAcknowledged) {
+  RunningAdmin admin(/*with_upstreams=*/true);
+  const auto announce = [&admin](ResultCode code) {
+    admin.code_ = code;
+    return admin.Status(
+        PostForm("/announce", "service=a&version=v1&address=127.0.0.1:1"));
+  };
+  BOOST_TEST(announce(ResultCode::kOk) == 200);
+  BOOST_TEST(announce(ResultCode::kNumberStale) == 200);
+  BOOST_TEST(announce(ResultCode::kUnknownService) == 400);
+  BOOST_TEST(announce(ResultCode::kTimedOut) == 503);
+}
+
 // Guards against announcements that are read differently by the server that
 // bounds its requests than by the library before it, which decoded forms.
 BOOST_AUTO_TEST_CASE(FormsToTheAdminServerAreDecoded) {
--- a/tests/platform_daemon.cc
+++ b/tests/platform_daemon.cc
@@ -181,10 +181,6 @@
               R"({"born":)" + std::to_string(fields.born_ms_) + "}");
 }
 
-int PlatformDaemon::BeatRaw(const std::string& body) {
-  return Post("/instances/i-1/heartbeat", body);
-}
-
 int PlatformDaemon::Get(const std::string& path,
                         const httplib::Headers& headers) {
   httplib::Client client(kLoopbackIp, callers_port_);
--- a/tests/platform_daemon.h
+++ b/tests/platform_daemon.h
@@ -83,9 +83,6 @@
   // Status of the answer to a heartbeat or a deregistration.
   int Beat(const HeartbeatFields& fields);
   int Deregister(const HeartbeatFields& fields);
-  // Sends bytes as a heartbeat of "i-1".
-  int BeatRaw(const std::string& body);
-
   // Status of the answer to a caller's request.
   int Get(const std::string& path, const httplib::Headers& headers = {});
   // The same with a body in chunks.
@@ -95,8 +92,6 @@
   // Sends a caller's bytes; the start line of the answer.
   std::string SendRaw(const std::string& bytes);
 
-  const std::string& Zone() const { return settings_.zone_; }
-
  private:
   int Post(const std::string& path, const std::string& body);
   bool Publish();
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -188,6 +188,27 @@
   BOOST_TEST(local.TakeDepartures().empty());
 }
 
+// Guards against reports that are lost because the entry had expired before, or
+// because the daemon is at the end of its stop.
+BOOST_AUTO_TEST_CASE(AReportCountsForAnExpiredEntryAndUntilTheExit) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  BOOST_TEST(local.Expire(At(60)));
+  BOOST_TEST(!local.Drain("127.0.0.1:1"));
+  BOOST_TEST(local.TakeDepartures().size() == 1u);
+  local.Announce(AnnouncementOf("x", 10, 2), At(61));
+  BOOST_TEST(local.Draining("127.0.0.1:1"));
+  BOOST_TEST(local.Expire(At(120)));
+  BOOST_TEST(local.LeaveInstance("x", 10));
+  BOOST_TEST(local.TakeDepartures().size() == 1u);
+  BOOST_TEST(local.Announce(AnnouncementOf("y", 11, 1), At(121)));
+  local.LeaveAll();
+  registry::Announcement draining = AnnouncementOf("y", 11, 2);
+  draining.draining_ = true;
+  BOOST_TEST(!local.Announce(draining, At(121)));
+  BOOST_TEST(local.TakeDepartures().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
@@ -402,6 +423,25 @@
   BOOST_TEST(mesh.Proxy("proxy-1-1").DeparturesKnown(mesh.Net().Now().mono_));
 }
 
+// Guards against a destination that serves an upstream whose departure a slow
+// relay reports after its announcement was accepted.
+BOOST_AUTO_TEST_CASE(ADepartureThatIsReportedLateDrainsTheEndpoint) {
+  MeshWithTwoZones zones(8);
+  distribution::ProxyNode& proxy = zones.Mesh().Proxy("proxy-1-1");
+  zones.Announce();
+  rpc::Envelope envelope;
+  envelope.set_from("relay-1");
+  rpc::Departure& departure = *envelope.mutable_floor()->add_departures();
+  departure.set_host("proxy-1-1");
+  departure.set_instance("x");
+  proxy.OnMessage(envelope, zones.Mesh().Net().Now());
+  const std::string id = proxy.Local().EndpointId("127.0.0.1:1");
+  BOOST_TEST(proxy.TakeDepartedEndpoints() == std::vector<std::string>{id});
+  BOOST_TEST(proxy.Local().Draining("127.0.0.1:1"));
+  proxy.OnMessage(envelope, zones.Mesh().Net().Now());
+  BOOST_TEST(proxy.TakeDepartedEndpoints().empty());
+}
+
 // Two hosts of zone-1 with one upstream each and shifted heartbeat phases.
 class ZoneWithTwoUpstreams {
  public:
