--- a/tests/caller_service_test.cc
+++ b/tests/caller_service_test.cc
@@ -16,19 +16,8 @@
 constexpr char kCallerService[] = "X-Caller-Service";
 constexpr char kForged[] = "x285460";
 
-class ServedShop {
+class ObservedShop : public ServedShop {
  public:
-  ServedShop() {
-    daemon_.Start();
-    own_.address_ = AddressOn(upstream_.Port());
-    BOOST_REQUIRE(daemon_.Beat(own_) == 200);
-    BOOST_REQUIRE(daemon_.AwaitServed("/shop/first"));
-  }
-
-  static std::string AddressOn(int port) {
-    return "127.0.0.1:" + std::to_string(port);
-  }
-
   // All values of the header in the requests with this path.
   std::vector<std::string> ServicesOf(const std::string& path) const {
     std::vector<std::string> services;
@@ -49,19 +38,15 @@
     BOOST_TEST(services == std::vector<std::string>{"shop"},
                what << ": " << (services.empty() ? "none" : services[0]));
   }
-
-  PlatformDaemon daemon_;
-  RecordingUpstream upstream_;
-  HeartbeatFields own_;
 };
 
 // Guards against UNASKED of review/1: one heartbeat of another writer changed
 // the caller's service of all later requests of its host.
 BOOST_AUTO_TEST_CASE(AHeartbeatOfAnotherServiceChangesNoOrigin) {
-  ServedShop shop;
+  ObservedShop shop;
   std::vector<HeartbeatFields> strays(4, shop.own_);
   strays[0].instance_ = "i-other";
-  strays[0].address_ = ServedShop::AddressOn(1);
+  strays[0].address_ = "127.0.0.1:1";
   strays[1].instance_ = "i-other";
   strays[2].sequence_ = 2;
   strays[3].instance_ = "i-other";
@@ -79,7 +64,7 @@
 
 // Guards against the same by a stray heartbeat that comes first after a start.
 BOOST_AUTO_TEST_CASE(TheFirstHeartbeatAfterAStartDecidesNothing) {
-  ServedShop shop;
+  ObservedShop shop;
   shop.daemon_.Stop();
   shop.daemon_.Start();
   HeartbeatFields stray = shop.own_;
@@ -96,7 +81,7 @@
 // headers of the platform or of daemons, once or twice, beside bodies in
 // chunks, and in their trailers.
 BOOST_AUTO_TEST_CASE(ACallerCannotNameItsService) {
-  ServedShop shop;
+  ObservedShop shop;
   const httplib::Headers forged = {{kCallerService, kForged},
                                    {"x-caller-service", kForged},
                                    {"Bg-Caller-Service", kForged}};
--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -13,26 +13,6 @@
 namespace buckthorngate::tests {
 namespace {
 
-class ServedShop {
- public:
-  ServedShop() {
-    daemon_.Start();
-    own_.address_ = "127.0.0.1:" + std::to_string(upstream_.Port());
-    BOOST_REQUIRE(daemon_.Beat(own_) == 200);
-    BOOST_REQUIRE(daemon_.AwaitServed("/shop/first"));
-  }
-
-  // Ends the daemon without notice and starts it again.
-  void Restart() {
-    daemon_.Stop();
-    daemon_.Start();
-  }
-
-  PlatformDaemon daemon_;
-  RecordingUpstream upstream_;
-  HeartbeatFields own_;
-};
-
 // Guards against DRAIN of review/3: an upstream deregisters, its daemon is
 // killed and started again, and a heartbeat of before arrives late.
 BOOST_AUTO_TEST_CASE(ALateHeartbeatAfterARestartBringsNobodyBack) {
--- a/tests/platform_daemon.cc
+++ b/tests/platform_daemon.cc
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr char kLoopbackIp[] = "127.0.0.1";
 constexpr char kRequestId[] = "X-Request-Id";
+constexpr int kStatusOk = 200;
 
 constexpr char kConfiguration[] =
     R"({"version":7,"limits":{"max_header_bytes":16384,)"
@@ -217,4 +218,18 @@
   return answer.substr(0, answer.find("\r\n"));
 }
 
+ServedShop::ServedShop() {
+  daemon_.Start();
+  own_.address_ =
+      std::string(kLoopbackIp) + ":" + std::to_string(upstream_.Port());
+  if (daemon_.Beat(own_) != kStatusOk || !daemon_.AwaitServed("/shop/first")) {
+    throw std::runtime_error("the daemon does not serve its upstream");
+  }
+}
+
+void ServedShop::Restart() {
+  daemon_.Stop();
+  daemon_.Start();
+}
+
 }  // namespace buckthorngate::tests
--- a/tests/platform_daemon.h
+++ b/tests/platform_daemon.h
@@ -104,6 +104,19 @@
   std::unique_ptr<platform::PlatformAdapter> adapter_;
 };
 
+// A daemon that serves its host's upstream. Throws if it does not come to that.
+class ServedShop {
+ public:
+  ServedShop();
+
+  // Ends the daemon without notice and starts it again.
+  void Restart();
+
+  PlatformDaemon daemon_;
+  RecordingUpstream upstream_;
+  HeartbeatFields own_;  // Of the upstream's last heartbeat.
+};
+
 }  // namespace buckthorngate::tests
 
 #endif  // TESTS_PLATFORM_DAEMON_H_
