--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -90,7 +90,7 @@
     {kEndpointDraining, Level::kInfo, "endpoint-draining",
      "An upstream is draining or was removed."},
     {kEndpointExpired, Level::kWarning, "endpoint-expired",
-     "An endpoint's lease expired."},
+     "An endpoint's lease expired: its upstream or its host was silent."},
     {kEndpointCrashed, Level::kWarning, "endpoint-crashed",
      "An upstream crashed while it was handling requests."},
     {kAnnouncementIgnored, Level::kWarning, "announcement-ignored",
@@ -105,6 +105,10 @@
     {kDepartureNotStored, Level::kWarning, "departure-not-stored",
      "No relay has stored in time that an upstream leaves; if this daemon "
      "restarts, a late heartbeat may bring the upstream back."},
+    {kEndpointDeregistered, Level::kInfo, "endpoint-deregistered",
+     "An upstream has deregistered."},
+    {kEndpointWithdrawn, Level::kInfo, "endpoint-withdrawn",
+     "The daemon of an endpoint's host has stopped."},
     {kClaimKept, Level::kWarning, "claim-kept",
      "A claim was released, but not every member recorded the release; resends "
      "of its key may be refused."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -56,6 +56,8 @@
   kHostsUnheard = 405,
   kHostsHeard = 406,
   kDepartureNotStored = 407,
+  kEndpointDeregistered = 408,
+  kEndpointWithdrawn = 409,
   kClaimKept = 410,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
--- a/src/daemon/startup/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -264,6 +264,7 @@
   if (code == ResultCode::kOk) {
     LogEvent(EventId::kStarted, {{"host", settings_.host_},
                                  {"zone", settings_.zone_},
+                                 {"service", settings_.service_},
                                  {"control", settings_.control_address_}});
   }
   return code;
--- a/src/daemon/startup/program.cc
+++ b/src/daemon/startup/program.cc
@@ -29,9 +29,25 @@
   return signals;
 }
 
+// What the host is, by the two settings, differs in these keys. A daemon keeps
+// what it had at its start.
+std::string ChangedIdentity(const Settings& running, const Settings& read) {
+  std::string keys;
+  const auto compare = [&keys](const char* key, const std::string& a,
+                               const std::string& b) {
+    if (a != b) {
+      keys += (keys.empty() ? "" : ",") + std::string(key);
+    }
+  };
+  compare("host", running.host_, read.host_);
+  compare("zone", running.zone_, read.zone_);
+  compare("service", running.service_, read.service_);
+  return keys;
+}
+
 // Validates the settings file again and logs the result. Nothing is applied:
 // settings that can change at run time are distributed by the mesh.
-void RecheckSettings(const std::string& file) {
+void RecheckSettings(const Settings& running, const std::string& file) {
   Settings settings;
   const bool valid = !file.empty() && LoadSettings(file, settings);
   std::string seeds;
@@ -40,7 +56,10 @@
   }
   base::LogEvent(
       base::EventId::kSettingsReloaded,
-      {{"file", file}, {"valid", valid ? "true" : "false"}, {"seeds", seeds}});
+      {{"file", file},
+       {"valid", valid ? "true" : "false"},
+       {"seeds", seeds},
+       {"needs_restart", valid ? ChangedIdentity(running, settings) : ""}});
 }
 
 int ExitOnStartFailure(ResultCode code) {
@@ -84,7 +103,7 @@
   }
   int signal_number = 0;
   while (sigwait(&signals, &signal_number) == 0 && signal_number == SIGHUP) {
-    RecheckSettings(program.settings_file_);
+    RecheckSettings(program.settings_, program.settings_file_);
   }
   daemon.Drain();
   base::LogEvent(base::EventId::kStopped, {{"host", program.settings_.host_}});
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "distribution/proxy_node.h"
+#include "registry/endpoint_log.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -78,6 +79,9 @@
       continue;
     }
     sent = endpoint.sequence();
+    if (endpoint.state() == rpc::ENDPOINT_STATE_GONE) {
+      registry::LogEndpointChange(endpoints_.Copy(endpoint.id()), endpoint);
+    }
     // Updates the own registry at once; relays inform the other daemons.
     endpoints_.Merge(endpoint, base::MonoTime());
     ++view_version_;
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -1,9 +1,11 @@
 // A relay: endpoint registry of the zone, departures and evidence.
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "base/events.h"
 #include "distribution/relay_node.h"
+#include "registry/endpoint_log.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -116,22 +118,13 @@
              {{"endpoint", endpoint.id()}, {"from", envelope.from()}});
     return;
   }
+  const std::optional<rpc::Endpoint> before = endpoints_.Copy(endpoint.id());
   if (!endpoints_.Merge(endpoint, now.mono_)) {
     ReturnIfSuperseded(endpoint);
     return;
   }
   QueueEndpoints({endpoint}, /*beyond_zone=*/true);
-  EventId event = EventId::kEndpointReady;
-  if (endpoint.state() == rpc::ENDPOINT_STATE_DRAINING) {
-    event = EventId::kEndpointDraining;
-  } else if (endpoint.state() == rpc::ENDPOINT_STATE_CRASHED) {
-    event = EventId::kEndpointCrashed;
-  } else if (endpoint.state() == rpc::ENDPOINT_STATE_GONE) {
-    event = EventId::kEndpointExpired;
-  }
-  LogEvent(event, {{"endpoint", endpoint.id()},
-                   {"service", endpoint.service()},
-                   {"version", endpoint.version()}});
+  registry::LogEndpointChange(before, endpoint);
 }
 
 void RelayNode::ReturnIfSuperseded(const rpc::Endpoint& endpoint) {
@@ -311,9 +304,7 @@
   const std::vector<rpc::Endpoint> expired =
       endpoints_.ExpireLeases(options_.zone_, now.mono_);
   for (const rpc::Endpoint& endpoint : expired) {
-    LogEvent(EventId::kEndpointExpired, {{"endpoint", endpoint.id()},
-                                         {"service", endpoint.service()},
-                                         {"version", endpoint.version()}});
+    registry::LogEndpointChange(std::nullopt, endpoint);
   }
   QueueEndpoints(expired, /*beyond_zone=*/true);
   endpoints_.DropTombstones(now.mono_);
--- /dev/null
+++ b/src/registry/endpoint_log.cc
@@ -0,0 +1,73 @@
+// Events and fields of log lines about endpoint entries.
+#include "registry/endpoint_log.h"
+
+#include <string>
+#include <string_view>
+
+namespace buckthorngate::registry {
+namespace {
+
+using base::EventId;
+
+std::string_view NameOf(rpc::EndpointCause cause) {
+  switch (cause) {
+    case rpc::ENDPOINT_CAUSE_UPSTREAM_SILENT:
+      return "upstream-silent";
+    case rpc::ENDPOINT_CAUSE_HOST_SILENT:
+      return "host-silent";
+    case rpc::ENDPOINT_CAUSE_DEREGISTERED:
+      return "deregistered";
+    case rpc::ENDPOINT_CAUSE_DAEMON_STOPPED:
+      return "daemon-stopped";
+    case rpc::ENDPOINT_CAUSE_CRASHED:
+      return "crashed";
+    default:
+      return "";
+  }
+}
+
+EventId EventOfGone(rpc::EndpointCause cause) {
+  switch (cause) {
+    case rpc::ENDPOINT_CAUSE_DEREGISTERED:
+      return EventId::kEndpointDeregistered;
+    case rpc::ENDPOINT_CAUSE_DAEMON_STOPPED:
+      return EventId::kEndpointWithdrawn;
+    default:
+      return EventId::kEndpointExpired;
+  }
+}
+
+bool IsSameState(const rpc::Endpoint& a, const rpc::Endpoint& b) {
+  return a.state() == b.state() && a.cause() == b.cause() &&
+         a.service() == b.service() && a.version() == b.version() &&
+         a.slots() == b.slots();
+}
+
+}  // namespace
+
+EventId EventOf(const rpc::Endpoint& endpoint) {
+  switch (endpoint.state()) {
+    case rpc::ENDPOINT_STATE_DRAINING:
+      return EventId::kEndpointDraining;
+    case rpc::ENDPOINT_STATE_CRASHED:
+      return EventId::kEndpointCrashed;
+    case rpc::ENDPOINT_STATE_GONE:
+      return EventOfGone(endpoint.cause());
+    default:
+      return EventId::kEndpointReady;
+  }
+}
+
+void LogEndpointChange(const std::optional<rpc::Endpoint>& before,
+                       const rpc::Endpoint& endpoint) {
+  const bool again = before && IsSameState(*before, endpoint);
+  base::LogEvent(EventOf(endpoint),
+                 {{"endpoint", endpoint.id()},
+                  {"service", endpoint.service()},
+                  {"version", endpoint.version()},
+                  {"cause", std::string(NameOf(endpoint.cause()))},
+                  {"sequence", std::to_string(endpoint.sequence())},
+                  {"again", again ? "true" : "false"}});
+}
+
+}  // namespace buckthorngate::registry
--- a/src/registry/endpoint_registry.cc
+++ b/src/registry/endpoint_registry.cc
@@ -138,6 +138,7 @@
 void EndpointRegistry::MarkGone(Entry& entry, base::MonoTime now) {
   RemoveFromIndex(entry.endpoint_);
   entry.endpoint_.set_state(rpc::ENDPOINT_STATE_GONE);
+  entry.endpoint_.set_cause(rpc::ENDPOINT_CAUSE_HOST_SILENT);
   entry.renewed_ = now;
   ++version_;
 }
@@ -229,6 +230,12 @@
   return found == entries_.end() ? nullptr : &found->second.endpoint_;
 }
 
+std::optional<rpc::Endpoint> EndpointRegistry::Copy(
+    const std::string& id) const {
+  const rpc::Endpoint* held = Find(id);
+  return held == nullptr ? std::nullopt : std::optional<rpc::Endpoint>(*held);
+}
+
 std::vector<rpc::Endpoint> EndpointRegistry::Live(
     const std::string& zone) const {
   std::vector<rpc::Endpoint> live;
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -72,6 +73,9 @@
   // Returns the entry with this id, also if it is GONE; null if there is none.
   const rpc::Endpoint* Find(const std::string& id) const;
 
+  // The same as a copy, which later changes leave as it is.
+  std::optional<rpc::Endpoint> Copy(const std::string& id) const;
+
   // Returns the entries of `zone` that are not GONE; an empty `zone` selects
   // all zones.
   std::vector<rpc::Endpoint> Live(const std::string& zone = "") const;
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -123,17 +123,20 @@
   endpoint.set_control_address(identity_.control_address_);
   endpoint.set_slots(announcement.slots_);
   endpoint.set_state(state);
+  endpoint.set_cause(rpc::ENDPOINT_CAUSE_NONE);
   ++version_;
   return true;
 }
 
 bool LocalEndpoints::SetState(const std::string& address,
-                              rpc::EndpointState state) {
+                              rpc::EndpointState state,
+                              rpc::EndpointCause cause) {
   const auto found = upstreams_.find(address);
   if (found == upstreams_.end() || found->second.endpoint_.state() == state) {
     return false;
   }
   found->second.endpoint_.set_state(state);
+  found->second.endpoint_.set_cause(cause);
   found->second.endpoint_.set_sequence(next_sequence_++);
   ++version_;
   return true;
@@ -171,8 +174,10 @@
     return false;
   }
   found->second.draining_ = true;
-  return SetState(address, departure.left() ? rpc::ENDPOINT_STATE_GONE
-                                            : rpc::ENDPOINT_STATE_DRAINING);
+  return departure.left() ? SetState(address, rpc::ENDPOINT_STATE_GONE,
+                                     rpc::ENDPOINT_CAUSE_DEREGISTERED)
+                          : SetState(address, rpc::ENDPOINT_STATE_DRAINING,
+                                     rpc::ENDPOINT_CAUSE_NONE);
 }
 
 bool LocalEndpoints::Drain(const std::string& address) {
@@ -185,7 +190,8 @@
                   /*left=*/false);
   // An expired entry stays gone.
   return found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
-         SetState(address, rpc::ENDPOINT_STATE_DRAINING);
+         SetState(address, rpc::ENDPOINT_STATE_DRAINING,
+                  rpc::ENDPOINT_CAUSE_NONE);
 }
 
 bool LocalEndpoints::Leave(const std::string& address) {
@@ -195,7 +201,8 @@
   }
   RecordDeparture(found->second.instance_, found->second.started_ms_,
                   /*left=*/true);
-  return SetState(address, rpc::ENDPOINT_STATE_GONE);
+  return SetState(address, rpc::ENDPOINT_STATE_GONE,
+                  rpc::ENDPOINT_CAUSE_DEREGISTERED);
 }
 
 bool LocalEndpoints::LeaveInstance(const std::string& instance,
@@ -211,19 +218,22 @@
   if (upstream.started_ms_ > leaves) {
     return false;
   }
-  SetState(found->first, rpc::ENDPOINT_STATE_GONE);
+  SetState(found->first, rpc::ENDPOINT_STATE_GONE,
+           rpc::ENDPOINT_CAUSE_DEREGISTERED);
   return true;
 }
 
 bool LocalEndpoints::MarkCrashed(const std::string& address) {
-  return SetState(address, rpc::ENDPOINT_STATE_CRASHED);
+  return SetState(address, rpc::ENDPOINT_STATE_CRASHED,
+                  rpc::ENDPOINT_CAUSE_CRASHED);
 }
 
 void LocalEndpoints::DrainAll() {
   draining_all_ = true;
   for (const auto& [address, upstream] : upstreams_) {
     if (upstream.endpoint_.state() == rpc::ENDPOINT_STATE_READY) {
-      SetState(address, rpc::ENDPOINT_STATE_DRAINING);
+      SetState(address, rpc::ENDPOINT_STATE_DRAINING,
+               rpc::ENDPOINT_CAUSE_DAEMON_STOPPED);
     }
   }
 }
@@ -231,7 +241,8 @@
 void LocalEndpoints::LeaveAll() {
   closed_ = true;
   for (const auto& [address, upstream] : upstreams_) {
-    SetState(address, rpc::ENDPOINT_STATE_GONE);
+    SetState(address, rpc::ENDPOINT_STATE_GONE,
+             rpc::ENDPOINT_CAUSE_DAEMON_STOPPED);
   }
 }
 
@@ -254,7 +265,8 @@
   bool changed = false;
   for (auto& [address, upstream] : upstreams_) {
     if (now - upstream.renewed_ > lease_) {
-      changed |= SetState(address, rpc::ENDPOINT_STATE_GONE);
+      changed |= SetState(address, rpc::ENDPOINT_STATE_GONE,
+                          rpc::ENDPOINT_CAUSE_UPSTREAM_SILENT);
     }
   }
   return changed;
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -134,7 +134,10 @@
   // Whether the announcement is older than the stored one of its address.
   bool IsStale(const Announcement& announcement) const;
   bool HasState(const std::string& address, rpc::EndpointState state) const;
-  bool SetState(const std::string& address, rpc::EndpointState state);
+  // Returns true if the entry's state changed.
+  bool SetState(const std::string& address,
+                rpc::EndpointState state,
+                rpc::EndpointCause cause);
   void RecordDeparture(const std::string& instance,
                        int64_t started_ms,
                        bool left);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "registry/endpoint_log.h"
 #include "test_mesh.h"
 
 namespace buckthorngate::tests {
@@ -209,6 +210,36 @@
   BOOST_TEST(local.TakeDepartures().size() == 1u);
 }
 
+// Guards against one event for an expired lease, a deregistration and a stop,
+// which the log of issue 42 could not tell apart.
+BOOST_AUTO_TEST_CASE(EachEndOfAnEndpointHasItsOwnEvent) {
+  using base::EventId;
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  const auto event = [&local] {
+    return registry::EventOf(local.Entries().front());
+  };
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  BOOST_TEST((event() == EventId::kEndpointReady));
+  BOOST_TEST(local.Expire(At(60)));
+  BOOST_TEST((event() == EventId::kEndpointExpired));
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 2), At(60)));
+  BOOST_TEST((event() == EventId::kEndpointReady));
+  BOOST_TEST(local.MarkCrashed("127.0.0.1:1"));
+  BOOST_TEST((event() == EventId::kEndpointCrashed));
+  BOOST_TEST(local.LeaveInstance("x", 10));
+  BOOST_TEST((event() == EventId::kEndpointDeregistered));
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 11, 1), At(60)));
+  local.DrainAll();
+  BOOST_TEST((event() == EventId::kEndpointDraining));
+  local.LeaveAll();
+  BOOST_TEST((event() == EventId::kEndpointWithdrawn));
+  EndpointRegistry registry;
+  registry.Merge(Entry("h", 1, 1), At(0));
+  const rpc::Endpoint expired = registry.ExpireLeases("zone-1", At(4)).front();
+  BOOST_TEST((registry::EventOf(expired) == EventId::kEndpointExpired));
+  BOOST_TEST((expired.cause() == rpc::ENDPOINT_CAUSE_HOST_SILENT));
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
