--- a/include/buckthorngate/result_code.h
+++ b/include/buckthorngate/result_code.h
@@ -80,11 +80,13 @@
   kUpstreamReplaced,
   kUpstreamShed,
   kAnswerMalformed,
+  // Announcements of upstreams.
+  kAddressHeld,
 };
 
 // Number of codes; codes are the integers below it.
 inline constexpr int kResultCodeCount =
-    static_cast<int>(ResultCode::kAnswerMalformed) + 1;
+    static_cast<int>(ResultCode::kAddressHeld) + 1;
 
 struct ResultCodeInfo {
   ResultCode code_;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -94,8 +94,8 @@
     {kEndpointCrashed, Level::kWarning, "endpoint-crashed",
      "An upstream crashed while it was handling requests."},
     {kAnnouncementIgnored, Level::kWarning, "announcement-ignored",
-     "An upstream's announcement was malformed, outdated or from another "
-     "instance."},
+     "An upstream's report was malformed, outdated or from another writer than "
+     "the upstream that runs."},
     {kHostsUnheard, Level::kWarning, "hosts-unheard",
      "A relay receives no heartbeats from most hosts; it expires no endpoint "
      "leases."},
@@ -112,6 +112,9 @@
     {kClaimKept, Level::kWarning, "claim-kept",
      "A claim was released, but not every member recorded the release; resends "
      "of its key may be refused."},
+    {kEndpointReplaced, Level::kWarning, "endpoint-replaced",
+     "Another upstream than the announced one responds at an endpoint's "
+     "address."},
     {kRequestQuarantined, Level::kError, "request-quarantined",
      "A request that crashes upstreams is refused from now on."},
     {kRequestRefused, Level::kInfo, "request-refused",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -59,6 +59,7 @@
   kEndpointDeregistered = 408,
   kEndpointWithdrawn = 409,
   kClaimKept = 410,
+  kEndpointReplaced = 411,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
   kAnswerCrossed = 502,
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -102,6 +102,8 @@
      "The upstream refused the request without executing it."},
     {kAnswerMalformed, "answer-malformed",
      "The upstream sent bytes that are not a valid response."},
+    {kAddressHeld, "address-held",
+     "Another start of the upstream holds the address."},
 }};
 
 constexpr bool IsDense() {
--- a/src/blackboard/metrics.cc
+++ b/src/blackboard/metrics.cc
@@ -22,6 +22,23 @@
   out += name + " " + std::to_string(value) + "\n";
 }
 
+// The counts that are not 0, by result code.
+void AppendCounts(
+    std::string& out,
+    const std::string& name,
+    const std::array<std::atomic<uint64_t>, kResultCodeCount>& counts) {
+  out += "# TYPE " + name + " counter\n";
+  for (int i = 0; i < kResultCodeCount; ++i) {
+    const uint64_t count = counts[static_cast<size_t>(i)];
+    if (count == 0) {
+      continue;
+    }
+    const ResultCodeInfo& info = Describe(static_cast<ResultCode>(i));
+    AppendSample(out, name + "{code=\"" + std::string(info.name_) + "\"}",
+                 static_cast<double>(count));
+  }
+}
+
 }  // namespace
 
 std::string_view NameOf(CallSide side) {
@@ -45,6 +62,11 @@
       .fetch_add(1, std::memory_order_relaxed);
 }
 
+void Metrics::CountIgnoredReport(ResultCode code) {
+  ignored_reports_.at(static_cast<size_t>(code))
+      .fetch_add(1, std::memory_order_relaxed);
+}
+
 void Metrics::RecordCallLatency(base::Duration latency) {
   const size_t index =
       std::hash<std::thread::id>()(std::this_thread::get_id()) % kShards;
@@ -94,18 +116,9 @@
 }
 
 std::string Metrics::Render() const {
-  std::string out = "# TYPE buckthorngate_requests_total counter\n";
-  for (int i = 0; i < kResultCodeCount; ++i) {
-    const uint64_t count = results_[static_cast<size_t>(i)];
-    if (count == 0) {
-      continue;
-    }
-    const ResultCodeInfo& info = Describe(static_cast<ResultCode>(i));
-    AppendSample(out,
-                 "buckthorngate_requests_total{code=\"" +
-                     std::string(info.name_) + "\"}",
-                 static_cast<double>(count));
-  }
+  std::string out;
+  AppendCounts(out, "buckthorngate_requests_total", results_);
+  AppendCounts(out, "buckthorngate_ignored_reports_total", ignored_reports_);
   out += "# TYPE buckthorngate_call_seconds histogram\n" +
          calls_.Render("buckthorngate_call_seconds", "");
   AppendSample(out, "buckthorngate_call_seconds_max", MaxCallSeconds());
--- a/src/blackboard/metrics.h
+++ b/src/blackboard/metrics.h
@@ -40,6 +40,8 @@
   void RecordRequestDuration(CallSide side, base::Duration duration);
   // Counts a request that ended without a complete response.
   void CountAbortedRequest(CallSide side, std::string_view cause);
+  // Counts a report of an upstream that was ignored.
+  void CountIgnoredReport(ResultCode code);
   void SetControlBytes(uint64_t in, uint64_t out);
   void SetRevision(uint64_t revision) { revision_ = revision; }
 
@@ -52,7 +54,10 @@
   double MaxCallSeconds() const;
   std::string RenderAbortedRequests() const;
 
-  std::array<std::atomic<uint64_t>, kResultCodeCount> results_ = {};
+  using CodeCounts = std::array<std::atomic<uint64_t>, kResultCodeCount>;
+
+  CodeCounts results_ = {};
+  CodeCounts ignored_reports_ = {};
   std::atomic<uint64_t> retries_{0};
   std::atomic<uint64_t> control_bytes_in_{0};
   std::atomic<uint64_t> control_bytes_out_{0};
--- a/src/daemon/control/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -55,6 +55,18 @@
   return value.empty() ? FindField(call.body_, name) : value;
 }
 
+// Of an announcement that was not taken.
+int StatusOfRefusal(ResultCode code) {
+  switch (code) {
+    case ResultCode::kUnknownService:
+      return base::kStatusBadRequest;
+    case ResultCode::kAddressHeld:
+      return base::kStatusConflict;
+    default:
+      return base::kStatusUnavailable;
+  }
+}
+
 BufferedResponse TextAnswer(int status, std::string text) {
   BufferedResponse answer;
   answer.head_.status_ = status;
@@ -135,10 +147,8 @@
     if (code == ResultCode::kOk || code == ResultCode::kNumberStale) {
       return TextAnswer(base::kStatusOk, "ok\n");
     }
-    const int status = code == ResultCode::kUnknownService
-                           ? base::kStatusBadRequest
-                           : base::kStatusUnavailable;
-    return TextAnswer(status, std::string(Describe(code).message_) + "\n");
+    return TextAnswer(StatusOfRefusal(code),
+                      std::string(Describe(code).message_) + "\n");
   }
 
   BufferedResponse HandlePage(std::string_view path) {
--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -58,15 +58,17 @@
 
   // Registration of this host's upstreams. Announce returns kOk, kNumberStale
   // for an announcement that is older than the known one and was ignored,
-  // kUnknownService for one of another service than the settings name,
-  // kNoEndpoint on a daemon without a proxy, or kTimedOut if this daemon has
-  // just started and does not know yet which upstreams have left. Leave
-  // deregisters the start at `started_ms` (Unix time, 0 if not reported) of an
-  // instance and all earlier ones. This daemon has applied a change when the
-  // call returns, and a relay has stored a drain or a deregistration, if one
-  // can be reached.
+  // kUnknownService for one of another service
+  // than the settings name, kAddressHeld for one of another start than the one
+  // that runs, kNoEndpoint on a daemon without a proxy, or kTimedOut if this
+  // daemon has just started and does not know yet which upstreams have left.
+  // Leave deregisters the start at `started_ms` (Unix time, 0 if not reported)
+  // of an instance and all earlier ones; it returns kOk, kNoEndpoint, or
+  // kAddressHeld for a later start than the one that runs. This daemon has
+  // applied a change when the call returns, and a relay has stored a drain or a
+  // deregistration, if one can be reached.
   virtual ResultCode Announce(const registry::Announcement& announcement) = 0;
-  virtual void Leave(const std::string& instance, int64_t started_ms) = 0;
+  virtual ResultCode Leave(const std::string& instance, int64_t started_ms) = 0;
 
   // Whether the daemon serves requests and is not draining.
   virtual bool Ready() = 0;
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -285,6 +285,9 @@
   if (not_executed != ResultCode::kOk) {
     exchange->NoteRefused(request.request_id_);
   }
+  if (not_executed == ResultCode::kUpstreamReplaced) {
+    RecordReplaced(*upstream);
+  }
   HopAnswer answer =
       co_await CollectAnswer(exchange, std::move(*response), without_body);
   LogIfTruncated(request, answer);
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -32,6 +32,10 @@
 // Called when an upstream has answered requests that the quarantine lists.
 using AnsweredHandler = std::function<void(const rpc::AnsweredReport& report)>;
 
+struct UpstreamInfo;
+// Called when an upstream says that it is another one than `announced`.
+using ReplacedHandler = std::function<void(const UpstreamInfo& announced)>;
+
 // An upstream of this host, as announced by itself.
 struct UpstreamInfo {
   std::string endpoint_id_;
@@ -64,6 +68,11 @@
   void OnAnswered(AnsweredHandler handler) {
     on_answered_ = std::move(handler);
   }
+  // Sets the handler for upstreams that respond at the address of another one;
+  // to be called before the loop starts.
+  void OnReplaced(ReplacedHandler handler) {
+    on_replaced_ = std::move(handler);
+  }
   // Reports the listed requests that were answered here lately. To be called
   // when the quarantine has changed.
   void ReportListedAnswered();
@@ -111,6 +120,8 @@
   // kOk, or the failure code if the upstream's answer states that it did not
   // execute the request.
   ResultCode NotExecutedCode(const http::AnswerHead& head) const;
+  // The upstream has said that it is another one than was announced.
+  void RecordReplaced(Upstream& upstream);
   // An upstream has answered the request completely.
   void RecordAnswered(const std::string& fingerprint);
   // After a failed exchange: probes the upstream, reports a crash if it no
@@ -127,6 +138,7 @@
   blackboard::Blackboard& board_;
   const CrashHandler on_crash_;
   AnsweredHandler on_answered_ = [](const rpc::AnsweredReport&) {};
+  ReplacedHandler on_replaced_ = [](const UpstreamInfo&) {};
   request::AnsweredRequests answered_;
   http::ConnectionPool connections_;
   std::map<std::string, std::shared_ptr<Upstream>> upstreams_;
--- a/src/daemon/serving/destination_crash.cc
+++ b/src/daemon/serving/destination_crash.cc
@@ -1,4 +1,5 @@
-// Crashes of this host's upstreams, and the requests that did not cause them.
+// Crashes and replacements of this host's upstreams, and the requests that did
+// not cause crashes.
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -15,6 +16,14 @@
 
 }  // namespace
 
+void Destination::RecordReplaced(Upstream& upstream) {
+  if (upstream.info_.instance_.empty() || upstream.admission_.Draining()) {
+    return;
+  }
+  upstream.Drain(clock_.Read().mono_);
+  on_replaced_(upstream.info_);
+}
+
 void Destination::RecordAnswered(const std::string& fingerprint) {
   if (fingerprint.empty()) {
     return;
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -115,6 +115,8 @@
     node_loop_.PostTask(
         [this, report](const base::Now&) { node_->SendAnswered(report); });
   });
+  destination_.OnReplaced(
+      [this](const UpstreamInfo& announced) { OnReplaced(announced); });
   peers_.SetLimits(PeerLimits(http::ServerLimits()));
   callers_.OnMalformed([](int status, std::string_view what) {
     base::LogEvent(
@@ -158,21 +160,6 @@
   return handlers;
 }
 
-void ProxyRole::Impl::OnCrash(const std::string& address,
-                              const rpc::CrashReport& report) {
-  base::LogEvent(
-      base::EventId::kEndpointCrashed,
-      {{"address", address},
-       {"service", report.service()},
-       {"crash", report.crash_id()},
-       {"suspect", report.fingerprints().empty() ? std::string()
-                                                 : report.fingerprints(0)}});
-  node_loop_.PostTask([this, address, report](const base::Now&) {
-    node_->Local().MarkCrashed(address);
-    node_->SendCrash(report);
-  });
-}
-
 void ProxyRole::Impl::AfterFlush(const base::Now& now) {
   board_.Stalls().Tick(now.mono_);
   claims_.DeliverOutcomes(node_->TakeClaimOutcomes());
@@ -389,9 +376,9 @@
 void ProxyRole::RemoveUpstream(const std::string& address) {
   impl_->RemoveUpstream(address);
 }
-void ProxyRole::RemoveInstance(const std::string& instance,
-                               int64_t started_ms) {
-  impl_->RemoveInstance(instance, started_ms);
+ResultCode ProxyRole::RemoveInstance(const std::string& instance,
+                                     int64_t started_ms) {
+  return impl_->RemoveInstance(instance, started_ms);
 }
 bool ProxyRole::Ready() {
   return impl_->Ready();
--- a/src/daemon/serving/proxy_role.h
+++ b/src/daemon/serving/proxy_role.h
@@ -42,7 +42,7 @@
   ResultCode Announce(const registry::Announcement& announcement);
   void DrainUpstream(const std::string& address);
   void RemoveUpstream(const std::string& address);
-  void RemoveInstance(const std::string& instance, int64_t started_ms);
+  ResultCode RemoveInstance(const std::string& instance, int64_t started_ms);
   bool Ready();
 
  private:
--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -42,7 +42,7 @@
   ResultCode Announce(const registry::Announcement& announcement);
   void DrainUpstream(const std::string& address);
   void RemoveUpstream(const std::string& address);
-  void RemoveInstance(const std::string& instance, int64_t started_ms);
+  ResultCode RemoveInstance(const std::string& instance, int64_t started_ms);
   bool Ready() {
     return board_.View().Read()->may_serve_ && !board_.Draining();
   }
@@ -54,12 +54,20 @@
   // Publishes the node's state as the view that requests read.
   void PublishView(const base::Now& now);
   // proxy_upstreams.cc: reports of this host's upstreams.
-  registry::AnnouncementCheck ApplyAnnouncement(
-      const registry::Announcement& announcement);
+  ResultCode ApplyAnnouncement(const registry::Announcement& announcement);
+  // Called on the event loop.
+  void OnCrash(const std::string& address, const rpc::CrashReport& report);
+  void OnReplaced(const UpstreamInfo& announced);
+  // Counts and logs a report that changes nothing, and returns why. `holder` is
+  // the start of the upstream that it was compared with.
+  ResultCode IgnoreReport(std::string_view call,
+                          const registry::Announcement& report,
+                          const registry::Holder& holder,
+                          registry::AnnouncementCheck check);
   // Lets an upstream leave. `leave` runs on the node loop and returns the id of
   // the endpoint that has left, or an empty string.
-  void Remove(
-      const std::function<std::string(registry::LocalEndpoints&)>& leave);
+  void Remove(const std::function<std::string(registry::LocalEndpoints&,
+                                              base::MonoTime)>& leave);
   // Runs on the node loop: drains upstreams that were announced before their
   // departure became known.
   void DrainDepartedUpstreams();
@@ -85,7 +93,6 @@
                    std::chrono::steady_clock::time_point started);
   // Logs each request that the exit of the process will cut.
   void LogOpenCallsAtExit();
-  void OnCrash(const std::string& address, const rpc::CrashReport& report);
   void RecordCutCall(blackboard::CallSide side, const http::CutCall& call);
   control::AdminHandlers MakeAdminHandlers();
 
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -16,18 +16,39 @@
 constexpr std::chrono::milliseconds kDepartureStoredTimeout{400};
 constexpr std::chrono::milliseconds kNodePollInterval{5};
 
-ResultCode IgnoreAnnouncement(const registry::Announcement& announcement,
-                              AnnouncementCheck check) {
-  const ResultCode code = check == AnnouncementCheck::kForeignService
-                              ? ResultCode::kUnknownService
-                              : ResultCode::kNumberStale;
+ResultCode CodeOf(AnnouncementCheck check) {
+  switch (check) {
+    case AnnouncementCheck::kAccepted:
+      return ResultCode::kOk;
+    case AnnouncementCheck::kStale:
+      return ResultCode::kNumberStale;
+    case AnnouncementCheck::kForeignService:
+      return ResultCode::kUnknownService;
+    case AnnouncementCheck::kAddressHeld:
+      return ResultCode::kAddressHeld;
+  }
+  return ResultCode::kOutcomeUnknown;
+}
+
+// `holder` is the start of the upstream that the report was compared with.
+void LogIgnored(std::string_view call,
+                const registry::Announcement& report,
+                const registry::Holder& holder,
+                ResultCode code) {
   base::LogEvent(base::EventId::kAnnouncementIgnored,
-                 {{"instance", announcement.instance_},
-                  {"address", announcement.address_},
-                  {"service", announcement.service_},
-                  {"sequence", std::to_string(announcement.sequence_)},
+                 {{"call", std::string(call)},
+                  {"instance", report.instance_},
+                  {"started_ms", std::to_string(report.started_ms_)},
+                  {"address", report.address_},
+                  {"service", report.service_},
+                  {"version", report.version_},
+                  {"sequence", std::to_string(report.sequence_)},
+                  {"holder", holder.instance_},
+                  {"holder_started_ms", std::to_string(holder.started_ms_)},
+                  {"holder_sequence", std::to_string(holder.sequence_)},
+                  {"holder_age_ms",
+                   std::to_string(holder.age_ / std::chrono::milliseconds(1))},
                   {"code", std::string(Describe(code).name_)}});
-  return code;
 }
 
 void LogAccepted(const UpstreamInfo& info,
@@ -85,9 +106,9 @@
                     {"detail", "departures are not known yet"}});
     return ResultCode::kTimedOut;
   }
-  const AnnouncementCheck check = ApplyAnnouncement(announcement);
-  if (check != AnnouncementCheck::kAccepted) {
-    return IgnoreAnnouncement(announcement, check);
+  const ResultCode code = ApplyAnnouncement(announcement);
+  if (code != ResultCode::kOk) {
+    return code;
   }
   if (announcement.draining_) {
     AwaitDepartureStored(announcement.instance_);
@@ -95,20 +116,25 @@
   return ResultCode::kOk;
 }
 
-AnnouncementCheck ProxyRole::Impl::ApplyAnnouncement(
+ResultCode ProxyRole::Impl::ApplyAnnouncement(
     const registry::Announcement& announcement) {
   const std::lock_guard<std::mutex> lock(upstreams_mutex_);
   AnnouncementCheck check = AnnouncementCheck::kAccepted;
+  registry::Holder holder;
   bool changed = false;
   bool draining = false;
   UpstreamInfo info;
   node_loop_.RunAndWait([&](const base::Now& now) {
     registry::LocalEndpoints& local = node_->Local();
-    check = local.Check(announcement);
+    check = local.Check(announcement, now.mono_);
+    holder = local.HolderOf(announcement.address_, now.mono_);
     changed = local.Announce(announcement, now.mono_);
     draining = local.Draining(announcement.address_);
     info.endpoint_id_ = local.EndpointId(announcement.address_);
   });
+  if (check != AnnouncementCheck::kAccepted) {
+    return IgnoreReport("announce", announcement, holder, check);
+  }
   if (changed) {
     info.address_ = announcement.address_;
     info.service_ = announcement.service_;
@@ -133,7 +159,43 @@
   if (upstreams_draining_) {
     loop_.RunAndWait([this] { destination_.DrainAll(); });
   }
-  return check;
+  return ResultCode::kOk;
+}
+
+void ProxyRole::Impl::OnCrash(const std::string& address,
+                              const rpc::CrashReport& report) {
+  base::LogEvent(
+      base::EventId::kEndpointCrashed,
+      {{"address", address},
+       {"service", report.service()},
+       {"crash", report.crash_id()},
+       {"suspect", report.fingerprints().empty() ? std::string()
+                                                 : report.fingerprints(0)}});
+  node_loop_.PostTask([this, address, report](const base::Now&) {
+    node_->Local().MarkCrashed(address);
+    node_->SendCrash(report);
+  });
+}
+
+ResultCode ProxyRole::Impl::IgnoreReport(std::string_view call,
+                                         const registry::Announcement& report,
+                                         const registry::Holder& holder,
+                                         registry::AnnouncementCheck check) {
+  const ResultCode code = CodeOf(check);
+  board_.DaemonMetrics().CountIgnoredReport(code);
+  LogIgnored(call, report, holder, code);
+  return code;
+}
+
+void ProxyRole::Impl::OnReplaced(const UpstreamInfo& announced) {
+  base::LogEvent(base::EventId::kEndpointReplaced,
+                 {{"endpoint", announced.endpoint_id_},
+                  {"instance", announced.instance_},
+                  {"started_ms", std::to_string(announced.started_ms_)},
+                  {"service", announced.service_}});
+  node_loop_.PostTask([this, announced](const base::Now&) {
+    node_->Local().MarkReplaced(announced.address_, announced.instance_);
+  });
 }
 
 void ProxyRole::Impl::DrainDepartedUpstreams() {
@@ -163,7 +225,7 @@
 
 void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
   std::string instance;
-  Remove([&](registry::LocalEndpoints& local) {
+  Remove([&](registry::LocalEndpoints& local, base::MonoTime) {
     instance = local.InstanceAt(address);
     local.Leave(address);
     return local.EndpointId(address);
@@ -171,21 +233,35 @@
   AwaitDepartureStored(instance);
 }
 
-void ProxyRole::Impl::RemoveInstance(const std::string& instance,
-                                     int64_t started_ms) {
-  Remove([&](registry::LocalEndpoints& local) {
-    const std::string address = local.AddressOf(instance);
-    const bool left = local.LeaveInstance(instance, started_ms);
-    return left ? local.EndpointId(address) : std::string();
+ResultCode ProxyRole::Impl::RemoveInstance(const std::string& instance,
+                                           int64_t started_ms) {
+  AnnouncementCheck check = AnnouncementCheck::kAccepted;
+  registry::Announcement report;
+  report.instance_ = instance;
+  report.started_ms_ = started_ms;
+  registry::Holder holder;
+  Remove([&](registry::LocalEndpoints& local, base::MonoTime now) {
+    report.address_ = local.AddressOf(instance);
+    check = local.CheckLeave(instance, started_ms, now);
+    holder = local.HolderOf(report.address_, now);
+    const bool left = check == AnnouncementCheck::kAccepted &&
+                      local.LeaveInstance(instance, started_ms);
+    return left ? local.EndpointId(report.address_) : std::string();
   });
+  if (check != AnnouncementCheck::kAccepted) {
+    return IgnoreReport("deregister", report, holder, check);
+  }
   AwaitDepartureStored(instance);
+  return ResultCode::kOk;
 }
 
 void ProxyRole::Impl::Remove(
-    const std::function<std::string(registry::LocalEndpoints&)>& leave) {
+    const std::function<std::string(registry::LocalEndpoints&, base::MonoTime)>&
+        leave) {
   const std::lock_guard<std::mutex> lock(upstreams_mutex_);
   std::string id;
-  node_loop_.RunAndWait([&](const base::Now&) { id = leave(node_->Local()); });
+  node_loop_.RunAndWait(
+      [&](const base::Now& now) { id = leave(node_->Local(), now.mono_); });
   if (id.empty()) {
     return;
   }
--- a/src/daemon/startup/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -50,7 +50,7 @@
   control::RoutingReport ReadRouting() override;
   control::MoveReport ReadMove(const std::string& service) override;
   ResultCode Announce(const registry::Announcement& announcement) override;
-  void Leave(const std::string& instance, int64_t started_ms) override;
+  ResultCode Leave(const std::string& instance, int64_t started_ms) override;
   bool Ready() override;
 
  private:
@@ -304,10 +304,10 @@
                            : proxy_->Announce(announcement);
 }
 
-void Daemon::Impl::Leave(const std::string& instance, int64_t started_ms) {
-  if (proxy_ != nullptr) {
-    proxy_->RemoveInstance(instance, started_ms);
-  }
+ResultCode Daemon::Impl::Leave(const std::string& instance,
+                               int64_t started_ms) {
+  return proxy_ == nullptr ? ResultCode::kNoEndpoint
+                           : proxy_->RemoveInstance(instance, started_ms);
 }
 
 bool Daemon::Impl::Ready() {
--- a/src/registry/endpoint_log.cc
+++ b/src/registry/endpoint_log.cc
@@ -21,11 +21,18 @@
       return "daemon-stopped";
     case rpc::ENDPOINT_CAUSE_CRASHED:
       return "crashed";
+    case rpc::ENDPOINT_CAUSE_REPLACED:
+      return "replaced";
     default:
       return "";
   }
 }
 
+EventId EventOfCrashed(rpc::EndpointCause cause) {
+  return cause == rpc::ENDPOINT_CAUSE_REPLACED ? EventId::kEndpointReplaced
+                                               : EventId::kEndpointCrashed;
+}
+
 EventId EventOfGone(rpc::EndpointCause cause) {
   switch (cause) {
     case rpc::ENDPOINT_CAUSE_DEREGISTERED:
@@ -50,7 +57,7 @@
     case rpc::ENDPOINT_STATE_DRAINING:
       return EventId::kEndpointDraining;
     case rpc::ENDPOINT_STATE_CRASHED:
-      return EventId::kEndpointCrashed;
+      return EventOfCrashed(endpoint.cause());
     case rpc::ENDPOINT_STATE_GONE:
       return EventOfGone(endpoint.cause());
     default:
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -7,41 +7,74 @@
 #include "registry/endpoint_registry.h"
 
 namespace buckthorngate::registry {
+namespace {
+
+// Whether an announced value differs from the one in the settings, if they have
+// one.
+bool IsForeign(const std::string& in_settings, const std::string& announced) {
+  return !in_settings.empty() && announced != in_settings;
+}
+
+}  // namespace
 
 LocalEndpoints::LocalEndpoints(HostIdentity identity, base::Duration lease)
     : identity_(std::move(identity)), lease_(lease) {}
 
-AnnouncementCheck LocalEndpoints::Check(
-    const Announcement& announcement) const {
-  const bool foreign = !identity_.service_.empty() &&
-                       announcement.service_ != identity_.service_;
-  if (foreign) {
+AnnouncementCheck LocalEndpoints::Check(const Announcement& announcement,
+                                        base::MonoTime now) const {
+  if (IsForeign(identity_.service_, announcement.service_)) {
     return AnnouncementCheck::kForeignService;
   }
-  return IsStale(announcement) ? AnnouncementCheck::kStale
-                               : AnnouncementCheck::kAccepted;
-}
-
-bool LocalEndpoints::IsStale(const Announcement& announcement) const {
   const rpc::Departure* departure = departures_.Find(
       identity_.host_, announcement.instance_, announcement.started_ms_);
   if (departure != nullptr && departure->left()) {
     // It was still in flight when the upstream deregistered.
-    return true;
+    return AnnouncementCheck::kStale;
   }
   const auto found = upstreams_.find(announcement.address_);
-  if (found == upstreams_.end()) {
-    return false;
+  const bool held = found != upstreams_.end() && Holds(found->second, now);
+  return held ? CheckAgainst(found->second, announcement)
+              : AnnouncementCheck::kAccepted;
+}
+
+bool LocalEndpoints::Holds(const Upstream& stored, base::MonoTime now) const {
+  return !stored.replaced_ && now - stored.renewed_ <= lease_ / 2;
+}
+
+AnnouncementCheck LocalEndpoints::CheckAgainst(
+    const Upstream& stored,
+    const Announcement& announcement) const {
+  const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
+  const bool same_start = announcement.instance_ == stored.instance_ &&
+                          announcement.started_ms_ == stored.started_ms_;
+  if (same_start) {
+    if (announcement.sequence_ != 0 &&
+        announcement.sequence_ <= stored.sequence_) {
+      return AnnouncementCheck::kStale;
+    }
+    // A start runs one version.
+    return ready && announcement.version_ != stored.endpoint_.version()
+               ? AnnouncementCheck::kAddressHeld
+               : AnnouncementCheck::kAccepted;
   }
-  const Upstream& stored = found->second;
-  const bool both_report_start =
-      announcement.started_ms_ != 0 && stored.started_ms_ != 0;
-  if (both_report_start && announcement.started_ms_ != stored.started_ms_) {
-    return announcement.started_ms_ < stored.started_ms_;
+  const bool earlier = announcement.started_ms_ != 0 &&
+                       announcement.started_ms_ < stored.started_ms_;
+  return ready || earlier ? AnnouncementCheck::kAddressHeld
+                          : AnnouncementCheck::kAccepted;
+}
+
+AnnouncementCheck LocalEndpoints::CheckLeave(const std::string& instance,
+                                             int64_t started_ms,
+                                             base::MonoTime now) const {
+  const auto found = upstreams_.find(AddressOf(instance));
+  if (found == upstreams_.end() || started_ms == 0) {
+    return AnnouncementCheck::kAccepted;
   }
-  return announcement.instance_ == stored.instance_ &&
-         announcement.sequence_ != 0 &&
-         announcement.sequence_ <= stored.sequence_;
+  const Upstream& stored = found->second;
+  const bool later = stored.started_ms_ != 0 && started_ms > stored.started_ms_;
+  const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
+  return later && ready && Holds(stored, now) ? AnnouncementCheck::kAddressHeld
+                                              : AnnouncementCheck::kAccepted;
 }
 
 std::string LocalEndpoints::AddressOf(const std::string& instance) const {
@@ -57,6 +90,17 @@
   return found == upstreams_.end() ? std::string() : found->second.instance_;
 }
 
+Holder LocalEndpoints::HolderOf(const std::string& address,
+                                base::MonoTime now) const {
+  const auto found = upstreams_.find(address);
+  if (found == upstreams_.end()) {
+    return {};
+  }
+  const Upstream& upstream = found->second;
+  return {upstream.instance_, upstream.started_ms_, upstream.sequence_,
+          now - upstream.renewed_};
+}
+
 bool LocalEndpoints::HasState(const std::string& address,
                               rpc::EndpointState state) const {
   const auto found = upstreams_.find(address);
@@ -77,7 +121,7 @@
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
-  if (Check(announcement) != AnnouncementCheck::kAccepted) {
+  if (Check(announcement, now) != AnnouncementCheck::kAccepted) {
     return false;
   }
   const bool departing =
@@ -101,6 +145,7 @@
                                        ? rpc::ENDPOINT_STATE_DRAINING
                                        : rpc::ENDPOINT_STATE_READY;
   upstream.renewed_ = now;
+  upstream.replaced_ = false;
   rpc::Endpoint& endpoint = upstream.endpoint_;
   upstream.instance_ = announcement.instance_;
   upstream.started_ms_ = announcement.started_ms_;
@@ -228,6 +273,18 @@
                   rpc::ENDPOINT_CAUSE_CRASHED);
 }
 
+bool LocalEndpoints::MarkReplaced(const std::string& address,
+                                  const std::string& instance) {
+  const auto found = upstreams_.find(address);
+  if (found == upstreams_.end() || found->second.instance_ != instance) {
+    return false;
+  }
+  found->second.replaced_ = true;
+  return found->second.endpoint_.state() == rpc::ENDPOINT_STATE_READY &&
+         SetState(address, rpc::ENDPOINT_STATE_CRASHED,
+                  rpc::ENDPOINT_CAUSE_REPLACED);
+}
+
 void LocalEndpoints::DrainAll() {
   draining_all_ = true;
   for (const auto& [address, upstream] : upstreams_) {
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -19,10 +19,15 @@
 // GONE.
 inline constexpr base::Duration kAnnounceLease = std::chrono::seconds(3);
 
-// Whether an announcement may change the host's entries. kStale: it arrived
-// after a newer one. kForeignService: it names another service than the host's
-// settings, so it comes from another writer than the host's upstream.
-enum class AnnouncementCheck : uint8_t { kAccepted, kStale, kForeignService };
+// Whether an announcement or a deregistration may change the host's entries.
+// The other values are for reports of another writer than the upstream that
+// runs, or of one that is over.
+enum class AnnouncementCheck : uint8_t {
+  kAccepted,
+  kStale,           // It arrived after a newer one.
+  kForeignService,  // The settings name another service.
+  kAddressHeld,     // Another start of the upstream holds the address.
+};
 
 // Announcement that an upstream sends to the daemon of its host.
 struct Announcement {
@@ -44,6 +49,14 @@
   bool draining_ = false;
 };
 
+// The start of an upstream that is stored for an address.
+struct Holder {
+  std::string instance_;
+  int64_t started_ms_ = 0;
+  uint64_t sequence_ = 0;
+  base::Duration age_{};  // Time since its last accepted announcement.
+};
+
 // Identity of the daemon that writes the entries.
 struct HostIdentity {
   std::string host_;
@@ -57,14 +70,25 @@
 };
 
 // Single writer of the host's endpoint entries (see endpoint_registry.h).
+//
+// Anybody on the host can send an announcement. The settings decide which
+// service the host has. A start of an upstream (its instance, start
+// time and version) that is ready holds its address: announcements of other
+// starts are refused until it has been silent for half a lease, or is known to
+// have ended. So an upstream that goes on announcing itself keeps its entry.
 class LocalEndpoints {
  public:
   explicit LocalEndpoints(HostIdentity identity,
                           base::Duration lease = kAnnounceLease);
 
-  // Compares the announcement with the host's service and with the stored
-  // announcement of the same address.
-  AnnouncementCheck Check(const Announcement& announcement) const;
+  // Compares the announcement with the settings and with the start that holds
+  // the address.
+  AnnouncementCheck Check(const Announcement& announcement,
+                          base::MonoTime now) const;
+  // The same for a deregistration; `started_ms` as in LeaveInstance.
+  AnnouncementCheck CheckLeave(const std::string& instance,
+                               int64_t started_ms,
+                               base::MonoTime now) const;
 
   // Adds an upstream or renews its lease. Returns true if its entry changed.
   // Changes nothing for an announcement that Check does not accept.
@@ -81,6 +105,9 @@
   bool LeaveInstance(const std::string& instance, int64_t started_ms);
   // Returns true if the upstream's entry changed.
   bool MarkCrashed(const std::string& address);
+  // Another upstream than `instance` responds at its address: the instance no
+  // longer holds it. Returns true if the upstream's entry changed.
+  bool MarkReplaced(const std::string& address, const std::string& instance);
 
   // Adds a departure that an earlier start of this daemon was told of. Returns
   // true if the entry of an upstream changed.
@@ -118,6 +145,8 @@
   bool Draining(const std::string& address) const;
   // Returns the instance that announced the address, or an empty string.
   std::string InstanceAt(const std::string& address) const;
+  // Returns the start that is stored for the address; empty if there is none.
+  Holder HolderOf(const std::string& address, base::MonoTime now) const;
   // Returns the address that the instance announced, or an empty string.
   std::string AddressOf(const std::string& instance) const;
 
@@ -129,10 +158,14 @@
     int64_t started_ms_ = 0;
     uint64_t sequence_ = 0;
     bool draining_ = false;  // As reported by this start of the upstream.
+    bool replaced_ = false;  // Set by MarkReplaced.
   };
 
-  // Whether the announcement is older than the stored one of its address.
-  bool IsStale(const Announcement& announcement) const;
+  // Whether other starts must wait: the stored one has announced itself lately
+  // and nothing says that it is not the one that runs.
+  bool Holds(const Upstream& stored, base::MonoTime now) const;
+  AnnouncementCheck CheckAgainst(const Upstream& stored,
+                                 const Announcement& announcement) const;
   bool HasState(const std::string& address, rpc::EndpointState state) const;
   // Returns true if the entry's state changed.
   bool SetState(const std::string& address,
