--- a/include/buckthorngate/result_code.h
+++ b/include/buckthorngate/result_code.h
@@ -82,11 +82,12 @@
   kAnswerMalformed,
   // Announcements of upstreams.
   kAddressHeld,
+  kForeignAddress,
 };
 
 // Number of codes; codes are the integers below it.
 inline constexpr int kResultCodeCount =
-    static_cast<int>(ResultCode::kAddressHeld) + 1;
+    static_cast<int>(ResultCode::kForeignAddress) + 1;
 
 struct ResultCodeInfo {
   ResultCode code_;
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -104,6 +104,8 @@
      "The upstream sent bytes that are not a valid response."},
     {kAddressHeld, "address-held",
      "Another start of the upstream holds the address."},
+    {kForeignAddress, "foreign-address",
+     "The settings name another address for the upstream of this host."},
 }};
 
 constexpr bool IsDense() {
--- a/src/daemon/control/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -59,6 +59,7 @@
 int StatusOfRefusal(ResultCode code) {
   switch (code) {
     case ResultCode::kUnknownService:
+    case ResultCode::kForeignAddress:
       return base::kStatusBadRequest;
     case ResultCode::kAddressHeld:
       return base::kStatusConflict;
--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -58,7 +58,7 @@
 
   // Registration of this host's upstreams. Announce returns kOk, kNumberStale
   // for an announcement that is older than the known one and was ignored,
-  // kUnknownService for one of another service
+  // kUnknownService or kForeignAddress for one of another service or address
   // than the settings name, kAddressHeld for one of another start than the one
   // that runs, kNoEndpoint on a daemon without a proxy, or kTimedOut if this
   // daemon has just started and does not know yet which upstreams have left.
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -334,6 +334,7 @@
   options.identity_.host_ = settings.host_;
   options.identity_.zone_ = settings.zone_;
   options.identity_.service_ = settings.service_;
+  options.identity_.upstream_address_ = settings.upstream_address_;
   options.identity_.peer_address_ = settings.peers_address_;
   options.identity_.control_address_ = settings.control_address_;
   options.identity_.incarnation_ = incarnation;
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -24,6 +24,8 @@
       return ResultCode::kNumberStale;
     case AnnouncementCheck::kForeignService:
       return ResultCode::kUnknownService;
+    case AnnouncementCheck::kForeignAddress:
+      return ResultCode::kForeignAddress;
     case AnnouncementCheck::kAddressHeld:
       return ResultCode::kAddressHeld;
   }
--- a/src/daemon/startup/daemon.cc
+++ b/src/daemon/startup/daemon.cc
@@ -265,6 +265,7 @@
     LogEvent(EventId::kStarted, {{"host", settings_.host_},
                                  {"zone", settings_.zone_},
                                  {"service", settings_.service_},
+                                 {"upstream", settings_.upstream_address_},
                                  {"control", settings_.control_address_}});
   }
   return code;
--- a/src/daemon/startup/program.cc
+++ b/src/daemon/startup/program.cc
@@ -42,6 +42,7 @@
   compare("host", running.host_, read.host_);
   compare("zone", running.zone_, read.zone_);
   compare("service", running.service_, read.service_);
+  compare("upstream", running.upstream_address_, read.upstream_address_);
   return keys;
 }
 
--- a/src/daemon/startup/settings.cc
+++ b/src/daemon/startup/settings.cc
@@ -271,6 +271,10 @@
   settings.source_joins_ = reader.Bool("source_joins", false);
   settings.relay_id_ = reader.String("relay_id", "");
   settings.service_ = reader.String("service", "");
+  settings.upstream_address_ = reader.String("upstream", "");
+  if (!settings.upstream_address_.empty()) {
+    CheckAddress(reader, "upstream", settings.upstream_address_);
+  }
   ParseSeeds(reader, settings);
   const std::string format = reader.String("log_format", "text");
   if (format != "text" && format != "json") {
--- a/src/daemon/startup/settings.h
+++ b/src/daemon/startup/settings.h
@@ -31,6 +31,9 @@
   // The service that runs on this daemon's host; sent to upstreams as the
   // caller's service.
   std::string service_;
+  // The address at which that upstream serves. Announcements of other addresses
+  // are refused; empty: those of any address of this host are accepted.
+  std::string upstream_address_;
 
   std::string control_address_ = "127.0.0.1:7400";
   std::string callers_address_ = "127.0.0.1:7401";
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -25,6 +25,9 @@
   if (IsForeign(identity_.service_, announcement.service_)) {
     return AnnouncementCheck::kForeignService;
   }
+  if (IsForeign(identity_.upstream_address_, announcement.address_)) {
+    return AnnouncementCheck::kForeignAddress;
+  }
   const rpc::Departure* departure = departures_.Find(
       identity_.host_, announcement.instance_, announcement.started_ms_);
   if (departure != nullptr && departure->left()) {
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -26,6 +26,7 @@
   kAccepted,
   kStale,           // It arrived after a newer one.
   kForeignService,  // The settings name another service.
+  kForeignAddress,  // The settings name another address.
   kAddressHeld,     // Another start of the upstream holds the address.
 };
 
@@ -67,12 +68,14 @@
   // The service that runs on the host, from its settings. Only announcements
   // of this service are accepted; empty: those of any service.
   std::string service_ = {};
+  // The same for the address of the host's upstream.
+  std::string upstream_address_ = {};
 };
 
 // Single writer of the host's endpoint entries (see endpoint_registry.h).
 //
 // Anybody on the host can send an announcement. The settings decide which
-// service the host has. A start of an upstream (its instance, start
+// service and address the host has. A start of an upstream (its instance, start
 // time and version) that is ready holds its address: announcements of other
 // starts are refused until it has been silent for half a lease, or is known to
 // have ended. So an upstream that goes on announcing itself keeps its entry.
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -214,6 +214,22 @@
   BOOST_TEST(!daemon::startup::IsIpAddress("127.0.0.1:99999"));
 }
 
+BOOST_AUTO_TEST_CASE(TheAddressOfTheHostsUpstreamIsOptionalAndChecked) {
+  const auto parse = [](const std::string& line, config::Problems& problems) {
+    return daemon::startup::ParseSettings(
+        "host = \"h\"\ndata_folder = \"d\"\n" + line, "s.toml", problems);
+  };
+  config::Problems none;
+  BOOST_TEST(parse("upstream = \"127.0.0.1:8080\"\n", none)
+                 .upstream_address_ == "127.0.0.1:8080");
+  BOOST_TEST(parse("upstream = \"\"\n", none).upstream_address_.empty());
+  BOOST_TEST(parse("", none).upstream_address_.empty());
+  BOOST_TEST(none.empty());
+  config::Problems wrong;
+  parse("upstream = \"localhost:8080\"\n", wrong);
+  BOOST_TEST(wrong.size() == 1u);
+}
+
 // Guards against a daemon that ends long before its platform kills it, and cuts
 // requests that the time would have been enough for.
 BOOST_AUTO_TEST_CASE(TheDrainTimeFollowsTheTimeUntilAProcessIsKilled) {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -331,6 +331,22 @@
       (local.CheckLeave("x", 11, At(2)) == AnnouncementCheck::kAccepted));
 }
 
+// Guards against UNASKED of issue 42 in its next form: an announcement of the
+// host's own service adds an endpoint at an address that is not the host's.
+BOOST_AUTO_TEST_CASE(AnAnnouncementOfAnotherAddressAddsNoEntry) {
+  registry::LocalEndpoints local(
+      {"h", "zone-1", "p", "c", 1, "a", "127.0.0.1:1"});
+  registry::Announcement stray = AnnouncementOf("x", 10, 1);
+  for (const char* address : {"127.0.0.1:2", "10.128.1.45:8080"}) {
+    stray.address_ = address;
+    BOOST_TEST(
+        (local.Check(stray, At(0)) == AnnouncementCheck::kForeignAddress));
+    BOOST_TEST(!local.Announce(stray, At(0)));
+  }
+  BOOST_TEST(local.Entries().empty());
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
