--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -220,8 +220,8 @@
         "host = \"h\"\ndata_folder = \"d\"\n" + line, "s.toml", problems);
   };
   config::Problems none;
-  BOOST_TEST(parse("upstream = \"127.0.0.1:8080\"\n", none)
-                 .upstream_address_ == "127.0.0.1:8080");
+  BOOST_TEST(parse("upstream = \"127.0.0.1:8080\"\n", none).upstream_address_ ==
+             "127.0.0.1:8080");
   BOOST_TEST(parse("upstream = \"\"\n", none).upstream_address_.empty());
   BOOST_TEST(parse("", none).upstream_address_.empty());
   BOOST_TEST(none.empty());
--- a/tests/foreign_heartbeat_test.cc
+++ b/tests/foreign_heartbeat_test.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform_daemon.h"
@@ -71,8 +72,9 @@
 // Guards against a stray heartbeat that a daemon gets first after its start,
 // and that keeps out the upstream that runs.
 BOOST_AUTO_TEST_CASE(TheUpstreamsAnswerEndsAFalseAnnouncement) {
-  for (const Stray& stray : StraysOf(ServedShop().own_)) {
-    if (stray.fields_.instance_ == "i-1") {
+  const HeartbeatFields usual;
+  for (const Stray& stray : StraysOf(usual)) {
+    if (stray.fields_.instance_ == usual.instance_) {
       continue;
     }
     ServedShop shop;
