--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -159,6 +159,9 @@
      "Log lines were dropped by the rate limit or because the queue was full."},
     {kTaskFailed, Level::kError, "task-failed",
      "A coroutine of the request path ended with an exception."},
+    {kRestartNeeded, Level::kWarning, "restart-needed",
+     "The settings file says otherwise what this host is; the daemon goes on "
+     "with what it had at its start."},
     {kMoveStep, Level::kInfo, "move-step",
      "A move changed the share of the new version."},
     {kMoveDone, Level::kInfo, "move-done", "A move is complete."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -80,6 +80,7 @@
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
   kTaskFailed = 522,
+  kRestartNeeded = 523,
   kMoveStep = 600,
   kMoveDone = 601,
   kMoveTakenBack = 602,
--- a/src/daemon/startup/program.cc
+++ b/src/daemon/startup/program.cc
@@ -57,10 +57,12 @@
   }
   base::LogEvent(
       base::EventId::kSettingsReloaded,
-      {{"file", file},
-       {"valid", valid ? "true" : "false"},
-       {"seeds", seeds},
-       {"needs_restart", valid ? ChangedIdentity(running, settings) : ""}});
+      {{"file", file}, {"valid", valid ? "true" : "false"}, {"seeds", seeds}});
+  const std::string changed = valid ? ChangedIdentity(running, settings) : "";
+  if (!changed.empty()) {
+    base::LogEvent(base::EventId::kRestartNeeded,
+                   {{"file", file}, {"keys", changed}});
+  }
 }
 
 int ExitOnStartFailure(ResultCode code) {
--- a/src/distribution/relay_zone.cc
+++ b/src/distribution/relay_zone.cc
@@ -124,7 +124,7 @@
     return;
   }
   QueueEndpoints({endpoint}, /*beyond_zone=*/true);
-  registry::LogEndpointChange(before, endpoint);
+  registry::LogEndpointChange(before, endpoint, envelope.from());
 }
 
 void RelayNode::ReturnIfSuperseded(const rpc::Endpoint& endpoint) {
@@ -158,8 +158,13 @@
   const rpc::RegistryUpdate& update = envelope.registry();
   std::vector<rpc::Endpoint> changed;
   for (const rpc::Endpoint& endpoint : update.endpoints()) {
-    if (endpoints_.Merge(endpoint, now.mono_)) {
-      changed.push_back(endpoint);
+    const std::optional<rpc::Endpoint> before = endpoints_.Copy(endpoint.id());
+    if (!endpoints_.Merge(endpoint, now.mono_)) {
+      continue;
+    }
+    changed.push_back(endpoint);
+    if (!before || before->state() != endpoint.state()) {
+      registry::LogEndpointChange(before, endpoint, envelope.from());
     }
   }
   QueueEndpoints(changed, /*beyond_zone=*/false);
--- a/src/registry/endpoint_log.cc
+++ b/src/registry/endpoint_log.cc
@@ -44,10 +44,19 @@
   }
 }
 
-bool IsSameState(const rpc::Endpoint& a, const rpc::Endpoint& b) {
-  return a.state() == b.state() && a.cause() == b.cause() &&
-         a.service() == b.service() && a.version() == b.version() &&
-         a.slots() == b.slots();
+std::string_view NameOf(rpc::EndpointState state) {
+  switch (state) {
+    case rpc::ENDPOINT_STATE_READY:
+      return "ready";
+    case rpc::ENDPOINT_STATE_DRAINING:
+      return "draining";
+    case rpc::ENDPOINT_STATE_CRASHED:
+      return "crashed";
+    case rpc::ENDPOINT_STATE_GONE:
+      return "gone";
+    default:
+      return "unknown";
+  }
 }
 
 }  // namespace
@@ -66,15 +75,18 @@
 }
 
 void LogEndpointChange(const std::optional<rpc::Endpoint>& before,
-                       const rpc::Endpoint& endpoint) {
-  const bool again = before && IsSameState(*before, endpoint);
-  base::LogEvent(EventOf(endpoint),
-                 {{"endpoint", endpoint.id()},
-                  {"service", endpoint.service()},
-                  {"version", endpoint.version()},
-                  {"cause", std::string(NameOf(endpoint.cause()))},
-                  {"sequence", std::to_string(endpoint.sequence())},
-                  {"again", again ? "true" : "false"}});
+                       const rpc::Endpoint& endpoint,
+                       const std::string& via) {
+  base::LogEvent(
+      EventOf(endpoint),
+      {{"endpoint", endpoint.id()},
+       {"service", endpoint.service()},
+       {"version", endpoint.version()},
+       {"cause", std::string(NameOf(endpoint.cause()))},
+       {"before", before ? std::string(NameOf(before->state())) : "unknown"},
+       {"incarnation", std::to_string(endpoint.incarnation())},
+       {"sequence", std::to_string(endpoint.sequence())},
+       {"via", via}});
 }
 
 }  // namespace buckthorngate::registry
--- a/src/registry/endpoint_log.h
+++ b/src/registry/endpoint_log.h
@@ -3,6 +3,7 @@
 #define SRC_REGISTRY_ENDPOINT_LOG_H_
 
 #include <optional>
+#include <string>
 
 #include "base/events.h"
 #include "mesh.pb.h"
@@ -12,10 +13,12 @@
 // The event that stands for the entry's state and its cause.
 base::EventId EventOf(const rpc::Endpoint& endpoint);
 
-// Logs a changed entry. `before` is the entry that it replaces, if any. An
-// entry that is only announced again, with a new sequence number, is marked.
+// Logs a changed entry. `before` is the entry that it replaces, if any: one
+// with the same state was only announced again. `via` sent it to this process;
+// empty: the process itself changed the entry.
 void LogEndpointChange(const std::optional<rpc::Endpoint>& before,
-                       const rpc::Endpoint& endpoint);
+                       const rpc::Endpoint& endpoint,
+                       const std::string& via = {});
 
 }  // namespace buckthorngate::registry
 
