--- a/src/registry/departures.cc
+++ b/src/registry/departures.cc
@@ -2,7 +2,7 @@
 #include "registry/departures.h"
 
 #include <algorithm>
-#include <tuple>
+#include <limits>
 
 namespace buckthorngate::registry {
 namespace {
@@ -16,8 +16,7 @@
 }  // namespace
 
 bool Departures::Record(const rpc::Departure& departure) {
-  const auto [found, added] =
-      entries_.try_emplace({departure.host(), departure.instance()}, departure);
+  const auto [found, added] = entries_.try_emplace(KeyOf(departure), departure);
   if (!added) {
     if (!Supersedes(departure, found->second)) {
       return false;
@@ -33,10 +32,22 @@
 const rpc::Departure* Departures::Find(const std::string& host,
                                        const std::string& instance,
                                        int64_t started_ms) const {
-  const auto found = entries_.find({host, instance});
-  const bool applies =
-      found != entries_.end() && started_ms <= found->second.started_ms();
-  return applies ? &found->second : nullptr;
+  const rpc::Departure* of_this = Lookup({host, instance, started_ms});
+  const rpc::Departure* latest = Lookup({host, instance, 0});
+  if (latest == nullptr || started_ms > latest->started_ms()) {
+    return of_this;
+  }
+  return of_this != nullptr && of_this->left() ? of_this : latest;
+}
+
+Departures::Key Departures::KeyOf(const rpc::Departure& departure) {
+  return {departure.host(), departure.instance(),
+          departure.only_this_start() ? departure.started_ms() : 0};
+}
+
+const rpc::Departure* Departures::Lookup(const Key& key) const {
+  const auto found = entries_.find(key);
+  return found == entries_.end() ? nullptr : &found->second;
 }
 
 std::vector<rpc::Departure> Departures::All() const {
@@ -49,8 +60,9 @@
 
 std::vector<rpc::Departure> Departures::OfHost(const std::string& host) const {
   std::vector<rpc::Departure> of_host;
-  for (auto found = entries_.lower_bound({host, std::string()});
-       found != entries_.end() && found->first.first == host; ++found) {
+  const Key first = {host, std::string(), std::numeric_limits<int64_t>::min()};
+  for (auto found = entries_.lower_bound(first);
+       found != entries_.end() && found->second.host() == host; ++found) {
     of_host.push_back(found->second);
   }
   return of_host;
--- a/src/registry/departures.h
+++ b/src/registry/departures.h
@@ -11,7 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "base/time.h"
@@ -27,10 +27,12 @@
 class Departures {
  public:
   // Adds a departure. Returns false if the list has the same or a later one of
-  // the instance: of a later start, or a deregistration instead of a drain.
+  // the instance: of a later start, or a deregistration instead of a drain. One
+  // of only one start is compared with those of the same start only.
   bool Record(const rpc::Departure& departure);
 
-  // The departure that applies to this start of the instance, or null. A report
+  // The departure that applies to this start of the instance, or null: one of
+  // this start, or of a later one unless it is of only that start. A report
   // without a start time applies to starts without one.
   const rpc::Departure* Find(const std::string& host,
                              const std::string& instance,
@@ -43,10 +45,15 @@
   void Expire(base::WallTime now);
 
  private:
+  // Host, instance, and the start of a departure of only one start, else 0.
+  using Key = std::tuple<std::string, std::string, int64_t>;
+
+  static Key KeyOf(const rpc::Departure& departure);
+  const rpc::Departure* Lookup(const Key& key) const;
   void DropFirstToExpire();
 
-  // Invariant: one entry per (host, instance), the latest that was recorded.
-  std::map<std::pair<std::string, std::string>, rpc::Departure> entries_;
+  // Invariant: one entry per key, the latest that was recorded.
+  std::map<Key, rpc::Departure> entries_;
 };
 
 }  // namespace buckthorngate::registry
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -131,8 +131,11 @@
       departures_.Find(identity_.host_, announcement.instance_,
                        announcement.started_ms_) != nullptr;
   if (announcement.draining_ && !departing) {
+    const Holder known = HolderOf(announcement.address_, now);
     RecordDeparture(announcement.instance_, announcement.started_ms_,
-                    /*left=*/false);
+                    /*left=*/false,
+                    known.instance_ == announcement.instance_ &&
+                        known.started_ms_ == announcement.started_ms_);
   }
   if (closed_) {
     return false;
@@ -192,7 +195,8 @@
 
 void LocalEndpoints::RecordDeparture(const std::string& instance,
                                      int64_t started_ms,
-                                     bool left) {
+                                     bool left,
+                                     bool known) {
   if (instance.empty()) {
     // Its later starts could not be told from this one.
     return;
@@ -202,6 +206,8 @@
   departure.set_instance(instance);
   departure.set_started_ms(started_ms);
   departure.set_left(left);
+  // Departures without a start time apply to starts without one anyway.
+  departure.set_only_this_start(!known && started_ms != 0);
   if (departures_.Record(departure)) {
     new_departures_.push_back(std::move(departure));
   }
@@ -217,15 +223,19 @@
   }
   const std::string address = AddressOf(departure.instance());
   const auto found = upstreams_.find(address);
-  if (found == upstreams_.end() ||
-      found->second.started_ms_ > departure.started_ms()) {
+  const rpc::Departure* applies =
+      found == upstreams_.end()
+          ? nullptr
+          : departures_.Find(identity_.host_, departure.instance(),
+                             found->second.started_ms_);
+  if (applies == nullptr) {
     return false;
   }
   found->second.draining_ = true;
-  return departure.left() ? SetState(address, rpc::ENDPOINT_STATE_GONE,
-                                     rpc::ENDPOINT_CAUSE_DEREGISTERED)
-                          : SetState(address, rpc::ENDPOINT_STATE_DRAINING,
-                                     rpc::ENDPOINT_CAUSE_NONE);
+  return applies->left() ? SetState(address, rpc::ENDPOINT_STATE_GONE,
+                                    rpc::ENDPOINT_CAUSE_DEREGISTERED)
+                         : SetState(address, rpc::ENDPOINT_STATE_DRAINING,
+                                    rpc::ENDPOINT_CAUSE_NONE);
 }
 
 bool LocalEndpoints::Drain(const std::string& address) {
@@ -235,7 +245,7 @@
   }
   found->second.draining_ = true;
   RecordDeparture(found->second.instance_, found->second.started_ms_,
-                  /*left=*/false);
+                  /*left=*/false, /*known=*/true);
   // An expired entry stays gone.
   return found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
          SetState(address, rpc::ENDPOINT_STATE_DRAINING,
@@ -248,7 +258,7 @@
     return false;
   }
   RecordDeparture(found->second.instance_, found->second.started_ms_,
-                  /*left=*/true);
+                  /*left=*/true, /*known=*/true);
   return SetState(address, rpc::ENDPOINT_STATE_GONE,
                   rpc::ENDPOINT_CAUSE_DEREGISTERED);
 }
@@ -257,12 +267,13 @@
                                    int64_t started_ms) {
   const auto found = upstreams_.find(AddressOf(instance));
   if (found == upstreams_.end()) {
-    RecordDeparture(instance, started_ms, /*left=*/true);
+    RecordDeparture(instance, started_ms, /*left=*/true, /*known=*/false);
     return false;
   }
   const Upstream& upstream = found->second;
   const int64_t leaves = started_ms == 0 ? upstream.started_ms_ : started_ms;
-  RecordDeparture(instance, leaves, /*left=*/true);
+  RecordDeparture(instance, leaves, /*left=*/true,
+                  /*known=*/leaves <= upstream.started_ms_);
   if (upstream.started_ms_ > leaves) {
     return false;
   }
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -174,9 +174,12 @@
   bool SetState(const std::string& address,
                 rpc::EndpointState state,
                 rpc::EndpointCause cause);
+  // `known`: the start, or a later one, has announced itself here. Else the
+  // departure says nothing of earlier starts.
   void RecordDeparture(const std::string& instance,
                        int64_t started_ms,
-                       bool left);
+                       bool left,
+                       bool known);
 
   HostIdentity identity_;
   const base::Duration lease_;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -347,6 +347,32 @@
   BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
 }
 
+// Guards against a departure of a start that never was, which keeps the
+// upstream out under its id for good, in later starts of the daemon too.
+BOOST_AUTO_TEST_CASE(ADepartureOfAnUnknownStartKeepsOutNoOther) {
+  registry::Announcement draining = AnnouncementOf("x", 99, 1);
+  draining.draining_ = true;
+  for (const bool leaves : {false, true}) {
+    registry::LocalEndpoints first({"h", "zone-1", "p", "c", 1});
+    BOOST_TEST(first.Announce(AnnouncementOf("x", 10, 1), At(0)));
+    if (leaves) {
+      first.LeaveInstance("x", 99);
+    } else {
+      first.Announce(draining, At(60));
+    }
+    first.Announce(AnnouncementOf("x", 10, 2), At(120));
+    BOOST_TEST(first.Ready("127.0.0.1:1"));
+    registry::LocalEndpoints local = Restarted(first);
+    BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 3), At(121)));
+    BOOST_TEST(local.Ready("127.0.0.1:1"));
+    // The start that was named stays out.
+    local.Announce(AnnouncementOf("x", 99, 2), At(200));
+    BOOST_TEST(local.Draining("127.0.0.1:1") == !leaves);
+    BOOST_TEST(local.HolderOf("127.0.0.1:1", At(200)).started_ms_ ==
+               (leaves ? 10 : 99));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
