--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -51,8 +51,10 @@
   const bool same_start = announcement.instance_ == stored.instance_ &&
                           announcement.started_ms_ == stored.started_ms_;
   if (same_start) {
+    // A drain holds for the whole start, so its report cannot come too late.
+    const bool new_drain = announcement.draining_ && !stored.draining_;
     if (announcement.sequence_ != 0 &&
-        announcement.sequence_ <= stored.sequence_) {
+        announcement.sequence_ <= stored.sequence_ && !new_drain) {
       return AnnouncementCheck::kStale;
     }
     // A start runs one version.
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -373,6 +373,21 @@
   }
 }
 
+// Guards against DRAIN by a stray that is ahead of the upstream's numbers: the
+// upstream's report that it drains is acknowledged as late and changes nothing.
+BOOST_AUTO_TEST_CASE(ADrainIsNeverLate) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1});
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  local.Announce(AnnouncementOf("x", 10, uint64_t{1} << 40), At(0));
+  registry::Announcement draining = AnnouncementOf("x", 10, 2);
+  draining.draining_ = true;
+  BOOST_TEST((local.Check(draining, At(0)) == AnnouncementCheck::kAccepted));
+  BOOST_TEST(local.Announce(draining, At(0)));
+  BOOST_TEST(local.Draining(draining.address_));
+  local.Announce(AnnouncementOf("x", 10, uint64_t{1} << 41), At(1));
+  BOOST_TEST(local.Draining(draining.address_));
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
