--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -246,9 +246,18 @@
     report.address_ = local.AddressOf(instance);
     check = local.CheckLeave(instance, started_ms, now);
     holder = local.HolderOf(report.address_, now);
-    const bool left = check == AnnouncementCheck::kAccepted &&
-                      local.LeaveInstance(instance, started_ms);
-    return left ? local.EndpointId(report.address_) : std::string();
+    if (check != AnnouncementCheck::kAccepted) {
+      return std::string();
+    }
+    if (local.LeaveInstance(instance, started_ms)) {
+      return local.EndpointId(report.address_);
+    }
+    // A later start of the instance stays. If it is a false one, the address
+    // is still the caller's, who must not be told that it gets no requests.
+    if (local.Ready(report.address_)) {
+      check = AnnouncementCheck::kAddressHeld;
+    }
+    return std::string();
   });
   if (check != AnnouncementCheck::kAccepted) {
     return IgnoreReport("deregister", report, holder, check);
--- a/tests/foreign_heartbeat_test.cc
+++ b/tests/foreign_heartbeat_test.cc
@@ -124,6 +124,20 @@
   BOOST_TEST(shop.daemon_.Get("/shop/gone") != 200);
 }
 
+// Guards against DRAIN by a false later start that holds the address: the
+// upstream's deregistration is acknowledged and requests are still sent to it.
+BOOST_AUTO_TEST_CASE(ADeregistrationThatEndsNothingIsNotAcknowledged) {
+  ServedShop shop;
+  shop.Restart();
+  HeartbeatFields stray = shop.own_;
+  stray.born_ms_ += kTenYearsMs;
+  BOOST_TEST(shop.daemon_.Beat(stray) == 200);
+  BOOST_TEST(shop.daemon_.AwaitServed("/shop/held"));
+  BOOST_TEST(shop.daemon_.Deregister(shop.own_) == 409);
+  BOOST_TEST(shop.daemon_.Deregister(stray) == 200);
+  BOOST_TEST(shop.daemon_.Get("/shop/held") != 200);
+}
+
 // An upstream that has started again under a new id is in use soon: the answer
 // of the new one to a request for the old one ends the old entry.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatStartedAgainIsInUseSoon) {
