--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -35,21 +35,30 @@
     return AnnouncementCheck::kStale;
   }
   const auto found = upstreams_.find(announcement.address_);
-  const bool held = found != upstreams_.end() && Holds(found->second, now);
-  return held ? CheckAgainst(found->second, announcement)
-              : AnnouncementCheck::kAccepted;
+  return found == upstreams_.end()
+             ? AnnouncementCheck::kAccepted
+             : CheckAgainst(found->second, announcement, now);
 }
 
-bool LocalEndpoints::Holds(const Upstream& stored, base::MonoTime now) const {
-  return !stored.replaced_ && now - stored.renewed_ <= lease_ / 2;
+bool LocalEndpoints::Holds(const Upstream& stored,
+                           base::MonoTime last,
+                           base::MonoTime now) const {
+  return !stored.replaced_ && now - last <= lease_ / 2;
 }
 
-AnnouncementCheck LocalEndpoints::CheckAgainst(
-    const Upstream& stored,
-    const Announcement& announcement) const {
+AnnouncementCheck LocalEndpoints::CheckAgainst(const Upstream& stored,
+                                               const Announcement& announcement,
+                                               base::MonoTime now) const {
   const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
   const bool same_start = announcement.instance_ == stored.instance_ &&
                           announcement.started_ms_ == stored.started_ms_;
+  const bool same_version = announcement.version_ == stored.endpoint_.version();
+  // Numbers that are too high must not refuse the start for good.
+  const base::MonoTime last =
+      same_start && same_version ? stored.renewed_ : stored.heard_;
+  if (!Holds(stored, last, now)) {
+    return AnnouncementCheck::kAccepted;
+  }
   if (same_start) {
     // A drain holds for the whole start, so its report cannot come too late.
     const bool new_drain = announcement.draining_ && !stored.draining_;
@@ -58,9 +67,8 @@
       return AnnouncementCheck::kStale;
     }
     // A start runs one version.
-    return ready && announcement.version_ != stored.endpoint_.version()
-               ? AnnouncementCheck::kAddressHeld
-               : AnnouncementCheck::kAccepted;
+    return ready && !same_version ? AnnouncementCheck::kAddressHeld
+                                  : AnnouncementCheck::kAccepted;
   }
   const bool earlier = announcement.started_ms_ != 0 &&
                        announcement.started_ms_ < stored.started_ms_;
@@ -78,8 +86,9 @@
   const Upstream& stored = found->second;
   const bool later = stored.started_ms_ != 0 && started_ms > stored.started_ms_;
   const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
-  return later && ready && Holds(stored, now) ? AnnouncementCheck::kAddressHeld
-                                              : AnnouncementCheck::kAccepted;
+  return later && ready && Holds(stored, stored.heard_, now)
+             ? AnnouncementCheck::kAddressHeld
+             : AnnouncementCheck::kAccepted;
 }
 
 std::string LocalEndpoints::AddressOf(const std::string& instance) const {
@@ -126,7 +135,11 @@
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
-  if (Check(announcement, now) != AnnouncementCheck::kAccepted) {
+  const AnnouncementCheck check = Check(announcement, now);
+  if (check == AnnouncementCheck::kStale) {
+    NoteLate(announcement, now);
+  }
+  if (check != AnnouncementCheck::kAccepted) {
     return false;
   }
   const bool departing =
@@ -153,6 +166,7 @@
                                        ? rpc::ENDPOINT_STATE_DRAINING
                                        : rpc::ENDPOINT_STATE_READY;
   upstream.renewed_ = now;
+  upstream.heard_ = now;
   upstream.replaced_ = false;
   rpc::Endpoint& endpoint = upstream.endpoint_;
   upstream.instance_ = announcement.instance_;
@@ -181,6 +195,20 @@
   return true;
 }
 
+void LocalEndpoints::NoteLate(const Announcement& announcement,
+                              base::MonoTime now) {
+  const auto found = upstreams_.find(announcement.address_);
+  if (found == upstreams_.end() ||
+      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_GONE) {
+    return;
+  }
+  Upstream& stored = found->second;
+  const bool same = announcement.instance_ == stored.instance_ &&
+                    announcement.started_ms_ == stored.started_ms_ &&
+                    announcement.version_ == stored.endpoint_.version();
+  stored.heard_ = same ? now : stored.heard_;
+}
+
 bool LocalEndpoints::SetState(const std::string& address,
                               rpc::EndpointState state,
                               rpc::EndpointCause cause) {
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -157,6 +157,8 @@
   struct Upstream {
     rpc::Endpoint endpoint_;
     base::MonoTime renewed_;  // Time of the last accepted announcement.
+    // Time of the last announcement of this start, also if it was late.
+    base::MonoTime heard_;
     std::string instance_;
     int64_t started_ms_ = 0;
     uint64_t sequence_ = 0;
@@ -164,11 +166,17 @@
     bool replaced_ = false;  // Set by MarkReplaced.
   };
 
-  // Whether other starts must wait: the stored one has announced itself lately
-  // and nothing says that it is not the one that runs.
-  bool Holds(const Upstream& stored, base::MonoTime now) const;
+  // Whether the stored start, which announced itself at `last`, still holds its
+  // address: that was lately, and nothing says that it is not the one that
+  // runs.
+  bool Holds(const Upstream& stored,
+             base::MonoTime last,
+             base::MonoTime now) const;
+  // Records a late announcement of the start that holds its address.
+  void NoteLate(const Announcement& announcement, base::MonoTime now);
   AnnouncementCheck CheckAgainst(const Upstream& stored,
-                                 const Announcement& announcement) const;
+                                 const Announcement& announcement,
+                                 base::MonoTime now) const;
   bool HasState(const std::string& address, rpc::EndpointState state) const;
   // Returns true if the entry's state changed.
   bool SetState(const std::string& address,
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -388,6 +388,29 @@
   BOOST_TEST(local.Draining(draining.address_));
 }
 
+// Guards against a stray with the upstream's start and a number that is too
+// high: the upstream's reports are late then, and as soon as its hold ends for
+// that reason, another stray takes the address.
+BOOST_AUTO_TEST_CASE(AStartIsHeardByItsLateReportsToo) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1},
+                                 std::chrono::seconds(8));
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 1), At(0)));
+  local.Announce(AnnouncementOf("x", 10, uint64_t{1} << 40), At(0));
+  for (const int second : {2, 4}) {
+    const registry::Announcement late =
+        AnnouncementOf("x", 10, static_cast<uint64_t>(second));
+    BOOST_TEST((local.Check(late, At(second)) == AnnouncementCheck::kStale));
+    local.Announce(late, At(second));
+  }
+  for (const registry::Announcement& other :
+       OtherStartsThan(AnnouncementOf("x", 10, uint64_t{1} << 40))) {
+    BOOST_TEST((local.Check(other, At(5)) == AnnouncementCheck::kAddressHeld));
+    BOOST_TEST((local.Check(other, At(9)) == AnnouncementCheck::kAccepted));
+  }
+  BOOST_TEST((local.Check(AnnouncementOf("x", 10, 5), At(5)) ==
+              AnnouncementCheck::kAccepted));
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
