--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -146,11 +146,10 @@
       departures_.Find(identity_.host_, announcement.instance_,
                        announcement.started_ms_) != nullptr;
   if (announcement.draining_ && !departing) {
-    const Holder known = HolderOf(announcement.address_, now);
-    RecordDeparture(announcement.instance_, announcement.started_ms_,
-                    /*left=*/false,
-                    known.instance_ == announcement.instance_ &&
-                        known.started_ms_ == announcement.started_ms_);
+    RecordDeparture(
+        announcement.instance_, announcement.started_ms_,
+        /*left=*/false,
+        IsEstablished(announcement.instance_, announcement.started_ms_));
   }
   if (closed_) {
     return false;
@@ -165,6 +164,7 @@
   const rpc::EndpointState state = upstream.draining_ || draining_all_
                                        ? rpc::ENDPOINT_STATE_DRAINING
                                        : rpc::ENDPOINT_STATE_READY;
+  upstream.first_ = same_start ? upstream.first_ : now;
   upstream.renewed_ = now;
   upstream.heard_ = now;
   upstream.replaced_ = false;
@@ -198,15 +198,13 @@
 void LocalEndpoints::NoteLate(const Announcement& announcement,
                               base::MonoTime now) {
   const auto found = upstreams_.find(announcement.address_);
-  if (found == upstreams_.end() ||
-      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_GONE) {
-    return;
+  if (found != upstreams_.end() &&
+      found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
+      found->second.instance_ == announcement.instance_ &&
+      found->second.started_ms_ == announcement.started_ms_ &&
+      found->second.endpoint_.version() == announcement.version_) {
+    found->second.heard_ = now;
   }
-  Upstream& stored = found->second;
-  const bool same = announcement.instance_ == stored.instance_ &&
-                    announcement.started_ms_ == stored.started_ms_ &&
-                    announcement.version_ == stored.endpoint_.version();
-  stored.heard_ = same ? now : stored.heard_;
 }
 
 bool LocalEndpoints::SetState(const std::string& address,
@@ -223,6 +221,13 @@
   return true;
 }
 
+bool LocalEndpoints::IsEstablished(const std::string& instance,
+                                   int64_t started_ms) const {
+  const auto found = upstreams_.find(AddressOf(instance));
+  return found != upstreams_.end() && found->second.started_ms_ >= started_ms &&
+         found->second.renewed_ - found->second.first_ >= lease_ / 2;
+}
+
 void LocalEndpoints::RecordDeparture(const std::string& instance,
                                      int64_t started_ms,
                                      bool left,
@@ -303,7 +308,7 @@
   const Upstream& upstream = found->second;
   const int64_t leaves = started_ms == 0 ? upstream.started_ms_ : started_ms;
   RecordDeparture(instance, leaves, /*left=*/true,
-                  /*known=*/leaves <= upstream.started_ms_);
+                  IsEstablished(instance, leaves));
   if (upstream.started_ms_ > leaves) {
     return false;
   }
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -156,6 +156,7 @@
  private:
   struct Upstream {
     rpc::Endpoint endpoint_;
+    base::MonoTime first_;    // Time of this start's first announcement.
     base::MonoTime renewed_;  // Time of the last accepted announcement.
     // Time of the last announcement of this start, also if it was late.
     base::MonoTime heard_;
@@ -182,8 +183,11 @@
   bool SetState(const std::string& address,
                 rpc::EndpointState state,
                 rpc::EndpointCause cause);
-  // `known`: the start, or a later one, has announced itself here. Else the
-  // departure says nothing of earlier starts.
+  // Whether this start of the instance, or a later one, has announced itself
+  // here for half a lease: earlier ones are over then. Other writers' starts
+  // hardly ever do.
+  bool IsEstablished(const std::string& instance, int64_t started_ms) const;
+  // `known`: earlier starts are over. Else the departure says nothing of them.
   void RecordDeparture(const std::string& instance,
                        int64_t started_ms,
                        bool left,
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -411,6 +411,27 @@
               AnnouncementCheck::kAccepted));
 }
 
+// Guards against a false start that is taken, as by a daemon that knows none
+// yet, and then departs: it keeps the upstream out under its id for good. A
+// start that has announced itself for half a lease is not taken for a false
+// one.
+BOOST_AUTO_TEST_CASE(AFalseStartThatDepartsKeepsOutNoOther) {
+  for (const bool leaves : {false, true}) {
+    for (const bool established : {false, true}) {
+      registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1},
+                                     std::chrono::seconds(8));
+      BOOST_TEST(local.Announce(AnnouncementOf("x", 99, 1), At(0)));
+      local.Announce(AnnouncementOf("x", 99, 2), At(established ? 4 : 1));
+      registry::Announcement draining = AnnouncementOf("x", 99, 3);
+      draining.draining_ = true;
+      BOOST_TEST((leaves ? local.LeaveInstance("x", 99)
+                         : local.Announce(draining, At(4))));
+      local.Announce(AnnouncementOf("x", 10, 7), At(20));
+      BOOST_TEST(local.Ready("127.0.0.1:1") == !established);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
