--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -199,7 +199,7 @@
                               base::MonoTime now) {
   const auto found = upstreams_.find(announcement.address_);
   if (found != upstreams_.end() &&
-      found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
+      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_READY &&
       found->second.instance_ == announcement.instance_ &&
       found->second.started_ms_ == announcement.started_ms_ &&
       found->second.endpoint_.version() == announcement.version_) {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -432,6 +432,18 @@
   }
 }
 
+// Guards against a start that has crashed and keeps out an earlier one by
+// reports that come late.
+BOOST_AUTO_TEST_CASE(ACrashedStartIsNotHeardByItsLateReports) {
+  registry::LocalEndpoints local({"h", "zone-1", "p", "c", 1},
+                                 std::chrono::seconds(8));
+  BOOST_TEST(local.Announce(AnnouncementOf("y", 99, 9), At(0)));
+  BOOST_TEST(local.MarkCrashed("127.0.0.1:1"));
+  local.Announce(AnnouncementOf("y", 99, 2), At(3));
+  BOOST_TEST(!local.Announce(AnnouncementOf("x", 10, 1), At(4)));
+  BOOST_TEST(local.Announce(AnnouncementOf("x", 10, 2), At(5)));
+}
+
 BOOST_AUTO_TEST_CASE(DeparturesAreBoundedAndExpire) {
   registry::Departures departures;
   rpc::Departure departure;
