--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -35,30 +35,40 @@
     return AnnouncementCheck::kStale;
   }
   const auto found = upstreams_.find(announcement.address_);
-  const bool held = found != upstreams_.end() && Holds(found->second, now);
-  return held ? CheckAgainst(found->second, announcement)
-              : AnnouncementCheck::kAccepted;
+  return found == upstreams_.end()
+             ? AnnouncementCheck::kAccepted
+             : CheckAgainst(found->second, announcement, now);
 }
 
-bool LocalEndpoints::Holds(const Upstream& stored, base::MonoTime now) const {
-  return !stored.replaced_ && now - stored.renewed_ <= lease_ / 2;
+bool LocalEndpoints::Holds(const Upstream& stored,
+                           base::MonoTime last,
+                           base::MonoTime now) const {
+  return !stored.replaced_ && now - last <= lease_ / 2;
 }
 
-AnnouncementCheck LocalEndpoints::CheckAgainst(
-    const Upstream& stored,
-    const Announcement& announcement) const {
+AnnouncementCheck LocalEndpoints::CheckAgainst(const Upstream& stored,
+                                               const Announcement& announcement,
+                                               base::MonoTime now) const {
   const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
   const bool same_start = announcement.instance_ == stored.instance_ &&
                           announcement.started_ms_ == stored.started_ms_;
+  const bool same_version = announcement.version_ == stored.endpoint_.version();
+  // Numbers that are too high must not refuse the start for good.
+  const base::MonoTime last =
+      same_start && same_version ? stored.renewed_ : stored.heard_;
+  if (!Holds(stored, last, now)) {
+    return AnnouncementCheck::kAccepted;
+  }
   if (same_start) {
+    // A drain holds for the whole start, so its report cannot come too late.
+    const bool new_drain = announcement.draining_ && !stored.draining_;
     if (announcement.sequence_ != 0 &&
-        announcement.sequence_ <= stored.sequence_) {
+        announcement.sequence_ <= stored.sequence_ && !new_drain) {
       return AnnouncementCheck::kStale;
     }
     // A start runs one version.
-    return ready && announcement.version_ != stored.endpoint_.version()
-               ? AnnouncementCheck::kAddressHeld
-               : AnnouncementCheck::kAccepted;
+    return ready && !same_version ? AnnouncementCheck::kAddressHeld
+                                  : AnnouncementCheck::kAccepted;
   }
   const bool earlier = announcement.started_ms_ != 0 &&
                        announcement.started_ms_ < stored.started_ms_;
@@ -76,8 +86,9 @@
   const Upstream& stored = found->second;
   const bool later = stored.started_ms_ != 0 && started_ms > stored.started_ms_;
   const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
-  return later && ready && Holds(stored, now) ? AnnouncementCheck::kAddressHeld
-                                              : AnnouncementCheck::kAccepted;
+  return later && ready && Holds(stored, stored.heard_, now)
+             ? AnnouncementCheck::kAddressHeld
+             : AnnouncementCheck::kAccepted;
 }
 
 std::string LocalEndpoints::AddressOf(const std::string& instance) const {
@@ -124,15 +135,21 @@
 
 bool LocalEndpoints::Announce(const Announcement& announcement,
                               base::MonoTime now) {
-  if (Check(announcement, now) != AnnouncementCheck::kAccepted) {
+  const AnnouncementCheck check = Check(announcement, now);
+  if (check == AnnouncementCheck::kStale) {
+    NoteLate(announcement, now);
+  }
+  if (check != AnnouncementCheck::kAccepted) {
     return false;
   }
   const bool departing =
       departures_.Find(identity_.host_, announcement.instance_,
                        announcement.started_ms_) != nullptr;
   if (announcement.draining_ && !departing) {
-    RecordDeparture(announcement.instance_, announcement.started_ms_,
-                    /*left=*/false);
+    RecordDeparture(
+        announcement.instance_, announcement.started_ms_,
+        /*left=*/false,
+        IsEstablished(announcement.instance_, announcement.started_ms_));
   }
   if (closed_) {
     return false;
@@ -147,7 +164,9 @@
   const rpc::EndpointState state = upstream.draining_ || draining_all_
                                        ? rpc::ENDPOINT_STATE_DRAINING
                                        : rpc::ENDPOINT_STATE_READY;
+  upstream.first_ = same_start ? upstream.first_ : now;
   upstream.renewed_ = now;
+  upstream.heard_ = now;
   upstream.replaced_ = false;
   rpc::Endpoint& endpoint = upstream.endpoint_;
   upstream.instance_ = announcement.instance_;
@@ -176,6 +195,18 @@
   return true;
 }
 
+void LocalEndpoints::NoteLate(const Announcement& announcement,
+                              base::MonoTime now) {
+  const auto found = upstreams_.find(announcement.address_);
+  if (found != upstreams_.end() &&
+      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_READY &&
+      found->second.instance_ == announcement.instance_ &&
+      found->second.started_ms_ == announcement.started_ms_ &&
+      found->second.endpoint_.version() == announcement.version_) {
+    found->second.heard_ = now;
+  }
+}
+
 bool LocalEndpoints::SetState(const std::string& address,
                               rpc::EndpointState state,
                               rpc::EndpointCause cause) {
@@ -190,9 +221,17 @@
   return true;
 }
 
+bool LocalEndpoints::IsEstablished(const std::string& instance,
+                                   int64_t started_ms) const {
+  const auto found = upstreams_.find(AddressOf(instance));
+  return found != upstreams_.end() && found->second.started_ms_ >= started_ms &&
+         found->second.renewed_ - found->second.first_ >= lease_ / 2;
+}
+
 void LocalEndpoints::RecordDeparture(const std::string& instance,
                                      int64_t started_ms,
-                                     bool left) {
+                                     bool left,
+                                     bool known) {
   if (instance.empty()) {
     // Its later starts could not be told from this one.
     return;
@@ -202,6 +241,8 @@
   departure.set_instance(instance);
   departure.set_started_ms(started_ms);
   departure.set_left(left);
+  // Departures without a start time apply to starts without one anyway.
+  departure.set_only_this_start(!known && started_ms != 0);
   if (departures_.Record(departure)) {
     new_departures_.push_back(std::move(departure));
   }
@@ -217,15 +258,19 @@
   }
   const std::string address = AddressOf(departure.instance());
   const auto found = upstreams_.find(address);
-  if (found == upstreams_.end() ||
-      found->second.started_ms_ > departure.started_ms()) {
+  const rpc::Departure* applies =
+      found == upstreams_.end()
+          ? nullptr
+          : departures_.Find(identity_.host_, departure.instance(),
+                             found->second.started_ms_);
+  if (applies == nullptr) {
     return false;
   }
   found->second.draining_ = true;
-  return departure.left() ? SetState(address, rpc::ENDPOINT_STATE_GONE,
-                                     rpc::ENDPOINT_CAUSE_DEREGISTERED)
-                          : SetState(address, rpc::ENDPOINT_STATE_DRAINING,
-                                     rpc::ENDPOINT_CAUSE_NONE);
+  return applies->left() ? SetState(address, rpc::ENDPOINT_STATE_GONE,
+                                    rpc::ENDPOINT_CAUSE_DEREGISTERED)
+                         : SetState(address, rpc::ENDPOINT_STATE_DRAINING,
+                                    rpc::ENDPOINT_CAUSE_NONE);
 }
 
 bool LocalEndpoints::Drain(const std::string& address) {
@@ -235,7 +280,7 @@
   }
   found->second.draining_ = true;
   RecordDeparture(found->second.instance_, found->second.started_ms_,
-                  /*left=*/false);
+                  /*left=*/false, /*known=*/true);
   // An expired entry stays gone.
   return found->second.endpoint_.state() != rpc::ENDPOINT_STATE_GONE &&
          SetState(address, rpc::ENDPOINT_STATE_DRAINING,
@@ -248,7 +293,7 @@
     return false;
   }
   RecordDeparture(found->second.instance_, found->second.started_ms_,
-                  /*left=*/true);
+                  /*left=*/true, /*known=*/true);
   return SetState(address, rpc::ENDPOINT_STATE_GONE,
                   rpc::ENDPOINT_CAUSE_DEREGISTERED);
 }
@@ -257,12 +302,13 @@
                                    int64_t started_ms) {
   const auto found = upstreams_.find(AddressOf(instance));
   if (found == upstreams_.end()) {
-    RecordDeparture(instance, started_ms, /*left=*/true);
+    RecordDeparture(instance, started_ms, /*left=*/true, /*known=*/false);
     return false;
   }
   const Upstream& upstream = found->second;
   const int64_t leaves = started_ms == 0 ? upstream.started_ms_ : started_ms;
-  RecordDeparture(instance, leaves, /*left=*/true);
+  RecordDeparture(instance, leaves, /*left=*/true,
+                  IsEstablished(instance, leaves));
   if (upstream.started_ms_ > leaves) {
     return false;
   }
