--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -31,6 +31,20 @@
   return options;
 }
 
+// Upstreams get the value that the system sets, never one of a sender.
+void SetOrErase(http::Headers& headers,
+                const std::string& name,
+                const std::string& value) {
+  if (name.empty()) {
+    return;
+  }
+  if (value.empty()) {
+    headers.Erase(name);
+  } else {
+    headers.Set(name, value);
+  }
+}
+
 }  // namespace
 
 void LogUpstreamFailed(const std::string& request_id,
@@ -142,6 +156,7 @@
       {{"request", request.request_id_},
        {"endpoint", request.endpoint_id_},
        {"from", request.caller_host_},
+       {"origin", request.caller_service_},
        {"code", std::string(Describe(code).name_)},
        {"priority", std::to_string(request.priority_)},
        {"running", std::to_string(running)},
@@ -207,9 +222,7 @@
   if (request.below_retry_ && dialect_.reports_call_count_) {
     head.headers_.Set(request::kBelowRetryHeader, "1");
   }
-  if (!dialect_.caller_service_.empty() && !request.caller_service_.empty()) {
-    head.headers_.Set(dialect_.caller_service_, request.caller_service_);
-  }
+  SetOrErase(head.headers_, dialect_.caller_service_, request.caller_service_);
   if (!dialect_.expected_instance_.empty()) {
     head.headers_.Set(dialect_.expected_instance_, upstream.info_.instance_);
   }
@@ -285,7 +298,10 @@
   if (not_executed != ResultCode::kOk) {
     exchange->NoteRefused(request.request_id_);
   }
-  if (not_executed == ResultCode::kUpstreamReplaced) {
+  const bool replaced = not_executed == ResultCode::kUpstreamReplaced &&
+                        head.headers_.Has(dialect_.expected_instance_) &&
+                        response->headers_.Has(dialect_.not_executed_);
+  if (replaced) {
     RecordReplaced(*upstream);
   }
   HopAnswer answer =
--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -67,7 +67,7 @@
   // Lets an upstream leave. `leave` runs on the node loop and returns the id of
   // the endpoint that has left, or an empty string.
   void Remove(const std::function<std::string(registry::LocalEndpoints&,
-                                              base::MonoTime)>& leave);
+                                              const base::Now&)>& leave);
   // Runs on the node loop: drains upstreams that were announced before their
   // departure became known.
   void DrainDepartedUpstreams();
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kDeparturesKnownTimeout{500};
 constexpr std::chrono::milliseconds kDepartureStoredTimeout{400};
 constexpr std::chrono::milliseconds kNodePollInterval{5};
+// A start that lies further in the future is not one. Clocks of a host may be
+// set by seconds.
+constexpr std::chrono::minutes kMaxClockError{1};
 
 ResultCode CodeOf(AnnouncementCheck check) {
   switch (check) {
@@ -26,12 +29,18 @@
       return ResultCode::kUnknownService;
     case AnnouncementCheck::kForeignAddress:
       return ResultCode::kForeignAddress;
+    case AnnouncementCheck::kFutureStart:
+      return ResultCode::kInvalidValue;
     case AnnouncementCheck::kAddressHeld:
       return ResultCode::kAddressHeld;
   }
   return ResultCode::kOutcomeUnknown;
 }
 
+bool IsInFuture(int64_t started_ms, base::WallTime now) {
+  return started_ms > base::ToUnixMs(now + kMaxClockError);
+}
+
 // `holder` is the start of the upstream that the report was compared with.
 void LogIgnored(std::string_view call,
                 const registry::Announcement& report,
@@ -128,9 +137,12 @@
   UpstreamInfo info;
   node_loop_.RunAndWait([&](const base::Now& now) {
     registry::LocalEndpoints& local = node_->Local();
-    check = local.Check(announcement, now.mono_);
+    check = IsInFuture(announcement.started_ms_, now.wall_)
+                ? AnnouncementCheck::kFutureStart
+                : local.Check(announcement, now.mono_);
     holder = local.HolderOf(announcement.address_, now.mono_);
-    changed = local.Announce(announcement, now.mono_);
+    changed = check != AnnouncementCheck::kFutureStart &&
+              local.Announce(announcement, now.mono_);
     draining = local.Draining(announcement.address_);
     info.endpoint_id_ = local.EndpointId(announcement.address_);
   });
@@ -168,8 +180,9 @@
                               const rpc::CrashReport& report) {
   base::LogEvent(
       base::EventId::kEndpointCrashed,
-      {{"address", address},
+      {{"endpoint", settings_.host_ + "/" + address},
        {"service", report.service()},
+       {"cause", "crashed"},
        {"crash", report.crash_id()},
        {"suspect", report.fingerprints().empty() ? std::string()
                                                  : report.fingerprints(0)}});
@@ -194,9 +207,11 @@
                  {{"endpoint", announced.endpoint_id_},
                   {"instance", announced.instance_},
                   {"started_ms", std::to_string(announced.started_ms_)},
-                  {"service", announced.service_}});
+                  {"service", announced.service_},
+                  {"cause", "replaced"}});
   node_loop_.PostTask([this, announced](const base::Now&) {
-    node_->Local().MarkReplaced(announced.address_, announced.instance_);
+    node_->Local().MarkReplaced(announced.address_, announced.instance_,
+                                announced.started_ms_);
   });
 }
 
@@ -227,7 +242,7 @@
 
 void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
   std::string instance;
-  Remove([&](registry::LocalEndpoints& local, base::MonoTime) {
+  Remove([&](registry::LocalEndpoints& local, const base::Now&) {
     instance = local.InstanceAt(address);
     local.Leave(address);
     return local.EndpointId(address);
@@ -242,10 +257,12 @@
   report.instance_ = instance;
   report.started_ms_ = started_ms;
   registry::Holder holder;
-  Remove([&](registry::LocalEndpoints& local, base::MonoTime now) {
+  Remove([&](registry::LocalEndpoints& local, const base::Now& now) {
     report.address_ = local.AddressOf(instance);
-    check = local.CheckLeave(instance, started_ms, now);
-    holder = local.HolderOf(report.address_, now);
+    check = IsInFuture(started_ms, now.wall_)
+                ? AnnouncementCheck::kFutureStart
+                : local.CheckLeave(instance, started_ms, now.mono_);
+    holder = local.HolderOf(report.address_, now.mono_);
     if (check != AnnouncementCheck::kAccepted) {
       return std::string();
     }
@@ -253,7 +270,7 @@
       return local.EndpointId(report.address_);
     }
     // A later start of the instance stays. If it is a false one, the address
-    // is still the caller's, who must not be told that it gets no requests.
+    // is still the sender's, who must not be told that it gets no requests.
     if (local.Ready(report.address_)) {
       check = AnnouncementCheck::kAddressHeld;
     }
@@ -267,12 +284,12 @@
 }
 
 void ProxyRole::Impl::Remove(
-    const std::function<std::string(registry::LocalEndpoints&, base::MonoTime)>&
-        leave) {
+    const std::function<std::string(registry::LocalEndpoints&,
+                                    const base::Now&)>& leave) {
   const std::lock_guard<std::mutex> lock(upstreams_mutex_);
   std::string id;
   node_loop_.RunAndWait(
-      [&](const base::Now& now) { id = leave(node_->Local(), now.mono_); });
+      [&](const base::Now& now) { id = leave(node_->Local(), now); });
   if (id.empty()) {
     return;
   }
--- a/src/registry/local_endpoints.cc
+++ b/src/registry/local_endpoints.cc
@@ -7,90 +7,9 @@
 #include "registry/endpoint_registry.h"
 
 namespace buckthorngate::registry {
-namespace {
-
-// Whether an announced value differs from the one in the settings, if they have
-// one.
-bool IsForeign(const std::string& in_settings, const std::string& announced) {
-  return !in_settings.empty() && announced != in_settings;
-}
-
-}  // namespace
-
 LocalEndpoints::LocalEndpoints(HostIdentity identity, base::Duration lease)
     : identity_(std::move(identity)), lease_(lease) {}
 
-AnnouncementCheck LocalEndpoints::Check(const Announcement& announcement,
-                                        base::MonoTime now) const {
-  if (IsForeign(identity_.service_, announcement.service_)) {
-    return AnnouncementCheck::kForeignService;
-  }
-  if (IsForeign(identity_.upstream_address_, announcement.address_)) {
-    return AnnouncementCheck::kForeignAddress;
-  }
-  const rpc::Departure* departure = departures_.Find(
-      identity_.host_, announcement.instance_, announcement.started_ms_);
-  if (departure != nullptr && departure->left()) {
-    // It was still in flight when the upstream deregistered.
-    return AnnouncementCheck::kStale;
-  }
-  const auto found = upstreams_.find(announcement.address_);
-  return found == upstreams_.end()
-             ? AnnouncementCheck::kAccepted
-             : CheckAgainst(found->second, announcement, now);
-}
-
-bool LocalEndpoints::Holds(const Upstream& stored,
-                           base::MonoTime last,
-                           base::MonoTime now) const {
-  return !stored.replaced_ && now - last <= lease_ / 2;
-}
-
-AnnouncementCheck LocalEndpoints::CheckAgainst(const Upstream& stored,
-                                               const Announcement& announcement,
-                                               base::MonoTime now) const {
-  const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
-  const bool same_start = announcement.instance_ == stored.instance_ &&
-                          announcement.started_ms_ == stored.started_ms_;
-  const bool same_version = announcement.version_ == stored.endpoint_.version();
-  // Numbers that are too high must not refuse the start for good.
-  const base::MonoTime last =
-      same_start && same_version ? stored.renewed_ : stored.heard_;
-  if (!Holds(stored, last, now)) {
-    return AnnouncementCheck::kAccepted;
-  }
-  if (same_start) {
-    // A drain holds for the whole start, so its report cannot come too late.
-    const bool new_drain = announcement.draining_ && !stored.draining_;
-    if (announcement.sequence_ != 0 &&
-        announcement.sequence_ <= stored.sequence_ && !new_drain) {
-      return AnnouncementCheck::kStale;
-    }
-    // A start runs one version.
-    return ready && !same_version ? AnnouncementCheck::kAddressHeld
-                                  : AnnouncementCheck::kAccepted;
-  }
-  const bool earlier = announcement.started_ms_ != 0 &&
-                       announcement.started_ms_ < stored.started_ms_;
-  return ready || earlier ? AnnouncementCheck::kAddressHeld
-                          : AnnouncementCheck::kAccepted;
-}
-
-AnnouncementCheck LocalEndpoints::CheckLeave(const std::string& instance,
-                                             int64_t started_ms,
-                                             base::MonoTime now) const {
-  const auto found = upstreams_.find(AddressOf(instance));
-  if (found == upstreams_.end() || started_ms == 0) {
-    return AnnouncementCheck::kAccepted;
-  }
-  const Upstream& stored = found->second;
-  const bool later = stored.started_ms_ != 0 && started_ms > stored.started_ms_;
-  const bool ready = stored.endpoint_.state() == rpc::ENDPOINT_STATE_READY;
-  return later && ready && Holds(stored, stored.heard_, now)
-             ? AnnouncementCheck::kAddressHeld
-             : AnnouncementCheck::kAccepted;
-}
-
 std::string LocalEndpoints::AddressOf(const std::string& instance) const {
   const auto found = std::find_if(upstreams_.begin(), upstreams_.end(),
                                   [&instance](const auto& item) {
@@ -104,17 +23,6 @@
   return found == upstreams_.end() ? std::string() : found->second.instance_;
 }
 
-Holder LocalEndpoints::HolderOf(const std::string& address,
-                                base::MonoTime now) const {
-  const auto found = upstreams_.find(address);
-  if (found == upstreams_.end()) {
-    return {};
-  }
-  const Upstream& upstream = found->second;
-  return {upstream.instance_, upstream.started_ms_, upstream.sequence_,
-          now - upstream.renewed_};
-}
-
 bool LocalEndpoints::HasState(const std::string& address,
                               rpc::EndpointState state) const {
   const auto found = upstreams_.find(address);
@@ -147,8 +55,7 @@
                        announcement.started_ms_) != nullptr;
   if (announcement.draining_ && !departing) {
     RecordDeparture(
-        announcement.instance_, announcement.started_ms_,
-        /*left=*/false,
+        announcement.instance_, announcement.started_ms_, /*left=*/false,
         IsEstablished(announcement.instance_, announcement.started_ms_));
   }
   if (closed_) {
@@ -195,18 +102,6 @@
   return true;
 }
 
-void LocalEndpoints::NoteLate(const Announcement& announcement,
-                              base::MonoTime now) {
-  const auto found = upstreams_.find(announcement.address_);
-  if (found != upstreams_.end() &&
-      found->second.endpoint_.state() == rpc::ENDPOINT_STATE_READY &&
-      found->second.instance_ == announcement.instance_ &&
-      found->second.started_ms_ == announcement.started_ms_ &&
-      found->second.endpoint_.version() == announcement.version_) {
-    found->second.heard_ = now;
-  }
-}
-
 bool LocalEndpoints::SetState(const std::string& address,
                               rpc::EndpointState state,
                               rpc::EndpointCause cause) {
@@ -221,13 +116,6 @@
   return true;
 }
 
-bool LocalEndpoints::IsEstablished(const std::string& instance,
-                                   int64_t started_ms) const {
-  const auto found = upstreams_.find(AddressOf(instance));
-  return found != upstreams_.end() && found->second.started_ms_ >= started_ms &&
-         found->second.renewed_ - found->second.first_ >= lease_ / 2;
-}
-
 void LocalEndpoints::RecordDeparture(const std::string& instance,
                                      int64_t started_ms,
                                      bool left,
@@ -322,18 +210,6 @@
                   rpc::ENDPOINT_CAUSE_CRASHED);
 }
 
-bool LocalEndpoints::MarkReplaced(const std::string& address,
-                                  const std::string& instance) {
-  const auto found = upstreams_.find(address);
-  if (found == upstreams_.end() || found->second.instance_ != instance) {
-    return false;
-  }
-  found->second.replaced_ = true;
-  return found->second.endpoint_.state() == rpc::ENDPOINT_STATE_READY &&
-         SetState(address, rpc::ENDPOINT_STATE_CRASHED,
-                  rpc::ENDPOINT_CAUSE_REPLACED);
-}
-
 void LocalEndpoints::DrainAll() {
   draining_all_ = true;
   for (const auto& [address, upstream] : upstreams_) {
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -27,6 +27,7 @@
   kStale,           // It arrived after a newer one.
   kForeignService,  // The settings name another service.
   kForeignAddress,  // The settings name another address.
+  kFutureStart,     // It names a start that lies in the future.
   kAddressHeld,     // Another start of the upstream holds the address.
 };
 
@@ -75,10 +76,11 @@
 // Single writer of the host's endpoint entries (see endpoint_registry.h).
 //
 // Anybody on the host can send an announcement. The settings decide which
-// service and address the host has. A start of an upstream (its instance, start
-// time and version) that is ready holds its address: announcements of other
-// starts are refused until it has been silent for half a lease, or is known to
-// have ended. So an upstream that goes on announcing itself keeps its entry.
+// service and address the host has. A start of an upstream (its instance and
+// start time) that is ready holds its address: announcements of other starts
+// are refused until it has not been heard for half a lease, or is known to have
+// ended. So an upstream that goes on announcing itself keeps its entry, or gets
+// it back.
 class LocalEndpoints {
  public:
   explicit LocalEndpoints(HostIdentity identity,
@@ -108,9 +110,11 @@
   bool LeaveInstance(const std::string& instance, int64_t started_ms);
   // Returns true if the upstream's entry changed.
   bool MarkCrashed(const std::string& address);
-  // Another upstream than `instance` responds at its address: the instance no
-  // longer holds it. Returns true if the upstream's entry changed.
-  bool MarkReplaced(const std::string& address, const std::string& instance);
+  // Another upstream than this start of `instance` responds at its address: the
+  // start no longer holds it. Returns true if the upstream's entry changed.
+  bool MarkReplaced(const std::string& address,
+                    const std::string& instance,
+                    int64_t started_ms);
 
   // Adds a departure that an earlier start of this daemon was told of. Returns
   // true if the entry of an upstream changed.
@@ -165,27 +169,32 @@
     uint64_t sequence_ = 0;
     bool draining_ = false;  // As reported by this start of the upstream.
     bool replaced_ = false;  // Set by MarkReplaced.
+
+    bool IsStart(const std::string& instance, int64_t started_ms) const;
+    bool IsReady() const;
   };
 
-  // Whether the stored start, which announced itself at `last`, still holds its
-  // address: that was lately, and nothing says that it is not the one that
-  // runs.
-  bool Holds(const Upstream& stored,
-             base::MonoTime last,
-             base::MonoTime now) const;
-  // Records a late announcement of the start that holds its address.
-  void NoteLate(const Announcement& announcement, base::MonoTime now);
+  // Whether half a lease has passed since.
+  bool IsSilentSince(base::MonoTime last, base::MonoTime now) const;
+  // Compares an announcement with the start that is stored for its address.
   AnnouncementCheck CheckAgainst(const Upstream& stored,
                                  const Announcement& announcement,
                                  base::MonoTime now) const;
+  static AnnouncementCheck CheckSameStart(const Upstream& stored,
+                                          const Announcement& announcement,
+                                          bool same_version);
+  static AnnouncementCheck CheckOtherStart(const Upstream& stored,
+                                           const Announcement& announcement);
+  // Records a late announcement of the start that holds its address.
+  void NoteLate(const Announcement& announcement, base::MonoTime now);
   bool HasState(const std::string& address, rpc::EndpointState state) const;
   // Returns true if the entry's state changed.
   bool SetState(const std::string& address,
                 rpc::EndpointState state,
                 rpc::EndpointCause cause);
   // Whether this start of the instance, or a later one, has announced itself
-  // here for half a lease: earlier ones are over then. Other writers' starts
-  // hardly ever do.
+  // here for half a lease: earlier ones are over then. False starts of other
+  // writers hardly ever do.
   bool IsEstablished(const std::string& instance, int64_t started_ms) const;
   // `known`: earlier starts are over. Else the departure says nothing of them.
   void RecordDeparture(const std::string& instance,
