--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -15,9 +15,6 @@
 constexpr std::chrono::milliseconds kDeparturesKnownTimeout{500};
 constexpr std::chrono::milliseconds kDepartureStoredTimeout{400};
 constexpr std::chrono::milliseconds kNodePollInterval{5};
-// A start that lies further in the future is not one. Clocks of a host may be
-// set by seconds.
-constexpr std::chrono::minutes kMaxClockError{1};
 
 ResultCode CodeOf(AnnouncementCheck check) {
   switch (check) {
@@ -29,18 +26,12 @@
       return ResultCode::kUnknownService;
     case AnnouncementCheck::kForeignAddress:
       return ResultCode::kForeignAddress;
-    case AnnouncementCheck::kFutureStart:
-      return ResultCode::kInvalidValue;
     case AnnouncementCheck::kAddressHeld:
       return ResultCode::kAddressHeld;
   }
   return ResultCode::kOutcomeUnknown;
 }
 
-bool IsInFuture(int64_t started_ms, base::WallTime now) {
-  return started_ms > base::ToUnixMs(now + kMaxClockError);
-}
-
 // `holder` is the start of the upstream that the report was compared with.
 void LogIgnored(std::string_view call,
                 const registry::Announcement& report,
@@ -137,12 +128,9 @@
   UpstreamInfo info;
   node_loop_.RunAndWait([&](const base::Now& now) {
     registry::LocalEndpoints& local = node_->Local();
-    check = IsInFuture(announcement.started_ms_, now.wall_)
-                ? AnnouncementCheck::kFutureStart
-                : local.Check(announcement, now.mono_);
+    check = local.Check(announcement, now.mono_);
     holder = local.HolderOf(announcement.address_, now.mono_);
-    changed = check != AnnouncementCheck::kFutureStart &&
-              local.Announce(announcement, now.mono_);
+    changed = local.Announce(announcement, now.mono_);
     draining = local.Draining(announcement.address_);
     info.endpoint_id_ = local.EndpointId(announcement.address_);
   });
@@ -259,9 +247,7 @@
   registry::Holder holder;
   Remove([&](registry::LocalEndpoints& local, const base::Now& now) {
     report.address_ = local.AddressOf(instance);
-    check = IsInFuture(started_ms, now.wall_)
-                ? AnnouncementCheck::kFutureStart
-                : local.CheckLeave(instance, started_ms, now.mono_);
+    check = local.CheckLeave(instance, started_ms, now.mono_);
     holder = local.HolderOf(report.address_, now.mono_);
     if (check != AnnouncementCheck::kAccepted) {
       return std::string();
--- a/src/daemon/startup/program.cc
+++ b/src/daemon/startup/program.cc
@@ -29,8 +29,8 @@
   return signals;
 }
 
-// What the host is, by the two settings, differs in these keys. A daemon keeps
-// what it had at its start.
+// Keys of the host's identity in which the two settings differ. A daemon keeps
+// the identity that it had at its start.
 std::string ChangedIdentity(const Settings& running, const Settings& read) {
   std::string keys;
   const auto compare = [&keys](const char* key, const std::string& a,
--- a/src/registry/local_endpoints.h
+++ b/src/registry/local_endpoints.h
@@ -27,7 +27,6 @@
   kStale,           // It arrived after a newer one.
   kForeignService,  // The settings name another service.
   kForeignAddress,  // The settings name another address.
-  kFutureStart,     // It names a start that lies in the future.
   kAddressHeld,     // Another start of the upstream holds the address.
 };
 
