--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "mesh.h"
+#include "../mesh.h"
 
 namespace {
 
--- a/review/mesh.cc
+++ b/review/mesh.cc
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -270,6 +271,8 @@
                                     const_cast<char*>(path.c_str()), nullptr};
   pid_ = fork();
   if (pid_ == 0) {
+    // It ends with the case, also if that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log =
         open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
     dup2(log, STDOUT_FILENO);
@@ -481,6 +484,23 @@
   return ready;
 }
 
+bool Mesh::Restart(Machine& machine, Milliseconds grace) {
+  record_.Write("SIGTERM to the daemon of " + machine.name_);
+  machine.daemon_->Signal(SIGTERM);
+  const Clock::time_point until = Clock::now() + grace;
+  std::string how;
+  while (!machine.daemon_->Ended(how)) {
+    if (Clock::now() >= until) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  WriteSettings(machine, /*first_start=*/false);
+  machine.daemon_->Start();
+  record_.Write("the daemon of " + machine.name_ + " is started again");
+  return true;
+}
+
 int Mesh::RestartEnded() {
   int ended = 0;
   for (const std::vector<std::unique_ptr<Machine>>* machines :
@@ -503,10 +523,12 @@
                    const Machine& machine,
                    std::string id,
                    Record& record,
-                   Handler handler)
+                   Handler handler,
+                   std::string version)
     : mesh_(mesh),
       machine_(machine),
       id_(std::move(id)),
+      version_(std::move(version)),
       record_(record),
       handler_(std::move(handler)),
       born_ms_(std::chrono::duration_cast<Milliseconds>(
@@ -527,6 +549,11 @@
   close(listener_);
 }
 
+size_t Endpoint::AllRuns() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return run_.size();
+}
+
 bool Endpoint::HasRun(const std::string& request) const {
   return Runs(request) > 0;
 }
@@ -538,6 +565,10 @@
 
 void Endpoint::Accept() {
   while (!stopping_) {
+    if (dark_) {
+      std::this_thread::sleep_for(kPoll);
+      continue;
+    }
     if (WaitFor(listener_, POLLIN, Clock::now() + kPoll) <= 0) {
       continue;
     }
@@ -556,6 +587,10 @@
   constexpr Milliseconds kIdleTime{10000};
   Clock::time_point idle_until = Clock::now() + kIdleTime;
   while (!stopping_ && connection.Open() && Clock::now() < idle_until) {
+    if (dark_) {
+      std::this_thread::sleep_for(kPoll);
+      continue;
+    }
     if (WaitFor(fd, POLLIN, Clock::now() + kPoll) <= 0) {
       continue;
     }
@@ -585,6 +620,9 @@
   record_.Write(id_ + " runs " + id + ": " + request.first_line_);
   for (const Piece& piece : handler_(request)) {
     std::this_thread::sleep_for(piece.pause_);
+    while (dark_ && !stopping_) {
+      std::this_thread::sleep_for(kPoll);
+    }
     const bool sent = connection.Send(piece.bytes_);
     if (!sent || piece.close_) {
       return false;
@@ -597,18 +635,18 @@
   uint64_t sequence = 0;
   Clock::time_point next = Clock::now();
   while (!stopping_) {
-    if (Clock::now() < next) {
+    if (dark_ || Clock::now() < next) {
       std::this_thread::sleep_for(kPoll);
       continue;
     }
-    const std::string body =
-        "{\"service\":" + Quoted(machine_.service_) +
-        ",\"address\":" + Quoted(mesh_.App(machine_)) +
-        ",\"zone\":" + Quoted(machine_.zone_) +
-        ",\"version\":\"v1\",\"slots\":18,\"state\":\"ready\","
-        "\"cold_remaining_s\":0,\"sequence\":" +
-        std::to_string(++sequence) + ",\"born\":" + std::to_string(born_ms_) +
-        "}";
+    const std::string body = "{\"service\":" + Quoted(machine_.service_) +
+                             ",\"address\":" + Quoted(mesh_.App(machine_)) +
+                             ",\"zone\":" + Quoted(machine_.zone_) +
+                             ",\"version\":" + Quoted(version_) +
+                             ",\"slots\":18,\"state\":\"ready\","
+                             "\"cold_remaining_s\":0,\"sequence\":" +
+                             std::to_string(++sequence) +
+                             ",\"born\":" + std::to_string(born_ms_) + "}";
     const Message answer =
         Call(mesh_.Control(machine_), "POST",
              "/instances/" + id_ + "/heartbeat", "", body, kHeartbeatTimeout);
--- a/review/mesh.h
+++ b/review/mesh.h
@@ -146,6 +146,8 @@
   bool Publish(const std::string& body, uint64_t base, Milliseconds timeout);
   // Whether each machine with an endpoint says that it is ready.
   bool AwaitReady(Milliseconds timeout);
+  // Stops a daemon with SIGTERM and starts it again. False if it did not end.
+  bool Restart(Machine& machine, Milliseconds grace);
   // Starts daemons again that ended by themselves, as the platform does.
   // Returns how many it found since the last call.
   int RestartEnded();
@@ -181,12 +183,18 @@
            const Machine& machine,
            std::string id,
            Record& record,
-           Handler handler);
+           Handler handler,
+           std::string version = "v1");
   ~Endpoint();
   Endpoint(const Endpoint&) = delete;
   Endpoint& operator=(const Endpoint&) = delete;
 
   const std::string& Id() const { return id_; }
+  // From now on the endpoint is silent: it sends and reads nothing, also no
+  // heartbeats, and its connections stay open.
+  void GoDark() { dark_ = true; }
+  // Requests that have begun to run.
+  size_t AllRuns() const;
   // Whether a request with this id has begun to run.
   bool HasRun(const std::string& request) const;
   size_t Runs(const std::string& request) const;
@@ -200,11 +208,13 @@
   Mesh& mesh_;
   const Machine& machine_;
   const std::string id_;
+  const std::string version_;
   Record& record_;
   const Handler handler_;
   const int64_t born_ms_;
   int listener_ = -1;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> dark_{false};
   std::atomic<int> serving_{0};
   mutable std::mutex mutex_;
   std::multiset<std::string> run_;
