Withdrawn keys stay refused once the last account is taken away

Cause: the number of accounts stood for two facts, whether the mesh uses accounts and which there are. DecodeAccounts opened all routes if the list was empty, also a route that says "allow_anonymous": false. By reading, the same question stood at the entry's and the destination's headers (key and forged name passed on), the proxy's lease (it would end: 503 for 401), the leader's confirmations and readiness; a list that is left out did the same as an empty one.

Why this fix works: the document decides for each route, by what it states, not by how many tenants it lists; "tenants": null is refused.

A test held the fault in place: OnlyRoutesOfConfigurationsWithAccountsRequireOne asserted that "[]" opens the routes, which the rule on withdrawn keys forbids. It is replaced by RoutesRequireAnAccountAsLongAsAccountsAreListed, nine combinations and a null list.

--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -44,6 +44,11 @@
   const std::map<std::string, AccountPtr>& Accounts() const {
     return accounts_.Items();
   }
+  // Whether the mesh has client accounts or has had some; the last one may
+  // have been taken away.
+  bool UsesAccounts() const {
+    return routing_.uses_accounts() || !accounts_.Items().empty();
+  }
   const rpc::RoutingHeader& Routing() const { return routing_; }
   const rpc::ClaimGroup& Claims() const { return claim_group_; }
   const std::set<std::string>& LiftedFingerprints() const { return lifted_; }
--- a/src/config/routing.cc
+++ b/src/config/routing.cc
@@ -1,9 +1,11 @@
 // Checks and application of the routes of the mesh.
 #include "config/routing.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "config/accounts.h"
 
@@ -42,6 +44,13 @@
   return CheckTargets(route, services);
 }
 
+bool UsesAccounts(const rpc::Routing& routing) {
+  return routing.header().uses_accounts() || routing.accounts_size() > 0 ||
+         std::any_of(
+             routing.routes().begin(), routing.routes().end(),
+             [](const rpc::Route& route) { return route.requires_account(); });
+}
+
 }  // namespace
 
 Refusal CheckRouting(const rpc::Routing& routing) {
@@ -76,7 +85,10 @@
   if (refusal.code_ != ResultCode::kOk) {
     return tl::unexpected(refusal);
   }
-  state.SetRouting(header, command.routing().routes());
+  rpc::RoutingHeader published = header;
+  published.set_uses_accounts(state.UsesAccounts() ||
+                              UsesAccounts(command.routing()));
+  state.SetRouting(std::move(published), command.routing().routes());
   state.SetAccounts(command.routing().accounts());
   return {};
 }
--- a/src/config/routing.h
+++ b/src/config/routing.h
@@ -19,8 +19,9 @@
 Refusal CheckRouting(const rpc::Routing& routing);
 
 // Replaces the routes and the client accounts if the command builds on the
-// publication that is current and is valid; else `state` is unchanged. The
-// revision is left to the caller. Errors: kBaseNotCurrent, kNumberStale and
+// publication that is current and is valid; else `state` is unchanged. A mesh
+// that has had accounts stays one that uses them (ConfigState::UsesAccounts).
+// The revision is left to the caller. Errors: kBaseNotCurrent, kNumberStale and
 // those of CheckRouting. Deterministic.
 tl::expected<void, Refusal> ApplyRouting(const rpc::RoutingCommand& command,
                                          ConfigState& state);
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -148,9 +148,9 @@
   co_return answer;
 }
 
-bool Destination::HasAccounts() const {
+bool Destination::UsesAccounts() const {
   const std::shared_ptr<const request::MeshView> view = board_.View().Read();
-  return board_.Authority().IsEnforced() || !view->accounts_->Empty();
+  return board_.Authority().IsEnforced() || view->accounts_->InUse();
 }
 
 http::RequestHead Destination::UpstreamHead(const Upstream& upstream,
@@ -165,8 +165,9 @@
     head.headers_.Set(request::kBelowRetryHeader, "1");
   }
   SetOrErase(head.headers_, dialect_.caller_service_, request.caller_service_);
-  // In a mesh without accounts the header has no meaning and passes unchanged.
-  if (!request.account_.empty() || HasAccounts()) {
+  // In a mesh that uses no accounts the header has no meaning and passes
+  // unchanged.
+  if (!request.account_.empty() || UsesAccounts()) {
     SetOrErase(head.headers_, dialect_.account_name_, request.account_);
   }
   if (!dialect_.expected_instance_.empty()) {
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -157,8 +157,8 @@
                     base::MonoTime arrived,
                     base::MonoTime began,
                     ResultCode code) const;
-  // Whether the configuration has client accounts.
-  bool HasAccounts() const;
+  // Whether the mesh has client accounts, or has had some.
+  bool UsesAccounts() const;
   // Head of the request as sent to the upstream.
   http::RequestHead UpstreamHead(const Upstream& upstream,
                                  const HopRequest& request) const;
--- a/src/daemon/serving/entry_account.cc
+++ b/src/daemon/serving/entry_account.cc
@@ -13,15 +13,19 @@
   const bool authority =
       entry_.board_.Authority().IsValid(entry_.clock_.Read().boot_);
   accounts_ = entry_.board_.View().Read()->accounts_;
-  if (!authority) {
-    return required ? ResultCode::kAuthorityExpired : ResultCode::kOk;
-  }
   const std::vector<http::Header>& headers = call_.Head().headers_.Items();
   const auto is_key = [this](const http::Header& header) {
     return http::EqualsIgnoringCase(header.name_, dialect_.account_key_);
   };
   const auto key = std::find_if(headers.begin(), headers.end(), is_key);
-  if (key == headers.end() || key->value_.empty()) {
+  const bool has_key = key != headers.end() && !key->value_.empty();
+  const bool key_must_hold =
+      required ||
+      (has_key && accounts_->InUse() && match_.route_->refuses_unknown_keys());
+  if (!authority) {
+    return key_must_hold ? ResultCode::kAuthorityExpired : ResultCode::kOk;
+  }
+  if (!has_key) {
     return required ? ResultCode::kAccountKeyMissing : ResultCode::kOk;
   }
   // A repeated header does not say which of its values is meant. A list in one
@@ -30,8 +34,8 @@
   if (!repeated) {
     account_ = accounts_->FindByKey(key->value_);
   }
-  return account_ == nullptr && required ? ResultCode::kAccountKeyUnknown
-                                         : ResultCode::kOk;
+  return account_ == nullptr && key_must_hold ? ResultCode::kAccountKeyUnknown
+                                              : ResultCode::kOk;
 }
 
 ResultCode Entry::Call::ConfirmAccount() {
@@ -46,7 +50,7 @@
 }
 
 void Entry::Call::EraseAccountHeaders(http::Headers& headers) const {
-  if (accounts_->Empty() && !entry_.board_.Authority().IsEnforced()) {
+  if (!accounts_->InUse() && !entry_.board_.Authority().IsEnforced()) {
     return;
   }
   headers.Erase(dialect_.account_key_);
--- a/src/daemon/serving/entry_call.h
+++ b/src/daemon/serving/entry_call.h
@@ -62,16 +62,17 @@
   http::Task<ResultCode> Prepare();
   ResultCode MatchRoute();
   // entry_account.cc: finds the account whose key the caller sent and sets
-  // account_. Result codes: kOk, or if the route requires an account:
-  // kAuthorityExpired, kAccountKeyMissing, kAccountKeyUnknown. Without a valid
-  // lease no key identifies an account.
+  // account_. Result codes: kOk, or if the route requires an account, or
+  // refuses unknown keys and there is one: kAuthorityExpired,
+  // kAccountKeyMissing, kAccountKeyUnknown. Without a valid lease no key
+  // identifies an account.
   ResultCode IdentifyAccount();
   // Repeats the check before the request leaves the entry: it may have waited
   // for its body or its claim, or the process may have been suspended.
   ResultCode ConfirmAccount();
   // Erases the caller's key, which must not leave the entry, and its claim to
-  // an account. In a mesh without accounts both headers have no meaning and
-  // are kept.
+  // an account. In a mesh that uses no accounts both headers have no meaning
+  // and are kept.
   void EraseAccountHeaders(http::Headers& headers) const;
   // Priority of the account if it has one, else of the route.
   uint32_t Priority() const;
--- a/src/daemon/serving/proxy_ready.cc
+++ b/src/daemon/serving/proxy_ready.cc
@@ -16,7 +16,7 @@
     return false;
   }
   const bool awaits_authority =
-      !view->accounts_->Empty() && board_.Authority().IsPending();
+      view->accounts_->InUse() && board_.Authority().IsPending();
   return !awaits_authority ||
          clock_.Read().mono_ - created_ >= kMaxAuthorityWait;
 }
--- a/src/distribution/proxy_authority.cc
+++ b/src/distribution/proxy_authority.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 bool ProxyNode::NeedsAuthority() const {
-  return authority_.Enforced() && !config_.State().Accounts().empty();
+  return authority_.Enforced() && config_.State().UsesAccounts();
 }
 
 bool ProxyNode::AuthorityOverdue(const base::Now& now) const {
--- a/src/distribution/source_heartbeats.cc
+++ b/src/distribution/source_heartbeats.cc
@@ -60,7 +60,7 @@
 }
 
 bool SourceNode::ConfirmsAuthority() const {
-  return !state_.Config().Accounts().empty();
+  return state_.Config().UsesAccounts();
 }
 
 void SourceNode::SendConfirmations(const base::Now& now) {
--- a/src/request/account_table.cc
+++ b/src/request/account_table.cc
@@ -18,9 +18,11 @@
 }  // namespace
 
 std::shared_ptr<const AccountTable> AccountTable::Build(
-    const Accounts& accounts) {
+    const Accounts& accounts,
+    bool in_use) {
   std::shared_ptr<AccountTable> table = std::make_shared<AccountTable>();
   table->accounts_ = accounts;
+  table->in_use_ = in_use;
   for (const auto& [name, account] : table->accounts_) {
     for (const std::string& digest : account->key_digests()) {
       if (digest.size() == base::kSha256Bytes) {
--- a/src/request/account_table.h
+++ b/src/request/account_table.h
@@ -24,14 +24,18 @@
  public:
   using Accounts = std::map<std::string, config::AccountPtr>;
 
-  static std::shared_ptr<const AccountTable> Build(const Accounts& accounts);
+  // `in_use`: see config::ConfigState::UsesAccounts.
+  static std::shared_ptr<const AccountTable> Build(const Accounts& accounts,
+                                                   bool in_use);
 
   // Null if no account holds the key.
   const rpc::ClientAccount* FindByKey(std::string_view key) const;
   const rpc::ClientAccount* FindByDigest(std::string_view digest) const;
   const rpc::ClientAccount* FindByName(const std::string& name) const;
 
-  bool Empty() const { return accounts_.empty(); }
+  // Whether keys have a meaning in the mesh; the table may be empty all the
+  // same.
+  bool InUse() const { return in_use_; }
   const Accounts& Items() const { return accounts_; }
 
  private:
@@ -41,6 +45,7 @@
   };
 
   Accounts accounts_;
+  bool in_use_ = false;
   // By the first bytes of the digest. The rest is compared in constant time, so
   // that response times don't tell how much of a digest matches.
   std::unordered_multimap<uint64_t, KeyEntry> by_digest_;
--- a/src/request/mesh_view.cc
+++ b/src/request/mesh_view.cc
@@ -123,8 +123,9 @@
     routes_revision_ = config.Revision();
   }
   view->routes_ = routes_;
-  if (accounts_->Items() != config.Accounts()) {
-    accounts_ = AccountTable::Build(config.Accounts());
+  if (accounts_->Items() != config.Accounts() ||
+      accounts_->InUse() != config.UsesAccounts()) {
+    accounts_ = AccountTable::Build(config.Accounts(), config.UsesAccounts());
   }
   view->accounts_ = accounts_;
   for (const std::string& service : endpoints.TakeChangedServices()) {
--- a/src/request/mesh_view.h
+++ b/src/request/mesh_view.h
@@ -49,7 +49,8 @@
   size_t daemon_count_ = 1;
   std::shared_ptr<const RouteTable> routes_;
   // Never null. The same object in all views whose accounts are equal.
-  std::shared_ptr<const AccountTable> accounts_ = AccountTable::Build({});
+  std::shared_ptr<const AccountTable> accounts_ =
+      AccountTable::Build({}, /*in_use=*/false);
   // Unchanged services are shared between views.
   std::unordered_map<std::string, std::shared_ptr<const ServiceView>> services_;
   // See VersionInUse. By service, for services whose endpoints announce
@@ -104,7 +105,8 @@
   std::unordered_map<std::string, std::string> versions_in_use_;
   std::shared_ptr<const RouteTable> routes_;
   uint64_t routes_revision_ = 0;
-  std::shared_ptr<const AccountTable> accounts_ = AccountTable::Build({});
+  std::shared_ptr<const AccountTable> accounts_ =
+      AccountTable::Build({}, /*in_use=*/false);
   size_t max_daemon_count_ = 1;
   const std::unique_ptr<EvacuationFilter> evacuation_filter_;
 };
--- a/tests/account_daemon_test.cc
+++ b/tests/account_daemon_test.cc
@@ -18,7 +18,11 @@
 constexpr char kKey[] = "key-7f3c1e";
 constexpr char kOtherKey[] = "key-55aa01";
 
-std::string Configuration(int number, const std::string& tenants) {
+// Without `tenants` the configuration lacks the list. `shop` is added to the
+// rule of "/shop/".
+std::string Configuration(int number,
+                          const std::string& tenants,
+                          const std::string& shop = "") {
   const std::string rule =
       R"("route_type":"safe","target_latency_s":1.0,"priority":1,)"
       R"("action":{"service":"shop","timeout_s":4,"max_attempts":2},)";
@@ -26,10 +30,11 @@
          R"(,"limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
          R"("header_timeout_s":3,"idle_timeout_s":15},"listeners":[)"
          R"({"host":"h","rules":[{"name":"r",)" +
-         rule + R"("match":{"path_prefix":"/shop/"}},{"name":"open",)" + rule +
+         rule + shop + R"("match":{"path_prefix":"/shop/"}},{"name":"open",)" +
+         rule +
          R"("allow_anonymous":true,"match":{"path_prefix":"/open/"}}]}],)"
-         R"("clusters":[{"name":"shop"}],"tenants":)" +
-         tenants + "}";
+         R"("clusters":[{"name":"shop"}])" +
+         (tenants.empty() ? "" : R"(,"tenants":)" + tenants) + "}";
 }
 
 const std::string kTwoTenants =
@@ -38,12 +43,11 @@
 
 class AccountShop {
  public:
-  AccountShop() {
-    daemon_.SetRevocationBound(std::chrono::seconds(5));
+  explicit AccountShop(
+      std::chrono::milliseconds bound = std::chrono::seconds(5)) {
+    daemon_.SetRevocationBound(bound);
     daemon_.Start();
-    HeartbeatFields own;
-    own.address_ = "127.0.0.1:" + std::to_string(upstream_.Port());
-    BOOST_REQUIRE(daemon_.Beat(own) == 200);
+    Beat();
     BOOST_REQUIRE(daemon_.AwaitServed("/shop/first"));
     BOOST_REQUIRE(
         daemon_.PutConfiguration("7", Configuration(8, kTwoTenants)) == 200);
@@ -53,6 +57,13 @@
     BOOST_REQUIRE(daemon_.Get("/shop/served", {{kKeyHeader, kKey}}) == 200);
   }
 
+  void Beat() {
+    HeartbeatFields own;
+    own.address_ = "127.0.0.1:" + std::to_string(upstream_.Port());
+    own.sequence_ = ++beats_;
+    BOOST_REQUIRE(daemon_.Beat(own) == 200);
+  }
+
   // All values of the header in the requests with this path.
   std::vector<std::string> Values(const std::string& path,
                                   const std::string& header) const {
@@ -78,8 +89,42 @@
     }
   }
 
+  // Whether the callers' requests are answered with these statuses: without a
+  // key, and with keys that were withdrawn or never were.
+  void ExpectStatuses(const std::string& path, int without, int with) {
+    BOOST_TEST(daemon_.Get(path) == without, path);
+    for (const char* key : {kKey, kOtherKey, "unknown"}) {
+      BOOST_TEST(daemon_.Get(path, {{kKeyHeader, key}}) == with, path + key);
+    }
+  }
+
+  // Publishes, waits until the second key is refused, and checks the requests
+  // to all routes, before and after a restart.
+  void ExpectNoKeyAfter(const std::string& configuration, int without) {
+    BOOST_REQUIRE(daemon_.PutConfiguration("8", configuration) == 200);
+    const httplib::Headers key = {{kKeyHeader, kOtherKey}};
+    BOOST_TEST(PollUntil([&] { return daemon_.Get("/shop/late", key) == 401; },
+                         std::chrono::seconds(5)));
+    ExpectStatuses("/shop/after", without, 401);
+    ExpectStatuses("/open/after", 200, 200);
+    BOOST_TEST(daemon_.Get("/open/after", {{kNameHeader, "one"}}) == 200);
+    daemon_.Stop();
+    daemon_.Start();
+    Beat();
+    BOOST_REQUIRE(daemon_.AwaitServed("/open/again"));
+    BOOST_TEST(
+        PollUntil([&] { return daemon_.Get("/shop/again", key) == 401; }));
+    ExpectStatuses("/shop/after", without, 401);
+    ExpectAccount("/shop/after", {});
+    ExpectAccount("/open/after", {});
+    // The requests without a key, before and after the restart.
+    BOOST_TEST(upstream_.Calls("/shop/after").size() ==
+               (without == 200 ? 2u : 0u));
+  }
+
   PlatformDaemon daemon_;
   RecordingUpstream upstream_;
+  uint64_t beats_ = 0;
 };
 
 // Guards against upstreams that see a key, or an account's name that the caller
@@ -140,6 +185,26 @@
   BOOST_TEST(metrics.find(kOtherKey) == std::string::npos);
 }
 
+// Guards against withdrawn and unknown keys that are served, or handed to
+// upstreams, once the last account is taken away: the list may then be empty or
+// missing. Without the list no key is needed, unless the route says so.
+BOOST_AUTO_TEST_CASE(NoKeyIsServedOnceTheLastAccountIsGone) {
+  const std::string forbidden = R"("allow_anonymous":false,)";
+  const std::chrono::seconds unbounded{0};
+  BOOST_TEST_CONTEXT("empty list") {
+    AccountShop(unbounded).ExpectNoKeyAfter(Configuration(9, "[]"), 401);
+  }
+  BOOST_TEST_CONTEXT("empty list, stated in the rule") {
+    AccountShop().ExpectNoKeyAfter(Configuration(9, "[]", forbidden), 401);
+  }
+  BOOST_TEST_CONTEXT("no list") {
+    AccountShop(unbounded).ExpectNoKeyAfter(Configuration(9, ""), 200);
+  }
+  BOOST_TEST_CONTEXT("no list, stated in the rule") {
+    AccountShop().ExpectNoKeyAfter(Configuration(9, "", forbidden), 401);
+  }
+}
+
 // Guards against answers to operators that repeat a key, which are logged.
 BOOST_AUTO_TEST_CASE(RefusedAccountsAreAnsweredWithoutTheirKeys) {
   AccountShop shop;
--- a/tests/account_entry_test.cc
+++ b/tests/account_entry_test.cc
@@ -149,6 +149,37 @@
   BOOST_TEST(entry.hop_->last_.head_.headers_.Find(kNameHeader) == "own");
 }
 
+// Guards against keys that are served, or handed to upstreams, once no account
+// is left.
+BOOST_AUTO_TEST_CASE(NoKeyIsServedOrPassedOnOnceAccountsAreGone) {
+  EntryHarnessOptions options = MakeOptions();
+  options.accounts_.clear();
+  options.uses_accounts_ = true;
+  options.refuses_unknown_keys_ = true;
+  AccountEntry required(options);
+  BOOST_TEST(required.Call({{kKeyHeader, kKey}}) == 401);
+  BOOST_TEST(required.Call({}) == 401);
+  BOOST_TEST(required.hop_->runs_ == 0);
+  // A configuration that says nothing of accounts any more.
+  options.requires_account_ = false;
+  AccountEntry ended(options);
+  BOOST_TEST(ended.Call({{kKeyHeader, kKey}}) == 401);
+  BOOST_TEST(ended.hop_->runs_ == 0);
+  BOOST_TEST(ended.Call({{kNameHeader, "one"}}) == 200);
+  BOOST_TEST(!ended.hop_->last_.head_.headers_.Has(kNameHeader));
+  // A host that is cut off can't tell what keys hold by now.
+  options.revocation_bound_ = std::chrono::seconds(5);
+  AccountEntry cut_off(options);
+  BOOST_TEST(cut_off.Call({{kKeyHeader, kKey}}) == 503);
+  BOOST_TEST(cut_off.Call({}) == 200);
+  // A route for anonymous callers.
+  options.refuses_unknown_keys_ = false;
+  AccountEntry anonymous(options);
+  BOOST_TEST(anonymous.Call({{kKeyHeader, kKey}, {kNameHeader, "one"}}) == 200);
+  BOOST_TEST(!anonymous.hop_->last_.head_.headers_.Has(kKeyHeader));
+  BOOST_TEST(!anonymous.hop_->last_.head_.headers_.Has(kNameHeader));
+}
+
 // Guards against an entry that accepts keys without knowing that they are
 // current: before its first lease, after the lease, and after a revocation.
 BOOST_AUTO_TEST_CASE(KeysAreAcceptedOnlyUnderAValidLease) {
--- a/tests/account_test.cc
+++ b/tests/account_test.cc
@@ -57,6 +57,7 @@
   return state;
 }
 
+// Without `tenants` the configuration lacks the list.
 std::string Configuration(const std::string& tenants,
                           const std::string& rule = "") {
   return R"({"version":7,"limits":{"max_header_bytes":16384,)"
@@ -65,8 +66,21 @@
          R"({"name":"r","route_type":"unsafe","target_latency_s":0.5,)" +
          rule +
          R"("match":{"path_prefix":"/a/"},"action":{"service":"x",)"
-         R"("timeout_s":1.2}}]}],"clusters":[{"name":"x"}],"tenants":)" +
-         tenants + "}";
+         R"("timeout_s":1.2}}]}],"clusters":[{"name":"x"}])" +
+         (tenants.empty() ? "" : R"(,"tenants":)" + tenants) + "}";
+}
+
+// A publication of the platform, as the sources apply it.
+void Publish(const std::string& text, config::ConfigState& state) {
+  const auto routing = platform::DecodeConfiguration(text);
+  BOOST_REQUIRE_MESSAGE(routing.has_value(), text);
+  rpc::RoutingCommand command;
+  command.set_base_number(state.Routing().number());
+  *command.mutable_routing() = *routing;
+  command.mutable_routing()->mutable_header()->set_number(
+      command.base_number() + 1);
+  BOOST_REQUIRE(config::ApplyRouting(command, state).has_value());
+  state.SetRevision(state.Revision() + 1);
 }
 
 // Guards against keys that are not found, or are found in another account.
@@ -77,7 +91,8 @@
   none.set_name("none");
   const std::shared_ptr<const request::AccountTable> table =
       request::AccountTable::Build(
-          MakeState(1, {MakeAccount("one", kKey), two, none}).Accounts());
+          MakeState(1, {MakeAccount("one", kKey), two, none}).Accounts(),
+          /*in_use=*/true);
   BOOST_REQUIRE(table->FindByKey(kKey) != nullptr);
   BOOST_TEST(table->FindByKey(kKey)->name() == "one");
   BOOST_TEST(table->FindByKey("k2")->name() == "two");
@@ -156,6 +171,35 @@
   BOOST_TEST(copy.Accounts().at("a")->key_digests(0) == base::Sha256("2"));
 }
 
+// Guards against a mesh that forgets that it has had accounts, with its last
+// one, in a delta, a snapshot or a restart of a source: keys that were taken
+// away would be served, and handed to upstreams.
+BOOST_AUTO_TEST_CASE(AMeshThatHasHadAccountsStaysOneThatUsesThem) {
+  const std::string one = R"([{"name":"one","api_keys":["k"]}])";
+  config::ConfigState source;
+  Publish(Configuration(""), source);
+  BOOST_TEST(!source.UsesAccounts());
+  Publish(Configuration(one), source);
+  config::ConfigState proxy;
+  BOOST_REQUIRE((proxy.ApplySnapshot(source.ToSnapshot()) == ResultCode::kOk));
+  for (const std::string tenants : {"[]", "", "", "[]"}) {
+    const config::ConfigState older = source;
+    Publish(Configuration(tenants), source);
+    BOOST_REQUIRE((proxy.ApplyDelta(config::MakeDelta(older, source)) ==
+                   ResultCode::kOk));
+    config::ConfigState restarted;
+    BOOST_REQUIRE(
+        (restarted.ApplySnapshot(source.ToSnapshot()) == ResultCode::kOk));
+    for (const config::ConfigState* state : {&source, &proxy, &restarted}) {
+      BOOST_TEST(state->Accounts().empty());
+      BOOST_TEST(state->UsesAccounts());
+      const rpc::Route& route = *state->Routes().begin()->second;
+      BOOST_TEST(route.requires_account() == !tenants.empty());
+      BOOST_TEST(route.refuses_unknown_keys());
+    }
+  }
+}
+
 // Guards against a change of the digest and the bytes of meshes without
 // accounts, whose daemons may be of different releases.
 BOOST_AUTO_TEST_CASE(AConfigurationWithoutAccountsKeepsItsDigest) {
@@ -187,15 +231,31 @@
   BOOST_TEST(routing->routes(0).requires_account());
 }
 
-BOOST_AUTO_TEST_CASE(OnlyRoutesOfConfigurationsWithAccountsRequireOne) {
-  const std::string tenants = R"([{"name":"one","api_keys":["k"]}])";
-  const auto anonymous = platform::DecodeConfiguration(
-      Configuration(tenants, R"("allow_anonymous":true,)"));
-  BOOST_REQUIRE(anonymous.has_value());
-  BOOST_TEST(!anonymous->routes(0).requires_account());
-  const auto none = platform::DecodeConfiguration(Configuration("[]"));
-  BOOST_REQUIRE(none.has_value());
-  BOOST_TEST(!none->routes(0).requires_account());
+// Guards against routes that are opened to everybody by taking the last account
+// away, and against routes that require a key where nobody has ever had one.
+BOOST_AUTO_TEST_CASE(RoutesRequireAnAccountAsLongAsAccountsAreListed) {
+  const std::string one = R"([{"name":"one","api_keys":["k"]}])";
+  const std::string allowed = R"("allow_anonymous":true,)";
+  const std::string forbidden = R"("allow_anonymous":false,)";
+  struct RequirementCase {
+    std::string tenants_;
+    std::string rule_;
+    bool required_;
+  };
+  const RequirementCase cases[] = {
+      {one, "", true},  {one, forbidden, true},  {one, allowed, false},
+      {"[]", "", true}, {"[]", forbidden, true}, {"[]", allowed, false},
+      {"", "", false},  {"", forbidden, true},   {"", allowed, false},
+  };
+  for (const RequirementCase& item : cases) {
+    const auto routing =
+        platform::DecodeConfiguration(Configuration(item.tenants_, item.rule_));
+    BOOST_REQUIRE(routing.has_value());
+    BOOST_TEST(routing->routes(0).requires_account() == item.required_,
+               item.tenants_ + " " + item.rule_);
+  }
+  // Says neither that there are accounts nor that there are none.
+  BOOST_TEST(!platform::DecodeConfiguration(Configuration("null")).has_value());
 }
 
 // Guards against error texts that repeat a key: they are logged and answered.
--- a/tests/authority_test.cc
+++ b/tests/authority_test.cc
@@ -107,7 +107,8 @@
   // As the entry decides: first the lease, then the key.
   bool Accepts(const std::string& proxy, const std::string& key) {
     return Alive(proxy) && HoldsLease(proxy) &&
-           request::AccountTable::Build(Proxy(proxy).Config().Accounts())
+           request::AccountTable::Build(Proxy(proxy).Config().Accounts(),
+                                        /*in_use=*/true)
                    ->FindByKey(key) != nullptr;
   }
 
@@ -366,6 +367,24 @@
   BOOST_TEST(!proxy.Authority().IsValid(then.boot_));
 }
 
+// Guards against leases that end with the last account: the proxies would
+// answer each key with 503 instead of 401, and without end.
+BOOST_AUTO_TEST_CASE(TheLeaseOutlastsTheLastAccount) {
+  ForEachSeed([](uint64_t seed) {
+    KeyMesh mesh(seed);
+    rpc::RoutingCommand command = MakeCommand(1, 2, /*revoked=*/true);
+    command.mutable_routing()->clear_accounts();
+    BOOST_REQUIRE(mesh.Order(command));
+    mesh.Run(std::chrono::seconds(3));
+    mesh.Run(std::chrono::seconds(10), [&mesh] {
+      for (const std::string& proxy : mesh.ProxyIds()) {
+        BOOST_REQUIRE_MESSAGE(mesh.HoldsLease(proxy), proxy << " lost it");
+        BOOST_REQUIRE(!mesh.Accepts(proxy, kKept));
+      }
+    });
+  });
+}
+
 // Guards against leases from a leader that another one has replaced.
 BOOST_AUTO_TEST_CASE(LeaderThatWasDeposedWithoutKnowing) {
   ForEachSeed([](uint64_t seed) {
--- a/tests/entry_harness.cc
+++ b/tests/entry_harness.cc
@@ -138,8 +138,12 @@
   route.set_large_body(options.large_body_route_);
   route.set_timeout_ms(static_cast<uint32_t>(options.route_timeout_.count()));
   route.set_requires_account(options.requires_account_);
+  route.set_refuses_unknown_keys(options.refuses_unknown_keys_);
   route.set_priority(options.route_priority_);
   config.Put(state);
+  rpc::RoutingHeader header;
+  header.set_uses_accounts(options.uses_accounts_);
+  config.SetRouting(header, {});
   config.SetAccounts({options.accounts_.begin(), options.accounts_.end()});
   config.SetRevision(1);
   registry::EndpointRegistry endpoints;
--- a/tests/entry_harness.h
+++ b/tests/entry_harness.h
@@ -67,6 +67,9 @@
   bool large_body_route_ = false;
   std::vector<rpc::ClientAccount> accounts_;
   bool requires_account_ = false;
+  bool refuses_unknown_keys_ = false;
+  // The mesh has had accounts.
+  bool uses_accounts_ = false;
   uint32_t route_priority_ = 0;
   // With a bound, keys are accepted only after ConfirmAuthority.
   base::Duration revocation_bound_{0};
