quota_gate_test: a request has begun when Acquire returns

The test took the demand, and looked for the wake-up, before the request that it had spawned ran: a coroutine begins some turns of the loop after Spawn.

Acquire waits for a task that the coroutine posts before it calls the gate: the loop has one thread, so it gets to the task once the coroutine is suspended in the gate. No check or bound has changed.

--- a/tests/quota_gate_test.cc
+++ b/tests/quota_gate_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <future>
 #include <optional>
 #include <thread>
 
@@ -30,8 +31,11 @@
   }
   ~GateHarness() { loop_.Stop(); }
 
+  // Returns once the request waits for its decision.
   void Acquire() {
-    loop_.RunAndWait([this] { loop_.Spawn(Run()); });
+    std::promise<void> waits;
+    loop_.Post([this, &waits] { loop_.Spawn(Run(waits)); });
+    waits.get_future().wait();
   }
   bool Decided() {
     bool decided = false;
@@ -68,7 +72,11 @@
   int Wakes() const { return wakes_; }
 
  private:
-  http::Task<void> Run() { decision_ = co_await gate_.Acquire("a", kMaxWait); }
+  http::Task<void> Run(std::promise<void>& waits) {
+    // The loop gets to it only once this coroutine is suspended.
+    loop_.Post([&waits] { waits.set_value(); });
+    decision_ = co_await gate_.Acquire("a", kMaxWait);
+  }
 
   base::SystemClock clock_;
   http::EventLoop loop_;
