Malformed requests and failed handlers: one log line with the id, and a metric

A body that is malformed was logged twice, once with a status that need not be the one the caller got. E505 now has the request's id, and is the only line. Handlers of the event loop that an exception has left are counted in buckthorngate_failed_handlers_total. RunAndWait returns, as before, if the loop ends without having run the task; found on reading the diff, not by a run.

--- a/src/blackboard/metrics.cc
+++ b/src/blackboard/metrics.cc
@@ -140,6 +140,8 @@
                static_cast<double>(pipelined_.load()));
   AppendSample(out, "buckthorngate_pipeline_cancelled_total",
                static_cast<double>(pipeline_cancelled_.load()));
+  AppendSample(out, "buckthorngate_failed_handlers_total",
+               static_cast<double>(failed_handlers_.load()));
   AppendSample(out, "buckthorngate_control_bytes_total{direction=\"in\"}",
                static_cast<double>(control_bytes_in_.load()));
   AppendSample(out, "buckthorngate_control_bytes_total{direction=\"out\"}",
--- a/src/blackboard/metrics.h
+++ b/src/blackboard/metrics.h
@@ -54,6 +54,8 @@
   void CountIgnoredReport(ResultCode code);
   void SetControlBytes(uint64_t in, uint64_t out);
   void SetRevision(uint64_t revision) { revision_ = revision; }
+  // Handlers of the request path that an exception has left, since the start.
+  void SetFailedHandlers(uint64_t count) { failed_handlers_ = count; }
   // Whether the zone of this host is evacuated.
   void SetZoneEvacuated(bool evacuated) { zone_evacuated_ = evacuated; }
   // Number of endpoints of this host that are cold and limited.
@@ -77,6 +79,7 @@
   std::atomic<uint64_t> retries_{0};
   std::atomic<uint64_t> pipelined_{0};
   std::atomic<uint64_t> pipeline_cancelled_{0};
+  std::atomic<uint64_t> failed_handlers_{0};
   std::atomic<uint64_t> control_bytes_in_{0};
   std::atomic<uint64_t> control_bytes_out_{0};
   std::atomic<uint64_t> revision_{0};
--- a/src/daemon/control/blocking_server.cc
+++ b/src/daemon/control/blocking_server.cc
@@ -86,9 +86,10 @@
         server_(loop_, *this),
         pool_(limits.threads_) {
     server_.SetLimits(limits_.server_);
-    server_.OnMalformed([this](int status, std::string_view what) {
-      LogRefused(status, std::string(what));
-    });
+    server_.OnMalformed(
+        [this](int status, std::string_view what, std::string_view /*id*/) {
+          LogRefused(status, std::string(what));
+        });
     server_.OnCut([this](const http::CutCall& call) {
       serving::LogCutCall(limits_.name_, call);
     });
--- a/src/daemon/serving/entry_call.cc
+++ b/src/daemon/serving/entry_call.cc
@@ -6,7 +6,6 @@
 
 #include "base/events.h"
 #include "base/hash.h"
-#include "base/http_status.h"
 #include "request/claim_ledger.h"
 #include "request/hop_headers.h"
 
@@ -312,9 +311,9 @@
 http::Task<void> Entry::Call::Run() {
   const ResultCode prepared = co_await Prepare();
   if (prepared == ResultCode::kCallerGone && !call_.Failure().empty()) {
-    // The caller is there, its body is malformed: the connection answers that.
+    // The caller is there, its body is malformed: the connection answers and
+    // logs that.
     entry_.board_.DaemonMetrics().CountResult(prepared);
-    LogRequestDone(base::kStatusBadRequest, prepared);
     co_return;
   }
   if (prepared != ResultCode::kOk) {
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -126,11 +126,13 @@
   destination_.OnReplaced(
       [this](const UpstreamInfo& announced) { OnReplaced(announced); });
   peers_.SetLimits(PeerLimits(http::ServerLimits()));
-  callers_.OnMalformed([](int status, std::string_view what) {
-    base::LogEvent(
-        base::EventId::kCallerMalformed,
-        {{"status", std::to_string(status)}, {"what", std::string(what)}});
-  });
+  callers_.OnMalformed(
+      [](int status, std::string_view what, std::string_view id) {
+        base::LogEvent(base::EventId::kCallerMalformed,
+                       {{"request", std::string(id)},
+                        {"status", std::to_string(status)},
+                        {"what", std::string(what)}});
+      });
   callers_.OnCut([this](const http::CutCall& call) {
     RecordCutCall(blackboard::CallSide::kEntry, call);
   });
@@ -168,6 +170,7 @@
     RemoveUpstream(address);
   };
   handlers.metrics_ = [this] {
+    board_.DaemonMetrics().SetFailedHandlers(loop_.FailedHandlers());
     return board_.DaemonMetrics().Render() + board_.RenderRetries() +
            board_.RenderMoves() + quota_.Render() +
            board_.Authority().Render(clock_.Read().boot_);
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -51,18 +51,25 @@
 }
 
 void EventLoop::RunAndWait(const std::function<void()>& task) {
-  std::shared_ptr<std::promise<void>> done =
-      std::make_shared<std::promise<void>>();
-  std::future<void> result = done->get_future();
-  Post([task, done] {
+  struct Outcome {
+    std::promise<void> done_;
+    std::exception_ptr failure_;
+  };
+  const std::shared_ptr<Outcome> outcome = std::make_shared<Outcome>();
+  std::future<void> done = outcome->done_.get_future();
+  Post([task, outcome] {
     try {
       task();
-      done->set_value();
     } catch (...) {
-      done->set_exception(std::current_exception());
+      outcome->failure_ = std::current_exception();
     }
+    outcome->done_.set_value();
   });
-  result.get();
+  // Also returns if the loop ends without having run the task.
+  done.wait();
+  if (outcome->failure_ != nullptr) {
+    std::rethrow_exception(outcome->failure_);
+  }
 }
 
 void EventLoop::AwaitZero(const std::function<int64_t()>& count,
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -114,11 +114,11 @@
   const ServerLimits& Limits() const { return limits_; }
   size_t OpenCalls() const { return open_calls_; }
 
-  // Told of requests that are malformed or exceed a limit.
-  void OnMalformed(
-      std::function<void(int status, std::string_view what)> told) {
-    on_malformed_ = std::move(told);
-  }
+  // Told of requests that are malformed or exceed a limit; `id` is empty unless
+  // the fault is in the body of a request that has named itself.
+  using MalformedTold = std::function<
+      void(int status, std::string_view what, std::string_view id)>;
+  void OnMalformed(MalformedTold told) { on_malformed_ = std::move(told); }
 
   // Told of each request that was read whole, or whose answer had begun, and
   // that ends without a whole answer.
@@ -153,7 +153,7 @@
   // Those of `open_calls_` that were begun behind another.
   size_t pipelined_calls_ = 0;
   std::set<Connection*> connections_;
-  std::function<void(int, std::string_view)> on_malformed_;
+  MalformedTold on_malformed_;
   std::function<void(const CutCall&)> on_cut_;
   std::function<void()> on_pipelined_;
   std::function<void(std::string_view)> on_pipeline_cancelled_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -164,7 +164,8 @@
 Task<void> Server::Connection::AnswerMalformed(const ErrorCode& error) {
   const int status = StatusOfError(error);
   if (server_->on_malformed_) {
-    server_->on_malformed_(status, error.message());
+    server_->on_malformed_(status, error.message(),
+                           handling_ ? cut_.id_ : std::string_view());
   }
   keep_ = false;
   AnswerHead head;
