--- a/src/base/events.h
+++ b/src/base/events.h
@@ -56,6 +56,8 @@
   kZoneReturned = 309,
   kQuotaLost = 310,
   kQuotaRegained = 311,
+  kResumeSent = 312,
+  kSnapshotSent = 313,
   kEndpointReady = 400,
   kEndpointDraining = 401,
   kEndpointExpired = 402,
--- a/src/daemon/serving/destination_admission.cc
+++ b/src/daemon/serving/destination_admission.cc
@@ -79,6 +79,7 @@
        {"waiting", std::to_string(upstream.admission_.Waiting())},
        {"usual_us",
         std::to_string(upstream.admission_.UsualServiceTime().count())},
+       {"body_bytes", std::to_string(request.body_.size())},
        {"waited_us", std::to_string((began - arrived).count())},
        {"ran_us", std::to_string((now - began).count())},
        {"left_ms", std::to_string((request.deadline_ - now) /
--- a/src/distribution/config_distributor.cc
+++ b/src/distribution/config_distributor.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/events.h"
+
 namespace buckthorngate::distribution {
 
 ConfigDistributor::ConfigDistributor(std::string self, uint64_t seed)
@@ -17,6 +19,7 @@
                                  base::Outbox& outbox) {
   Subscriber& subscriber = subscribers_[from];
   subscriber.resume_ = resume;
+  subscriber.resumed_ = now.mono_;
   subscriber.acked_revision_ = resume.revision();
   subscriber.sent_revision_ = resume.revision();
   subscriber.last_contact_ = now.mono_;
@@ -94,7 +97,9 @@
                  deltas.Collect(subscriber.sent_revision_, cached_delta_))) {
     *outbox.Add(self_, to).mutable_delta() = cached_delta_;
   } else if (AdmitSnapshot(now)) {
-    *outbox.Add(self_, to).mutable_snapshot() = state.ToSnapshot();
+    rpc::Envelope& envelope = outbox.Add(self_, to);
+    *envelope.mutable_snapshot() = state.ToSnapshot();
+    LogSnapshot(envelope, subscriber, now);
   } else {
     DeferSnapshot(to, subscriber, now, outbox);
     return;
@@ -104,6 +109,19 @@
   subscriber.last_sent_ = now.mono_;
 }
 
+void ConfigDistributor::LogSnapshot(const rpc::Envelope& envelope,
+                                    const Subscriber& subscriber,
+                                    const base::Now& now) {
+  const base::Duration waited = now.mono_ - subscriber.resumed_;
+  base::LogEvent(
+      base::EventId::kSnapshotSent,
+      {{"to", envelope.to()},
+       {"revision", std::to_string(envelope.snapshot().revision())},
+       {"bytes", std::to_string(envelope.ByteSizeLong())},
+       {"since_resume_ms",
+        std::to_string(waited / std::chrono::milliseconds(1))}});
+}
+
 bool ConfigDistributor::AdmitSnapshot(const base::Now& now) {
   const double seconds =
       std::chrono::duration<double>(now.mono_ - last_refill_).count();
--- a/src/distribution/config_distributor.h
+++ b/src/distribution/config_distributor.h
@@ -74,6 +74,7 @@
 
   struct Subscriber {
     rpc::Resume resume_;
+    base::MonoTime resumed_;  // When it came.
     uint64_t acked_revision_ = 0;
     uint64_t sent_revision_ = 0;  // 0: the next update is a snapshot.
     uint32_t result_code_ = 0;    // Of the last acknowledgement.
@@ -102,6 +103,9 @@
                   const config::DeltaWindow& deltas,
                   const base::Now& now,
                   base::Outbox& outbox);
+  static void LogSnapshot(const rpc::Envelope& envelope,
+                          const Subscriber& subscriber,
+                          const base::Now& now);
   bool AdmitSnapshot(const base::Now& now);
   void DeferSnapshot(const std::string& to,
                      Subscriber& subscriber,
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -157,10 +157,23 @@
   for (const std::string& lifted : config_.State().LiftedFingerprints()) {
     quarantine_.erase(lifted);
   }
-  LogEvent(EventId::kRevisionApplied, {{"revision", revision}});
+  LogApplied(envelope, now);
   next_keepalive_ = base::MonoTime();
 }
 
+void ProxyNode::LogApplied(const rpc::Envelope& envelope,
+                           const base::Now& now) const {
+  const base::Duration waited = now.mono_ - last_resume_;
+  LogEvent(EventId::kRevisionApplied,
+           {{"revision", std::to_string(config_.State().Revision())},
+            {"from", envelope.from()},
+            {"kind", envelope.has_snapshot() ? "snapshot" : "delta"},
+            {"bytes", std::to_string(envelope.ByteSizeLong())},
+            {"newest_known", std::to_string(parents_.HighestRevision())},
+            {"since_resume_ms",
+             std::to_string(waited / std::chrono::milliseconds(1))}});
+}
+
 void ProxyNode::OnHeartbeat(const rpc::Envelope& envelope,
                             const base::Now& now) {
   const rpc::SourceHeartbeat& heartbeat = envelope.heartbeat();
@@ -286,6 +299,11 @@
     resume.set_revision(revision);
     resume.set_digest(config_.State().Digest());
     resume.set_standby(relay != parents_.Active());
+    if (!resume.standby()) {
+      last_resume_ = now.mono_;
+      LogEvent(EventId::kResumeSent,
+               {{"to", relay}, {"revision", std::to_string(revision)}});
+    }
   }
 }
 
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -109,6 +109,8 @@
   ProxyNode(ProxyOptions options, storage::Journal& journal);
 
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
+  // Logs that the revision of an update is in force.
+  void LogApplied(const rpc::Envelope& envelope, const base::Now& now) const;
   void OnHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
   // Makes the relays of the control hosts the candidate parents, those of the
   // own zone first.
@@ -192,6 +194,7 @@
   bool journal_dirty_ = false;
   bool relay_connected_ = false;
   uint32_t last_result_code_ = 0;
+  base::MonoTime last_resume_;  // To the active parent.
   base::MonoTime next_keepalive_;
   base::MonoTime next_exchange_;
   base::MonoTime next_digest_;
