A configuration in transit is not sent again, and one known to be replaced is not served

Cause: an acknowledgement of an older revision, a second after the last update, made the relay send that update again; a proxy that had just started got the whole configuration once a second while the first copy was on its way, and once more from each relay that it changed to because its own one fell silent behind those copies. Deltas waited behind all of them. The proxy then served what it had, however old it knew it to be.

Why this works: Resumes are numbered, updates and heartbeats name the Resume that they answer, and heartbeats the revision up to which updates were sent. On an ordered stream a heartbeat that arrives before its updates proves them lost; nothing else does, so there is no timer. Updates for an earlier start are ignored. A parent with an update on its way isn't left for its silence or lag. With [configuration] apply_s, a proxy that starts without state serves once the leader has confirmed, less than that time ago, that its revision is current; one that is connected and has known of a newer revision for that time, less 0.75 s to hear of it, refuses requests until it has caught up. Cut off, it serves on.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -108,6 +108,17 @@
      "A node asks its parent for the revisions that it lacks."},
     {kSnapshotSent, Level::kInfo, "snapshot-sent",
      "A subscriber that lacks everything gets the whole configuration."},
+    {kUpdateIgnored, Level::kInfo, "update-ignored",
+     "An update was meant for an earlier start of this node or came before its "
+     "last request for updates was handled."},
+    {kUpdateLost, Level::kWarning, "update-lost",
+     "An update that the parent has sent did not arrive; the node asks for it "
+     "again."},
+    {kRevisionOutdated, Level::kWarning, "revision-outdated",
+     "A proxy has known of a newer revision for too long, or does not know yet "
+     "whether its first one is current; it refuses requests."},
+    {kRevisionCurrent, Level::kInfo, "revision-current",
+     "A proxy's revision is current enough again to serve requests."},
     {kEndpointReady, Level::kInfo, "endpoint-ready",
      "An upstream announced itself."},
     {kEndpointDraining, Level::kInfo, "endpoint-draining",
--- a/src/blackboard/blackboard.cc
+++ b/src/blackboard/blackboard.cc
@@ -70,4 +70,11 @@
   return out;
 }
 
+std::string Blackboard::RenderBehind() const {
+  const std::chrono::duration<double> seconds = BehindFor();
+  return "# TYPE buckthorngate_revision_behind_seconds gauge\n"
+         "buckthorngate_revision_behind_seconds " +
+         std::to_string(seconds.count()) + "\n";
+}
+
 }  // namespace buckthorngate::blackboard
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -90,6 +90,13 @@
   // The lease on the authority to accept keys of client accounts.
   request::PublishedAuthority& Authority() { return authority_; }
 
+  // How long the daemon has known of a newer configuration than the one in use;
+  // 0 while it knows of none.
+  base::Duration BehindFor() const { return behind_for_; }
+  void SetBehindFor(base::Duration time) { behind_for_ = time; }
+  // That time as a metric in the Prometheus text exposition format.
+  std::string RenderBehind() const;
+
   StallDetector& Stalls() { return stalls_; }
 
   // Set once, when the daemon starts to shut down.
@@ -116,6 +123,7 @@
   Metrics metrics_;
   request::PublishedAuthority authority_;
   StallDetector stalls_;
+  std::atomic<base::Duration> behind_for_{base::Duration(0)};
   std::atomic<bool> draining_{false};
   std::atomic<base::MonoTime> shutdown_time_{base::MonoTime::max()};
 };
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -307,6 +307,13 @@
   }
 }
 
+bool DeltaWindow::Reaches(uint64_t from) const {
+  return std::any_of(deltas_.begin(), deltas_.end(),
+                     [from](const rpc::ConfigDelta& delta) {
+                       return delta.from_revision() == from;
+                     });
+}
+
 bool DeltaWindow::Collect(uint64_t from, rpc::ConfigDelta& merged) const {
   const auto first = std::find_if(deltas_.begin(), deltas_.end(),
                                   [from](const rpc::ConfigDelta& delta) {
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -111,6 +111,9 @@
   // `delta` must start where the previous one ended; else the window restarts.
   void Add(rpc::ConfigDelta delta);
 
+  // Whether the window has all deltas after `from`.
+  bool Reaches(uint64_t from) const;
+
   // Merges the deltas after `from` into one; false if the window does not
   // reach back that far.
   bool Collect(uint64_t from, rpc::ConfigDelta& merged) const;
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -172,7 +172,7 @@
   handlers.metrics_ = [this] {
     board_.DaemonMetrics().SetFailedHandlers(loop_.FailedHandlers());
     return board_.DaemonMetrics().Render() + board_.RenderRetries() +
-           board_.RenderMoves() + quota_.Render() +
+           board_.RenderMoves() + board_.RenderBehind() + quota_.Render() +
            board_.Authority().Render(clock_.Read().boot_);
   };
   handlers.ready_ = [this] { return Ready(); };
@@ -194,6 +194,7 @@
   if (changed) {
     PublishView(now);
   }
+  board_.SetBehindFor(node_->BehindFor(now));
   // After the view: the lease covers the accounts in it.
   board_.Authority().Confirm(node_->Authority().ConfirmedAt());
 }
@@ -293,6 +294,7 @@
   options.seeds_ = settings.seeds_;
   options.announce_lease_ = settings.announce_lease_;
   options.revocation_bound_ = settings.revocation_bound_;
+  options.apply_bound_ = settings.apply_bound_;
   for (const auto& [id, relay] : settings.relays_) {
     if (relay.zone_ == settings.zone_) {
       options.relays_.push_back(id);
--- a/src/daemon/startup/settings.h
+++ b/src/daemon/startup/settings.h
@@ -88,6 +88,9 @@
   // A key of a client account is refused everywhere within this time after its
   // removal was acknowledged, also on hosts that are cut off. 0: no such bound.
   std::chrono::milliseconds revocation_bound_{0};
+  // An accepted configuration is in force on each host in contact with the
+  // control hosts within this time. 0: no such bound.
+  std::chrono::milliseconds apply_bound_{0};
   QuotaBounds quotas_;
   ColdStartBounds cold_start_;
   // Bandwidth of this host's link in Mbit/s; 0: not known.
--- a/src/daemon/startup/settings_bounds.cc
+++ b/src/daemon/startup/settings_bounds.cc
@@ -37,6 +37,10 @@
       Seconds(reader, "bound_s", settings.revocation_bound_);
 }
 
+void ParseConfiguration(TomlReader& reader, Settings& settings) {
+  settings.apply_bound_ = Seconds(reader, "apply_s", settings.apply_bound_);
+}
+
 void ParseQuotas(TomlReader& reader, Settings& settings) {
   QuotaBounds& quotas = settings.quotas_;
   quotas.window_ = Seconds(reader, "window_s", quotas.window_);
@@ -79,7 +83,8 @@
     ParseTable parse_;
   };
   for (const Item& item :
-       {Item{"revocation", ParseRevocation}, Item{"quotas", ParseQuotas},
+       {Item{"revocation", ParseRevocation},
+        Item{"configuration", ParseConfiguration}, Item{"quotas", ParseQuotas},
         Item{"cold_start", ParseColdStart}, Item{"link", ParseLink},
         Item{"overload", ParseOverload}}) {
     const toml::table* const table = reader.Table(item.key_);
--- a/src/distribution/config_distributor.cc
+++ b/src/distribution/config_distributor.cc
@@ -18,13 +18,20 @@
                                  const base::Now& now,
                                  base::Outbox& outbox) {
   Subscriber& subscriber = subscribers_[from];
+  const bool repeated = resume.number() != 0 && !subscriber.deferred_ &&
+                        subscriber.resume_.number() == resume.number();
+  if (repeated) {
+    subscriber.last_contact_ = now.mono_;
+    return;
+  }
   subscriber.resume_ = resume;
   subscriber.resumed_ = now.mono_;
   subscriber.acked_revision_ = resume.revision();
   subscriber.sent_revision_ = resume.revision();
   subscriber.last_contact_ = now.mono_;
   subscriber.deferred_ = false;
-  const bool same_content = resume.revision() == state.Revision() &&
+  const bool same_content = !resume.needs_snapshot() &&
+                            resume.revision() == state.Revision() &&
                             resume.digest() == state.Digest();
   if (resume.standby() || same_content || state.Revision() == 0) {
     return;
@@ -33,8 +40,8 @@
     // The subscriber is ahead and keeps its newer revision.
     return;
   }
-  if (resume.revision() == state.Revision()) {
-    // Same revision with different content: replace it by a snapshot.
+  if (resume.revision() == state.Revision() || resume.needs_snapshot()) {
+    // Same revision with different content, or a delta that was refused.
     subscriber.sent_revision_ = 0;
   }
   SendUpdate(from, subscriber, state, deltas, now, outbox);
@@ -54,20 +61,33 @@
   }
   Subscriber& subscriber = found->second;
   subscriber.last_contact_ = now.mono_;
-  subscriber.resume_.set_standby(ack.standby());
+  // A numbered subscriber becomes active by a Resume only: updates that were
+  // sent before would answer none.
+  const bool numbered = subscriber.resume_.number() != 0;
+  const bool current = ack.resume_number() == subscriber.resume_.number();
+  if (!numbered || (current && ack.standby())) {
+    subscriber.resume_.set_standby(ack.standby());
+  }
   subscriber.acked_revision_ =
       std::max(subscriber.acked_revision_, ack.revision());
   subscriber.result_code_ = ack.result_code();
   subscriber.members_digest_ = ack.members_digest();
   const bool behind = ack.revision() < state.Revision();
-  const bool due = now.mono_ - subscriber.last_sent_ >= kResendInterval;
-  if (behind && due && !subscriber.resume_.standby()) {
+  if (behind && NeedsResend(subscriber, now)) {
     // A revision that was refused is sent again as a snapshot.
     subscriber.sent_revision_ = ack.result_code() == 0 ? ack.revision() : 0;
     SendUpdate(from, subscriber, state, deltas, now, outbox);
   }
 }
 
+bool ConfigDistributor::NeedsResend(const Subscriber& subscriber,
+                                    const base::Now& now) {
+  const bool due = now.mono_ - subscriber.last_sent_ >= kResendInterval;
+  const bool numbered = subscriber.resume_.number() != 0;
+  return due && !subscriber.resume_.standby() &&
+         (!numbered || subscriber.deferred_);
+}
+
 void ConfigDistributor::Push(const config::ConfigState& state,
                              const config::DeltaWindow& deltas,
                              const base::Now& now,
@@ -93,33 +113,65 @@
   if (!cached) {
     cached_delta_.Clear();
   }
+  subscriber.deferred_ = false;
+  subscriber.last_sent_ = now.mono_;
   if (cached || (subscriber.sent_revision_ != 0 &&
                  deltas.Collect(subscriber.sent_revision_, cached_delta_))) {
-    *outbox.Add(self_, to).mutable_delta() = cached_delta_;
-  } else if (AdmitSnapshot(now)) {
     rpc::Envelope& envelope = outbox.Add(self_, to);
-    *envelope.mutable_snapshot() = state.ToSnapshot();
-    LogSnapshot(envelope, subscriber, now);
+    envelope.set_resume_number(subscriber.resume_.number());
+    *envelope.mutable_delta() = cached_delta_;
+    subscriber.sent_revision_ = state.Revision();
+  } else if (AdmitSnapshot(now)) {
+    subscriber.sent_revision_ =
+        SendSnapshot(to, subscriber, state, deltas, now, outbox);
+    if (subscriber.sent_revision_ < state.Revision()) {
+      SendUpdate(to, subscriber, state, deltas, now, outbox);
+    }
   } else {
     DeferSnapshot(to, subscriber, now, outbox);
+  }
+}
+
+uint64_t ConfigDistributor::SendSnapshot(const std::string& to,
+                                         const Subscriber& subscriber,
+                                         const config::ConfigState& state,
+                                         const config::DeltaWindow& deltas,
+                                         const base::Now& now,
+                                         base::Outbox& outbox) {
+  rpc::Envelope& envelope = outbox.Add(self_, to);
+  envelope.set_resume_number(subscriber.resume_.number());
+  // A subscriber that numbers its Resumes reads packed snapshots.
+  if (subscriber.resume_.number() != 0) {
+    *envelope.mutable_snapshot() = snapshots_.Get(state, deltas, now);
+  } else {
+    *envelope.mutable_snapshot() = state.ToSnapshot();
+  }
+  LogSnapshot(envelope, subscriber, now);
+  return envelope.snapshot().revision();
+}
+
+void ConfigDistributor::DescribeUpdates(const std::string& subscriber,
+                                        rpc::SourceHeartbeat& heartbeat) const {
+  const auto found = subscribers_.find(subscriber);
+  if (found == subscribers_.end()) {
     return;
   }
-  subscriber.sent_revision_ = state.Revision();
-  subscriber.deferred_ = false;
-  subscriber.last_sent_ = now.mono_;
+  heartbeat.set_resume_number(found->second.resume_.number());
+  if (!found->second.resume_.standby()) {
+    heartbeat.set_sent_revision(found->second.sent_revision_);
+  }
 }
 
 void ConfigDistributor::LogSnapshot(const rpc::Envelope& envelope,
                                     const Subscriber& subscriber,
                                     const base::Now& now) {
   const base::Duration waited = now.mono_ - subscriber.resumed_;
-  base::LogEvent(
-      base::EventId::kSnapshotSent,
-      {{"to", envelope.to()},
-       {"revision", std::to_string(envelope.snapshot().revision())},
-       {"bytes", std::to_string(envelope.ByteSizeLong())},
-       {"since_resume_ms",
-        std::to_string(waited / std::chrono::milliseconds(1))}});
+  base::LogEvent(base::EventId::kSnapshotSent,
+                 {{"to", envelope.to()},
+                  {"revision", std::to_string(envelope.snapshot().revision())},
+                  {"bytes", std::to_string(envelope.ByteSizeLong())},
+                  {"since_resume_ms",
+                   std::to_string(waited / std::chrono::milliseconds(1))}});
 }
 
 bool ConfigDistributor::AdmitSnapshot(const base::Now& now) {
--- a/src/distribution/config_distributor.h
+++ b/src/distribution/config_distributor.h
@@ -3,8 +3,11 @@
 //
 // A subscriber sends a Resume with its revision and gets a merged delta, or a
 // snapshot if the delta window does not reach back to that revision. After that
-// each change is pushed at once. A lost update shows in the subscriber's next
-// acknowledgement and is sent again. Snapshots are rate-limited by a token
+// each change is pushed at once, over the same ordered stream. Updates and
+// heartbeats carry the number of the Resume that they answer, and heartbeats
+// the revision up to which updates were sent. So the subscriber knows an update
+// that is lost from one that is still on its way behind a busy link, and sends
+// a new Resume only for the former. Snapshots are rate-limited by a token
 // bucket. When many subscribers reconnect at once, those beyond the limit get a
 // RetryAfter whose delay grows with the number of deferred snapshots, so that
 // they return spread over time.
@@ -19,13 +22,15 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "config/config_state.h"
+#include "distribution/snapshot_cache.h"
 #include "mesh.pb.h"
 
 namespace buckthorngate::distribution {
 
 // A subscriber that sends nothing for longer than this is dropped.
 inline constexpr base::Duration kSubscriberTimeout = std::chrono::seconds(6);
-// An update that is not acknowledged within this time is sent again.
+// An update that a subscriber without numbers in its Resume does not
+// acknowledge within this time is sent again.
 inline constexpr base::Duration kResendInterval = std::chrono::seconds(1);
 inline constexpr double kSnapshotsPerSecond = 200.0;
 inline constexpr double kSnapshotBurst = 50.0;
@@ -41,7 +46,8 @@
   ConfigDistributor(std::string self, uint64_t seed);
 
   // Registers the subscriber, or resets its state, and sends what it lacks
-  // unless it is on standby.
+  // unless it is on standby. A Resume that repeats the last one changes
+  // nothing.
   void OnResume(const std::string& from,
                 const rpc::Resume& resume,
                 const config::ConfigState& state,
@@ -49,8 +55,8 @@
                 const base::Now& now,
                 base::Outbox& outbox);
 
-  // Handles an acknowledgement, which is also a keepalive. Resends what the
-  // subscriber lacks after kResendInterval; asks an unknown one to resume.
+  // Handles an acknowledgement, which is also a keepalive; asks an unknown
+  // subscriber to resume.
   void OnAck(const std::string& from,
              const rpc::Ack& ack,
              const config::ConfigState& state,
@@ -72,6 +78,10 @@
   }
   SubscriberSummary Summary() const;
 
+  // Fills in what the subscriber's heartbeat tells of the updates sent to it.
+  void DescribeUpdates(const std::string& subscriber,
+                       rpc::SourceHeartbeat& heartbeat) const;
+
   struct Subscriber {
     rpc::Resume resume_;
     base::MonoTime resumed_;  // When it came.
@@ -103,6 +113,17 @@
                   const config::DeltaWindow& deltas,
                   const base::Now& now,
                   base::Outbox& outbox);
+  // Sends the whole configuration, of the present revision or of one from which
+  // deltas lead to it. Returns its revision.
+  uint64_t SendSnapshot(const std::string& to,
+                        const Subscriber& subscriber,
+                        const config::ConfigState& state,
+                        const config::DeltaWindow& deltas,
+                        const base::Now& now,
+                        base::Outbox& outbox);
+  // Whether the subscriber's acknowledgement, with nothing of its Resume
+  // answered, calls for another update.
+  static bool NeedsResend(const Subscriber& subscriber, const base::Now& now);
   static void LogSnapshot(const rpc::Envelope& envelope,
                           const Subscriber& subscriber,
                           const base::Now& now);
@@ -122,6 +143,7 @@
   base::MonoTime last_refill_;
   // Shared by all subscribers that start at the same revision.
   rpc::ConfigDelta cached_delta_;
+  SnapshotCache snapshots_;
 };
 
 }  // namespace buckthorngate::distribution
--- a/src/distribution/config_store.cc
+++ b/src/distribution/config_store.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "config/snapshot_codec.h"
+
 namespace buckthorngate::distribution {
 
 ConfigStore::ConfigStore(storage::Journal& journal) : journal_(journal) {}
@@ -21,6 +23,8 @@
 ResultCode ConfigStore::RecordResult(ResultCode code) {
   // A revision that is already known needs no new snapshot.
   needs_resync_ = code != ResultCode::kOk && code != ResultCode::kRevisionOld;
+  was_refused_ = code == ResultCode::kSnapshotDigestWrong ||
+                 code == ResultCode::kDanglingRoute;
   return code;
 }
 
@@ -28,6 +32,12 @@
   if (snapshot.revision() < floor_) {
     return RecordResult(ResultCode::kRevisionOld);
   }
+  const tl::expected<rpc::ConfigSnapshot, ResultCode> unpacked =
+      config::UnpackSnapshot(snapshot);
+  return unpacked ? ApplyUnpacked(*unpacked) : RecordResult(unpacked.error());
+}
+
+ResultCode ConfigStore::ApplyUnpacked(const rpc::ConfigSnapshot& snapshot) {
   const ResultCode applied = state_.ApplySnapshot(snapshot);
   if (applied != ResultCode::kOk) {
     return RecordResult(applied);
--- a/src/distribution/config_store.h
+++ b/src/distribution/config_store.h
@@ -39,6 +39,9 @@
   // refused or could not be journaled.
   bool NeedsResync() const { return needs_resync_; }
   void ClearResync() { needs_resync_ = false; }
+  // Whether the last update was refused for its content: the updates after it
+  // would be, too, and only a snapshot helps.
+  bool WasRefused() const { return was_refused_; }
 
   const config::ConfigState& State() const { return state_; }
   const config::DeltaWindow& Deltas() const { return deltas_; }
@@ -47,7 +50,9 @@
   std::vector<rpc::JournalRecord> AllRecords() const;
 
  private:
-  // Sets needs_resync_ according to `code` and returns `code`.
+  // Applies and journals a snapshot that is not packed.
+  ResultCode ApplyUnpacked(const rpc::ConfigSnapshot& snapshot);
+  // Sets needs_resync_ and was_refused_ according to `code` and returns `code`.
   ResultCode RecordResult(ResultCode code);
 
   storage::Journal& journal_;
@@ -55,6 +60,7 @@
   config::DeltaWindow deltas_{kMaxDeltas};
   uint64_t floor_ = 0;
   bool needs_resync_ = false;
+  bool was_refused_ = false;
 };
 
 }  // namespace buckthorngate::distribution
--- a/src/distribution/parent_selector.cc
+++ b/src/distribution/parent_selector.cc
@@ -10,16 +10,25 @@
 
 // A standby may be ahead of the active parent for this long before failover.
 constexpr base::Duration kLagTolerance = std::chrono::milliseconds(1500);
+// The same while the active parent holds more than this node: its update is on
+// the way, and another parent would send the same bytes over the same link.
+constexpr base::Duration kTransferTolerance = std::chrono::seconds(6);
+// The active parent may answer its first Resume this much later than others
+// answer theirs.
+constexpr base::Duration kFirstAnswerTime = std::chrono::milliseconds(500);
 
 }  // namespace
 
 ParentSelector::ParentSelector(const std::string& self,
                                std::vector<std::string> candidates,
                                uint64_t seed)
-    : self_(self), random_(seed), order_(std::move(candidates)) {
+    : self_(self),
+      random_(seed),
+      next_resume_number_(random_.Engine()() | 1),
+      order_(std::move(candidates)) {
   SortByScore();
   for (const std::string& id : order_) {
-    candidates_[id] = Candidate();
+    RenewResume(candidates_[id]);
   }
   if (!order_.empty()) {
     active_ = order_.front();
@@ -40,6 +49,9 @@
   std::map<std::string, Candidate> kept;
   for (const std::string& id : candidates) {
     kept[id] = candidates_[id];
+    if (kept[id].resume_number_ == 0) {
+      RenewResume(kept[id]);
+    }
   }
   candidates_ = std::move(kept);
   order_ = candidates;
@@ -48,6 +60,10 @@
                                          prefers) != order_.begin();
   if (candidates_.count(active_) == 0) {
     active_ = order_.empty() ? std::string() : order_.front();
+    if (!active_.empty()) {
+      // It knows this node as on standby, if at all.
+      RenewResume(candidates_[active_]);
+    }
   }
 }
 
@@ -67,6 +83,45 @@
   state.backoff_ = kResumeBackoffMin;
 }
 
+void ParentSelector::RenewResume(Candidate& candidate) {
+  candidate.resumed_ = false;
+  candidate.resume_number_ = next_resume_number_++;
+}
+
+bool ParentSelector::RecordSentUpdates(const std::string& candidate,
+                                       const rpc::SourceHeartbeat& heartbeat,
+                                       uint64_t own_revision,
+                                       base::MonoTime now) {
+  const auto found = candidates_.find(candidate);
+  if (found == candidates_.end() || heartbeat.resume_number() == 0) {
+    return false;
+  }
+  Candidate& state = found->second;
+  if (heartbeat.resume_number() != state.resume_number_) {
+    if (state.resumed_ && now - state.resumed_at_ >= kResumeAnswerTimeout) {
+      state.resumed_ = false;
+    }
+    return false;
+  }
+  const bool lost =
+      candidate == active_ && heartbeat.sent_revision() > own_revision;
+  if (lost) {
+    RenewResume(state);
+  }
+  return lost;
+}
+
+uint64_t ParentSelector::ResumeNumber(const std::string& candidate) const {
+  const auto found = candidates_.find(candidate);
+  return found == candidates_.end() ? 0 : found->second.resume_number_;
+}
+
+bool ParentSelector::AnswersLastResume(const rpc::Envelope& update) const {
+  const uint64_t number = ResumeNumber(update.from());
+  return number == 0 || update.resume_number() == 0 ||
+         update.resume_number() == number;
+}
+
 void ParentSelector::DelayResume(const std::string& candidate,
                                  base::Duration delay,
                                  base::MonoTime now) {
@@ -85,6 +140,18 @@
          candidate.contact_age_ < kMaxContactAge;
 }
 
+bool ParentSelector::IsAwaited(const Candidate& candidate,
+                               uint64_t own_revision,
+                               base::MonoTime now) {
+  if (!candidate.contacted_) {
+    return candidate.first_resumed_at_ &&
+           now - *candidate.first_resumed_at_ < kFirstAnswerTime;
+  }
+  return candidate.revision_ > own_revision &&
+         candidate.contact_age_ < kMaxContactAge &&
+         now - candidate.last_contact_ < kTransferTolerance;
+}
+
 void ParentSelector::ChooseActive(uint64_t own_revision, base::MonoTime now) {
   const Candidate& current = candidates_[active_];
   const bool behind =
@@ -95,8 +162,12 @@
     lagging_ = true;
     lag_since_ = now;
   }
-  const bool lagged = lagging_ && now - lag_since_ > kLagTolerance;
-  if (Healthy(current, now) && !lagged) {
+  const base::Duration tolerance =
+      current.revision_ > own_revision ? kTransferTolerance : kLagTolerance;
+  const bool lagged = lagging_ && now - lag_since_ > tolerance;
+  const bool usable =
+      Healthy(current, now) || IsAwaited(current, own_revision, now);
+  if (usable && !lagged) {
     FailBackToPreferred(now);
     return;
   }
@@ -114,7 +185,7 @@
   active_ = id;
   lagging_ = false;
   next_failback_ = now + kFailbackInterval;
-  candidates_[id].resumed_ = false;
+  RenewResume(candidates_[id]);
   candidates_[id].next_resume_ = now;
 }
 
@@ -145,6 +216,8 @@
     }
     due.push_back(id);
     candidate.resumed_ = true;
+    candidate.resumed_at_ = now;
+    candidate.first_resumed_at_ = candidate.first_resumed_at_.value_or(now);
     candidate.next_resume_ =
         now + kResumeBackoffMin + random_.Jitter(candidate.backoff_);
     candidate.backoff_ = std::min(candidate.backoff_ * 2, kResumeBackoffMax);
@@ -153,7 +226,7 @@
 }
 
 void ParentSelector::ForceResume() {
-  candidates_[active_].resumed_ = false;
+  RenewResume(candidates_[active_]);
 }
 
 bool ParentSelector::Connected(base::MonoTime now) const {
--- a/src/distribution/parent_selector.h
+++ b/src/distribution/parent_selector.h
@@ -10,11 +10,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
+#include "mesh.pb.h"
 
 namespace buckthorngate::distribution {
 
@@ -30,6 +32,9 @@
 inline constexpr base::Duration kResumeBackoffMin =
     std::chrono::milliseconds(100);
 inline constexpr base::Duration kResumeBackoffMax = std::chrono::seconds(5);
+// A candidate whose heartbeats don't name the last Resume after this time has
+// not received it.
+inline constexpr base::Duration kResumeAnswerTimeout = std::chrono::seconds(2);
 
 class ParentSelector {
  public:
@@ -51,6 +56,21 @@
                      base::Duration contact_age,
                      base::MonoTime now);
 
+  // Handles what a heartbeat tells of the updates that `candidate` has sent;
+  // see SourceHeartbeat. Makes a Resume due if an update, or the last Resume,
+  // is lost. Returns whether an update of the active parent is lost.
+  bool RecordSentUpdates(const std::string& candidate,
+                         const rpc::SourceHeartbeat& heartbeat,
+                         uint64_t own_revision,
+                         base::MonoTime now);
+
+  // Number of the last Resume to `candidate`; 0 if it is none.
+  uint64_t ResumeNumber(const std::string& candidate) const;
+  // Whether an update is meant for the present state of this node: it comes
+  // from no candidate, or answers the last Resume to it. Others were sent to an
+  // earlier start of this node or before its last Resume.
+  bool AnswersLastResume(const rpc::Envelope& update) const;
+
   // Schedules the next Resume to `candidate` after `delay`.
   void DelayResume(const std::string& candidate,
                    base::Duration delay,
@@ -62,7 +82,7 @@
   std::vector<std::string> DueResumes(uint64_t own_revision,
                                       base::MonoTime now);
 
-  // Makes a new Resume to the active parent due, after a gap or a refused
+  // Makes a new Resume to the active parent due, after a lost or refused
   // update.
   void ForceResume();
 
@@ -85,9 +105,20 @@
     base::MonoTime next_resume_;
     base::Duration backoff_ = kResumeBackoffMin;
     bool resumed_ = false;  // A Resume was sent and not invalidated since.
+    base::MonoTime resumed_at_;
+    std::optional<base::MonoTime> first_resumed_at_;
+    // Number of the last Resume, or of the next one after it was renewed.
+    uint64_t resume_number_ = 0;
   };
 
+  // Makes a Resume due that is not a repetition of the last one.
+  void RenewResume(Candidate& candidate);
   bool Healthy(const Candidate& candidate, base::MonoTime now) const;
+  // Whether the candidate's first answer, or an update that it has, is still
+  // awaited.
+  static bool IsAwaited(const Candidate& candidate,
+                        uint64_t own_revision,
+                        base::MonoTime now);
   void ChooseActive(uint64_t own_revision, base::MonoTime now);
   void Activate(const std::string& id, base::MonoTime now);
   void FailBackToPreferred(base::MonoTime now);
@@ -97,6 +128,8 @@
 
   const std::string self_;
   base::Random random_;
+  // Starts at a random number, so that those of two starts differ.
+  uint64_t next_resume_number_;
   std::vector<std::string> order_;  // Most preferred first.
   std::map<std::string, Candidate> candidates_;
   std::string active_;
--- a/src/distribution/proxy_authority.cc
+++ b/src/distribution/proxy_authority.cc
@@ -26,6 +26,7 @@
   // revision that takes effect is acknowledged, with a new question.
   (void)authority_.OnReply(reply, config_.State().Revision());
   UpdateAuthority(now);
+  UpdateCurrency(now);
 }
 
 void ProxyNode::UpdateAuthority(const base::Now& now) {
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -6,6 +6,7 @@
 
 #include "base/events.h"
 #include "base/hash.h"
+#include "distribution/update_log.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -18,9 +19,6 @@
 constexpr base::Duration kOverdueLeaseInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kExchangeInterval = std::chrono::seconds(1);
 constexpr size_t kPeersPerExchange = 3;
-// Control hosts that have all started again may need seconds to elect a leader
-// that has applied its log.
-constexpr base::Duration kUnconfirmedFloorDelay = std::chrono::seconds(10);
 constexpr size_t kCompactBytes = size_t{4} * 1024 * 1024;
 
 }  // namespace
@@ -67,6 +65,8 @@
   node->claims_.SetGroup(node->config_.State().Claims());
   node->UpdateQuotaLimits();
   node->floor_known_ = node->config_.State().Revision() > 0;
+  node->start_current_ = node->floor_known_;
+  node->lag_.Held(node->config_.State().Revision());
   node->view_version_ = 1;
   return node;
 }
@@ -117,69 +117,24 @@
       OnAuthorityLease(envelope.authority_lease(), now);
       break;
     case rpc::Envelope::kPeerDigest:
-      OnPeerDigest(envelope);
+      OnPeerDigest(envelope, now);
       break;
     default:
       break;
   }
 }
 
-void ProxyNode::OnConfig(const rpc::Envelope& envelope, const base::Now& now) {
-  const ResultCode code = envelope.has_snapshot()
-                              ? config_.OnSnapshot(envelope.snapshot())
-                              : config_.OnDelta(envelope.delta());
-  const bool from_relay = envelope.from() == parents_.Active();
-  if (from_relay) {
-    parents_.RecordContact(envelope.from(), config_.State().Revision(),
-                           base::Duration(0), now.mono_);
-  }
-  const std::string revision = std::to_string(config_.State().Revision());
-  if (code == ResultCode::kRevisionOld) {
-    return;
-  }
-  last_result_code_ = static_cast<uint32_t>(code);
-  if (code != ResultCode::kOk) {
-    LogEvent(EventId::kRevisionRefused,
-             {{"from", envelope.from()},
-              {"kept", revision},
-              {"code", std::string(Describe(code).name_)}});
-    parents_.ForceResume();
-    return;
-  }
-  if (!from_relay) {
-    LogEvent(EventId::kPeerExchange,
-             {{"from", envelope.from()}, {"revision", revision}});
-  }
-  journal_dirty_ = true;
-  ++view_version_;
-  claims_.SetGroup(config_.State().Claims());
-  UpdateQuotaLimits();
-  for (const std::string& lifted : config_.State().LiftedFingerprints()) {
-    quarantine_.erase(lifted);
-  }
-  LogApplied(envelope, now);
-  next_keepalive_ = base::MonoTime();
-}
-
-void ProxyNode::LogApplied(const rpc::Envelope& envelope,
-                           const base::Now& now) const {
-  const base::Duration waited = now.mono_ - last_resume_;
-  LogEvent(EventId::kRevisionApplied,
-           {{"revision", std::to_string(config_.State().Revision())},
-            {"from", envelope.from()},
-            {"kind", envelope.has_snapshot() ? "snapshot" : "delta"},
-            {"bytes", std::to_string(envelope.ByteSizeLong())},
-            {"newest_known", std::to_string(parents_.HighestRevision())},
-            {"since_resume_ms",
-             std::to_string(waited / std::chrono::milliseconds(1))}});
-}
-
 void ProxyNode::OnHeartbeat(const rpc::Envelope& envelope,
                             const base::Now& now) {
   const rpc::SourceHeartbeat& heartbeat = envelope.heartbeat();
   parents_.RecordContact(envelope.from(), heartbeat.revision(),
                          std::chrono::milliseconds(heartbeat.contact_age_ms()),
                          now.mono_);
+  lag_.Heard(heartbeat.revision(), now.boot_);
+  if (parents_.RecordSentUpdates(envelope.from(), heartbeat,
+                                 config_.State().Revision(), now.mono_)) {
+    LogUpdateLost(envelope, config_.State().Revision());
+  }
   const bool added = hosts_.UsesDiscovery() &&
                      heartbeat.zone() == options_.identity_.zone_ &&
                      same_zone_relays_.insert(envelope.from()).second;
@@ -188,38 +143,6 @@
   }
 }
 
-void ProxyNode::OnFloor(const rpc::Envelope& envelope, const base::Now& now) {
-  parents_.RecordContact(envelope.from(), envelope.floor().relay_revision(),
-                         base::Duration(0), now.mono_);
-  LearnDepartures(envelope, now.mono_);
-  if (floor_known_) {
-    return;
-  }
-  config_.RaiseFloor(envelope.floor().revision());
-  journal_dirty_ = true;
-  floors_received_.insert(envelope.from());
-  floor_known_ = envelope.floor().confirmed();
-  const std::vector<std::string>& relays = parents_.Candidates();
-  const bool complete = std::all_of(relays.begin(), relays.end(),
-                                    [this](const std::string& relay) {
-                                      return floors_received_.count(relay) != 0;
-                                    });
-  if (!unconfirmed_since_ && complete) {
-    unconfirmed_since_ = now.mono_;
-  }
-}
-
-void ProxyNode::AcceptUnconfirmedFloors(const base::Now& now) {
-  if (floor_known_ || !unconfirmed_since_ ||
-      now.mono_ - *unconfirmed_since_ < kUnconfirmedFloorDelay) {
-    return;
-  }
-  floor_known_ = true;
-  LogEvent(EventId::kFloorUnconfirmed,
-           {{"floor", std::to_string(config_.Floor())},
-            {"relays", std::to_string(floors_received_.size())}});
-}
-
 void ProxyNode::OnQuarantine(const rpc::QuarantineNotice& notice) {
   for (const rpc::QuarantineEntry& entry : notice.entries()) {
     if (entry.answered()) {
@@ -234,20 +157,6 @@
   }
 }
 
-void ProxyNode::OnPeerDigest(const rpc::Envelope& envelope) {
-  const rpc::PeerDigest& digest = envelope.peer_digest();
-  if (digest.revision() >= config_.State().Revision()) {
-    return;
-  }
-  rpc::Envelope& reply = outbox_.Add(options_.identity_.host_, envelope.from());
-  rpc::ConfigDelta delta;
-  if (config_.Deltas().Collect(digest.revision(), delta)) {
-    *reply.mutable_delta() = std::move(delta);
-  } else {
-    *reply.mutable_snapshot() = config_.State().ToSnapshot();
-  }
-}
-
 void ProxyNode::StartClaim(rpc::ClaimRequest::Action action,
                            rpc::ClaimRecord record,
                            const base::Now& now) {
@@ -289,38 +198,22 @@
   }
 }
 
-void ProxyNode::SendResumes(const base::Now& now) {
-  const uint64_t revision = config_.State().Revision();
-  for (const std::string& relay : parents_.DueResumes(revision, now.mono_)) {
-    rpc::Resume& resume =
-        *outbox_.Add(options_.identity_.host_, relay).mutable_resume();
-    resume.set_role(rpc::NODE_ROLE_PROXY);
-    resume.set_zone(options_.identity_.zone_);
-    resume.set_revision(revision);
-    resume.set_digest(config_.State().Digest());
-    resume.set_standby(relay != parents_.Active());
-    if (!resume.standby()) {
-      last_resume_ = now.mono_;
-      LogEvent(EventId::kResumeSent,
-               {{"to", relay}, {"revision", std::to_string(revision)}});
-    }
-  }
-}
-
 void ProxyNode::SendKeepalive(const base::Now& now) {
   if (now.mono_ < next_keepalive_) {
     return;
   }
-  const bool overdue = AuthorityOverdue(now);
+  const bool overdue = AuthorityOverdue(now) || AwaitsCurrency();
   next_keepalive_ =
       now.mono_ + (overdue ? kOverdueLeaseInterval : kProxyKeepaliveInterval);
-  const uint64_t lease_nonce = NeedsAuthority() ? authority_.Ask(now.boot_) : 0;
+  const bool asks = NeedsAuthority() || AwaitsCurrency();
+  const uint64_t lease_nonce = asks ? authority_.Ask(now.boot_) : 0;
   for (const std::string& relay : parents_.Candidates()) {
     rpc::Ack& ack = *outbox_.Add(options_.identity_.host_, relay).mutable_ack();
     ack.set_revision(config_.State().Revision());
     ack.set_result_code(last_result_code_);
     ack.set_needs_floor(!floor_known_);
     ack.set_standby(relay != parents_.Active());
+    ack.set_resume_number(parents_.ResumeNumber(relay));
     ack.set_members_digest(hosts_.Digest());
     if (overdue || !ack.standby()) {
       ack.set_lease_nonce(lease_nonce);
@@ -364,6 +257,7 @@
         *outbox_.Add(options_.identity_.host_, peer).mutable_peer_digest();
     digest.set_revision(config_.State().Revision());
     digest.set_digest(config_.State().Digest());
+    digest.set_reads_packed(true);
   }
 }
 
@@ -373,6 +267,7 @@
   UpdateRelayConnection(now);
   AcceptUnconfirmedFloors(now);
   UpdateAuthority(now);
+  UpdateCurrency(now);
   local_.Expire(now.mono_);
   claims_.OnTimer(now, outbox_);
   ExchangeWithPeers(now);
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -23,6 +23,8 @@
 #include "distribution/config_store.h"
 #include "distribution/control_hosts.h"
 #include "distribution/parent_selector.h"
+#include "distribution/revision_lag.h"
+#include "distribution/snapshot_cache.h"
 #include "registry/endpoint_registry.h"
 #include "registry/local_endpoints.h"
 #include "request/authority_lease.h"
@@ -43,6 +45,10 @@
   // Time within which a revoked key of a client account is refused; 0: no
   // bound.
   base::Duration revocation_bound_{0};
+  // Time within which an accepted configuration is in force everywhere; 0: no
+  // bound. With a bound, a proxy serves no revision that it can know to be
+  // older.
+  base::Duration apply_bound_{0};
 };
 
 class ProxyNode : public base::Node {
@@ -80,11 +86,15 @@
   bool DepartureStored(const std::string& instance) const;
 
   // Whether the request path may serve: the floor is known, the configuration
-  // is not below it, and with discovery a registry has been received.
+  // is not below it nor known to be too old, and with discovery a registry has
+  // been received.
   bool MayServe() const {
-    return floor_known_ && config_.MayServe() &&
-           (registry_received_ || !hosts_.UsesDiscovery());
+    return floor_known_ && config_.MayServe() && !AwaitsCurrency() &&
+           !outdated_ && (registry_received_ || !hosts_.UsesDiscovery());
   }
+  // How long this proxy has known of a newer revision than its own; 0 while it
+  // knows of none, or is not connected to a relay that could send it.
+  base::Duration BehindFor(const base::Now& now) const;
   const config::ConfigState& Config() const { return config_.State(); }
   const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
   // For the builder of views, which calls TakeChangedServices.
@@ -108,7 +118,10 @@
  private:
   ProxyNode(ProxyOptions options, storage::Journal& journal);
 
+  // proxy_config.cc: the configuration.
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
+  // Updates what depends on the configuration.
+  void OnRevisionApplied();
   // Logs that the revision of an update is in force.
   void LogApplied(const rpc::Envelope& envelope, const base::Now& now) const;
   void OnHeartbeat(const rpc::Envelope& envelope, const base::Now& now);
@@ -118,6 +131,11 @@
   void OnFloor(const rpc::Envelope& envelope, const base::Now& now);
   // Serves from unconfirmed floors once kUnconfirmedFloorDelay has passed.
   void AcceptUnconfirmedFloors(const base::Now& now);
+  // Whether this proxy, which started without state, must not serve before the
+  // leader has confirmed that its revision is current.
+  bool AwaitsCurrency() const;
+  // Decides whether the revision is too old to serve.
+  void UpdateCurrency(const base::Now& now);
   // proxy_registry.cc: the mirrored registry and own announcements.
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
@@ -130,7 +148,7 @@
   void SendAllLocal(const std::string& relay);
 
   void OnQuarantine(const rpc::QuarantineNotice& notice);
-  void OnPeerDigest(const rpc::Envelope& envelope);
+  void OnPeerDigest(const rpc::Envelope& envelope, const base::Now& now);
   void SendResumes(const base::Now& now);
   void SendKeepalive(const base::Now& now);
   // proxy_authority.cc: the lease on the authority to accept keys.
@@ -189,6 +207,15 @@
   std::set<std::string> floors_received_;
   // When the floors of all candidate relays were known, none of them confirmed.
   std::optional<base::MonoTime> unconfirmed_since_;
+  // The first revision was current when it was served; see AwaitsCurrency.
+  bool start_current_ = false;
+  // When the floor was first known and reached. Without a leader, a proxy
+  // serves some time after that.
+  std::optional<base::MonoTime> first_servable_;
+  // The revision has been known to be replaced for too long.
+  bool outdated_ = false;
+  RevisionLag lag_;
+  SnapshotCache peer_snapshots_;
   // Whether any relay has sent a registry.
   bool registry_received_ = false;
   bool journal_dirty_ = false;
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -8,6 +8,7 @@
 
 #include "base/events.h"
 #include "base/hash.h"
+#include "distribution/update_log.h"
 
 namespace buckthorngate::distribution {
 namespace {
@@ -200,7 +201,8 @@
   if (hosts_.UsesDiscovery()) {
     SendHeartbeat(envelope.from(), /*held_members_digest=*/0, now);
     if (envelope.resume().role() == rpc::NODE_ROLE_PROXY &&
-        !envelope.resume().standby()) {
+        !envelope.resume().standby() &&
+        envelope.resume().registry_digest() != endpoints_.Digest()) {
       // A proxy serves no requests until it has received a registry.
       SendRegistry(envelope.from(), RegistryComplete(now.mono_));
     }
@@ -235,6 +237,10 @@
 }
 
 void RelayNode::OnConfig(const rpc::Envelope& envelope, const base::Now& now) {
+  if (!parents_.AnswersLastResume(envelope)) {
+    LogUpdateIgnored(envelope, parents_.ResumeNumber(envelope.from()));
+    return;
+  }
   const ResultCode code = envelope.has_snapshot()
                               ? config_.OnSnapshot(envelope.snapshot())
                               : config_.OnDelta(envelope.delta());
@@ -245,7 +251,7 @@
     return;
   }
   if (code != ResultCode::kOk) {
-    if (config_.NeedsResync()) {
+    if (config_.NeedsResync() && envelope.from() == parents_.Active()) {
       parents_.ForceResume();
     }
     return;
@@ -256,6 +262,7 @@
   quarantine_.Lift(config_.State().LiftedFingerprints());
   rpc::Ack& ack = *outbox_.Add(options_.id_, envelope.from()).mutable_ack();
   ack.set_revision(config_.State().Revision());
+  ack.set_resume_number(parents_.ResumeNumber(envelope.from()));
 }
 
 void RelayNode::OnSourceHeartbeat(const rpc::Envelope& envelope,
@@ -264,6 +271,10 @@
   parents_.RecordContact(envelope.from(), heartbeat.revision(),
                          std::chrono::milliseconds(heartbeat.contact_age_ms()),
                          now.mono_);
+  if (parents_.RecordSentUpdates(envelope.from(), heartbeat,
+                                 config_.State().Revision(), now.mono_)) {
+    LogUpdateLost(envelope, config_.State().Revision());
+  }
   ConfirmFloors(heartbeat);
   ConfirmAuthority(heartbeat);
   if (hosts_.Update(heartbeat.members(), heartbeat.members_index())) {
@@ -313,6 +324,11 @@
     resume.set_digest(config_.State().Digest());
     resume.set_has_disk(options_.has_disk_);
     resume.set_standby(source != parents_.Active());
+    resume.set_number(parents_.ResumeNumber(source));
+    resume.set_needs_snapshot(config_.WasRefused());
+    if (!resume.standby()) {
+      LogResume(source, resume);
+    }
   }
   if (now.mono_ < next_keepalive_) {
     return;
@@ -331,6 +347,7 @@
     ack.set_revision(revision);
     ack.set_nonce(nonce_);
     ack.set_standby(source != parents_.Active());
+    ack.set_resume_number(parents_.ResumeNumber(source));
     ack.set_members_digest(hosts_.Digest());
   }
 }
--- a/src/distribution/relay_reports.cc
+++ b/src/distribution/relay_reports.cc
@@ -42,6 +42,7 @@
       *outbox_.Add(options_.id_, to).mutable_heartbeat();
   heartbeat.set_revision(config_.State().Revision());
   heartbeat.set_zone(options_.zone_);
+  distributor_.DescribeUpdates(to, heartbeat);
   if (hosts_.UsesDiscovery()) {
     // Lets proxies leave a relay that is cut off from the sources.
     heartbeat.set_contact_age_ms(parents_.ContactAge(now.mono_) /
--- a/src/distribution/source_heartbeats.cc
+++ b/src/distribution/source_heartbeats.cc
@@ -53,6 +53,7 @@
   heartbeat.set_contact_age_ms(raft_->ContactAge(now) /
                                std::chrono::milliseconds(1));
   heartbeat.set_confirmed_nonce(ConfirmNonce(relay, now));
+  distributor_.DescribeUpdates(relay, heartbeat);
   if (hosts_.UsesDiscovery()) {
     AddMembers(raft_->CurrentMembership(), raft_->MembershipIndex(),
                held_members_digest, heartbeat);
--- a/src/request/authority_lease.cc
+++ b/src/request/authority_lease.cc
@@ -36,7 +36,11 @@
 bool AuthorityLease::OnReply(const rpc::AuthorityLease& reply,
                              uint64_t held_revision) {
   const auto question = open_.find(reply.nonce());
-  if (question == open_.end() || reply.revision() > held_revision) {
+  if (question == open_.end()) {
+    return false;
+  }
+  if (reply.revision() > held_revision) {
+    early_ = EarlyReply{reply.revision(), question->second};
     return false;
   }
   confirmed_at_ = std::max(confirmed_at_, question->second);
@@ -45,6 +49,13 @@
   return true;
 }
 
+void AuthorityLease::OnHeld(uint64_t held_revision) {
+  if (early_ && early_->revision_ <= held_revision) {
+    confirmed_at_ = std::max(confirmed_at_, early_->asked_at_);
+    early_.reset();
+  }
+}
+
 std::string PublishedAuthority::Render(base::BootTime now) const {
   const base::BootTime confirmed_at = confirmed_at_.load();
   if (!IsEnforced() || confirmed_at == kNeverConfirmed) {
--- a/src/request/authority_lease.h
+++ b/src/request/authority_lease.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -41,6 +42,8 @@
   // names a newer revision than `held_revision`. The configuration of that
   // revision must be in use before the lease is.
   bool OnReply(const rpc::AuthorityLease& reply, uint64_t held_revision);
+  // Extends the lease by a reply that came before its revision did.
+  void OnHeld(uint64_t held_revision);
 
   // When the latest question with an accepted reply was sent.
   base::BootTime ConfirmedAt() const { return confirmed_at_; }
@@ -55,6 +58,12 @@
   // When the questions were sent that may still be answered, by nonce.
   std::map<uint64_t, base::BootTime> open_;
   base::BootTime confirmed_at_ = kNeverConfirmed;
+  // The latest reply whose revision is not held yet.
+  struct EarlyReply {
+    uint64_t revision_ = 0;
+    base::BootTime asked_at_;
+  };
+  std::optional<EarlyReply> early_;
 };
 
 // The lease as the request path reads it. Safe for concurrent use, by one
--- a/tests/fake_mesh.cc
+++ b/tests/fake_mesh.cc
@@ -1,6 +1,7 @@
 // Simulated network and virtual time for nodes in one thread.
 #include "fake_mesh.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthorngate::tests {
@@ -49,13 +50,26 @@
   }
   const int copies = random_.Unit() < faults_.duplicate_ ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    const base::Duration delay =
-        faults_.min_delay_ +
-        random_.Jitter(faults_.max_delay_ - faults_.min_delay_);
-    in_flight_.emplace(elapsed_ + delay, envelope);
+    in_flight_.emplace(ArrivalOf(envelope), envelope);
   }
 }
 
+base::Duration FakeMesh::ArrivalOf(const rpc::Envelope& envelope) {
+  const base::Duration delay =
+      faults_.min_delay_ +
+      random_.Jitter(faults_.max_delay_ - faults_.min_delay_);
+  const auto link = links_.find(envelope.to());
+  if (link == links_.end()) {
+    return elapsed_ + delay;
+  }
+  const double seconds = static_cast<double>(envelope.ByteSizeLong()) /
+                         link->second.bytes_per_second_;
+  base::Duration& free_at = link->second.free_at_;
+  free_at = std::max(free_at, elapsed_ + delay) +
+            base::Duration(static_cast<int64_t>(seconds * 1e6));
+  return free_at;
+}
+
 void FakeMesh::Flush(const std::string& id) {
   const auto found = nodes_.find(id);
   if (found == nodes_.end() || frozen_.count(id) != 0) {
--- a/tests/fake_mesh.h
+++ b/tests/fake_mesh.h
@@ -71,6 +71,12 @@
   base::Now NowFor(const std::string& id) const;
   base::Now Now() const { return NowFor(""); }
 
+  // Gives a node a link of this rate: messages to it arrive in order, one after
+  // the other.
+  void SetLink(const std::string& id, double bytes_per_second) {
+    links_[id] = {bytes_per_second, elapsed_};
+  }
+
   // With batching a node handles all messages of a step and its timer before it
   // flushes, as a daemon does with messages that queued up while it was busy.
   // Without, it flushes after each message.
@@ -89,6 +95,8 @@
 
  private:
   void Send(const rpc::Envelope& envelope);
+  // When a message that leaves now arrives.
+  base::Duration ArrivalOf(const rpc::Envelope& envelope);
   // Whether a partition separates the two nodes.
   bool Partitioned(const std::string& from, const std::string& to) const;
 
@@ -102,6 +110,11 @@
   std::set<std::string> isolated_;
   std::map<std::string, std::chrono::milliseconds> clock_errors_;
   std::map<std::string, base::Duration> suspended_;
+  struct Link {
+    double bytes_per_second_ = 0.0;
+    base::Duration free_at_{0};  // When all messages so far have arrived.
+  };
+  std::map<std::string, Link> links_;
   NetworkFaults faults_;
   bool batching_ = false;
   std::function<void(const rpc::Envelope&)> tap_;
--- a/tests/test_mesh.cc
+++ b/tests/test_mesh.cc
@@ -81,6 +81,7 @@
   options.identity_.incarnation_ = ++incarnations_[id];
   options.seed_ = next_seed_++;
   options.revocation_bound_ = revocation_bound_;
+  options.apply_bound_ = apply_bound_;
   for (const auto& [relay, node] : relays_) {
     if (zones_.at(relay) == zones_.at(id)) {
       options.relays_.push_back(relay);
--- a/tests/test_mesh.h
+++ b/tests/test_mesh.h
@@ -29,6 +29,7 @@
 
   // To be called before AddProxy; see ProxyOptions.
   void SetRevocationBound(base::Duration bound) { revocation_bound_ = bound; }
+  void SetApplyBound(base::Duration bound) { apply_bound_ = bound; }
   // Adds the initial members; each lists all of them in its settings.
   void AddSources(int count);
   // Adds a source that joins later, as a learner with a new identity.
@@ -80,6 +81,7 @@
   FakeMesh net_;
   uint64_t next_seed_;
   base::Duration revocation_bound_{0};
+  base::Duration apply_bound_{0};
   std::vector<std::string> source_ids_;
   std::vector<std::string> proxy_ids_;
   std::map<std::string, std::string> zones_;  // Of relays and proxies.
