What a newer configuration may allow is refused for now, not for good

What callers saw: 404, or 401 for a key, by a daemon that knew that there was a newer configuration, which may have added the route or the key; callers don't try again after these. Cause: the entry looked at its own configuration only.

--- a/src/daemon/serving/entry_call.cc
+++ b/src/daemon/serving/entry_call.cc
@@ -87,6 +87,8 @@
                   {"attempts", std::to_string(attempts_)},
                   {"reached", std::to_string(reached_)},
                   {"revision", std::to_string(view_->revision_)},
+                  {"behind_ms", std::to_string(entry_.board_.BehindFor() /
+                                               std::chrono::milliseconds(1))},
                   {"us", std::to_string(took.count())},
                   {"left_ms", std::to_string(RemainingTime() /
                                              std::chrono::milliseconds(1))}});
@@ -112,9 +114,10 @@
   if (match_.route_ != nullptr) {
     return ResultCode::kOk;
   }
-  // Before the first publication it is not known which routes will exist.
-  return view_->routes_->Empty() ? ResultCode::kBelowFloor
-                                 : ResultCode::kNoRoute;
+  // Before the first publication it is not known which routes will exist, and
+  // while there is a newer revision, which ones it has.
+  return view_->routes_->Empty() || IsBehind() ? ResultCode::kBelowFloor
+                                               : ResultCode::kNoRoute;
 }
 
 void Entry::Call::ChooseService() {
@@ -199,6 +202,10 @@
     co_return matched;
   }
   const ResultCode identified = IdentifyAccount();
+  if (identified == ResultCode::kAccountKeyUnknown && IsBehind()) {
+    // The newer revision may have added the key.
+    co_return ResultCode::kBelowFloor;
+  }
   if (identified != ResultCode::kOk) {
     co_return identified;
   }
--- a/src/daemon/serving/entry_call.h
+++ b/src/daemon/serving/entry_call.h
@@ -208,6 +208,8 @@
 
   // Whether the route or the method allows running the request more than once.
   bool Repeatable() const;
+  // Whether the daemon knows of a newer configuration than the one in use.
+  bool IsBehind() const { return entry_.board_.BehindFor().count() > 0; }
   // Time until the deadline.
   base::Duration RemainingTime() const;
   const std::string& RouteName() const { return match_.route_->name(); }
--- a/tests/entry_harness.h
+++ b/tests/entry_harness.h
@@ -40,6 +40,7 @@
                          std::optional<uint64_t> length) override;
   http::Task<bool> Write(std::string_view piece) override;
   http::Task<bool> Finish() override;
+  void SetTarget(const std::string& target) { head_.target_ = target; }
   void AddHeader(const std::string& name, const std::string& value) {
     head_.headers_.Add(name, value);
   }
@@ -94,6 +95,8 @@
   void SetAccounts(const std::vector<rpc::ClientAccount>& accounts);
   // The lease on the authority to accept keys counts from `at`.
   void ConfirmAuthority(base::BootTime at) { board_.Authority().Confirm(at); }
+  // The daemon knows of a newer configuration for this long.
+  void SetBehindFor(base::Duration time) { board_.SetBehindFor(time); }
   // Sends a request and waits for its answer; returns the status.
   int Call();
 
