Large bodies are sent when the destination's link has room

Cause: the link of a destination, not its slots, was the scarce resource, and nothing admitted, picked or queued by it. Uploads were spread by zone, slots and learned speed; where they filled a link, calls, connects and answers waited behind bodies, runs that waited for calls held slots and ended in 500, and clients sent their bodies once more.

Why this works: an entry on a slow link asks the destination before it sends a large body. The destination grants bodies one after the other, the earliest deadline first, while those in transit need less than 50 ms of its link; what would come too late, or find no slot, is refused before a byte is sent, and the entry asks another host. Entries also draw large bodies by the use of links that daemons report, and leave the own zone when its links are busy. A connect may take as long as two bodies before it. A daemon of an earlier release refuses the question as malformed and gets the body at once.

--- a/benchmark/overload_model.cc
+++ b/benchmark/overload_model.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "request/full_marks.h"
+#include "request/link_schedule.h"
 #include "request/retry.h"
 #include "request/retry_after.h"
 #include "request/work_estimator.h"
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr base::Duration kHopInZone = std::chrono::microseconds(300);
+// Head of a request or an answer, and a small body.
+constexpr double kMessageBytes = 1000.0;
 constexpr int kMaxWaits = 2;
 constexpr base::Duration kFullTime = std::chrono::milliseconds(25);
 
@@ -25,6 +28,11 @@
   request::AdmissionQueue admission_;
   std::map<uint64_t, RequestPtr> waiting_;
 
+  // Null if the link is not limited.
+  std::unique_ptr<request::LinkSchedule> link_;
+  std::map<uint64_t, RequestPtr> asking_;
+  base::MonoTime link_free_at_;
+
   const ModelService& service_;
   bool slow_ = false;
   uint64_t served_ = 0;
@@ -69,6 +77,10 @@
   std::vector<std::string> tried_;
   base::MonoTime admitted_;
   base::Duration work_{0};  // At speed 1; zero: drawn when it is admitted.
+  double body_bytes_ = 0.0;
+  uint64_t body_ticket_ = 0;
+  // The endpoint whose run makes this call; -1: none.
+  int parent_endpoint_ = -1;
   base::Duration room_{0};  // Least forecast of the refusals of this try.
   bool over_ = false;
   std::function<void(bool)> done_;  // Set for nested calls.
@@ -91,6 +103,10 @@
           options_.policy_ ? options_.policy_()
                            : request::MakeOverloadPolicy(
                                  request::OverloadPolicyKind::kPrecedence)));
+      if (options_.link_bytes_per_second_ > 0.0) {
+        endpoints_.back()->link_ = std::make_unique<request::LinkSchedule>(
+            options_.link_bytes_per_second_);
+      }
     }
   }
   const int entries = options_.zones_ * options_.entries_per_zone_;
@@ -171,7 +187,7 @@
                                static_cast<size_t>(options_.zones_) *
                                    random_.Below(static_cast<uint64_t>(
                                        options_.entries_per_zone_));
-          Start(kind, entry, base::MonoTime::max(), nullptr);
+          Start(kind, entry, base::MonoTime::max(), -1, nullptr);
           ScheduleArrivals(kind, zone);
         });
 }
@@ -179,6 +195,7 @@
 void OverloadModel::Start(size_t kind,
                           size_t entry,
                           base::MonoTime latest,
+                          int parent_endpoint,
                           std::function<void(bool)> done) {
   const ModelKind& info = options_.kinds_[kind];
   const RequestPtr request = std::make_shared<Request>();
@@ -189,6 +206,12 @@
   request->objective_ = now_ + info.objective_;
   request->deadline_ = std::min(now_ + info.deadline_, latest);
   request->returns_left_ = info.returns_;
+  request->parent_endpoint_ = parent_endpoint;
+  if (info.body_bytes_ > 0.0) {
+    std::lognormal_distribution<double> factor(
+        -info.body_spread_ * info.body_spread_ / 2.0, info.body_spread_);
+    request->body_bytes_ = info.body_bytes_ * factor(random_.Engine());
+  }
   request->done_ = std::move(done);
   if (options_.records_arrivals_) {
     request->work_ = WorkTime(info, 1.0);
@@ -237,9 +260,89 @@
   request->tried_.push_back(picked->endpoint_.id());
   const size_t endpoint = std::stoul(picked->endpoint_.id());
   After(HopTime(request->entry_, endpoint),
+        [this, request, endpoint] { Send(request, endpoint); });
+}
+
+base::Duration OverloadModel::PutOnLink(size_t endpoint, double bytes) {
+  if (options_.link_bytes_per_second_ <= 0.0) {
+    return base::Duration(0);
+  }
+  base::MonoTime& free_at = endpoints_[endpoint]->link_free_at_;
+  free_at = std::max(free_at, now_) +
+            base::Duration(static_cast<int64_t>(
+                bytes / options_.link_bytes_per_second_ * 1e6));
+  return free_at - now_;
+}
+
+double OverloadModel::LinkUse(size_t endpoint) const {
+  const Endpoint& host = *endpoints_[endpoint];
+  return host.link_ == nullptr ? 0.0 : host.link_->Use(now_);
+}
+
+void OverloadModel::Send(const RequestPtr& request, size_t endpoint) {
+  const bool asks =
+      options_.asks_for_bodies_ && endpoints_[endpoint]->link_ != nullptr &&
+      request->body_bytes_ >= static_cast<double>(request::kMinAskedBytes);
+  if (asks) {
+    After(PutOnLink(endpoint, kMessageBytes),
+          [this, request, endpoint] { AskForBody(request, endpoint); });
+    return;
+  }
+  After(PutOnLink(endpoint, kMessageBytes + request->body_bytes_),
         [this, request, endpoint] { Deliver(request, endpoint); });
 }
 
+void OverloadModel::AskForBody(const RequestPtr& request, size_t endpoint) {
+  const ModelKind& kind = options_.kinds_[request->kind_];
+  Endpoint& target = *endpoints_[endpoint];
+  request->ticket_ = next_ticket_++;
+  request->body_ticket_ = request->ticket_;
+  const bool no_slot = target.admission_.WouldRefuse(
+      {request->ticket_, entries_[request->entry_]->host_, kind.priority_,
+       request->done_ != nullptr, request->objective_, request->deadline_,
+       kind.name_},
+      now_);
+  const request::LinkVerdict verdict =
+      no_slot
+          ? request::LinkVerdict::kRefused
+          : target.link_->Enter({request->body_ticket_,
+                                 static_cast<uint64_t>(request->body_bytes_),
+                                 request->objective_, request->deadline_},
+                                now_);
+  if (verdict == request::LinkVerdict::kGranted) {
+    SendBody(request, endpoint);
+  } else if (verdict == request::LinkVerdict::kRefused) {
+    TurnedAway(request, endpoint);
+  } else {
+    target.asking_[request->body_ticket_] = request;
+  }
+}
+
+void OverloadModel::SendBody(const RequestPtr& request, size_t endpoint) {
+  // The grant goes back before the body comes.
+  After(HopTime(request->entry_, endpoint) * 2, [this, request, endpoint] {
+    After(PutOnLink(endpoint, request->body_bytes_), [this, request, endpoint] {
+      endpoints_[endpoint]->link_->Release(request->body_ticket_);
+      TakeGrants(endpoint);
+      Deliver(request, endpoint);
+    });
+  });
+}
+
+void OverloadModel::TakeGrants(size_t endpoint) {
+  Endpoint& target = *endpoints_[endpoint];
+  for (const request::LinkSchedule::Decision& decision :
+       target.link_->TakeDecisions(now_)) {
+    const RequestPtr request = target.asking_.at(decision.ticket_);
+    target.asking_.erase(decision.ticket_);
+    if (decision.granted_) {
+      SendBody(request, endpoint);
+    } else {
+      TurnedAway(request, endpoint);
+    }
+  }
+}
+
 void OverloadModel::Deliver(const RequestPtr& request, size_t endpoint) {
   const ModelKind& kind = options_.kinds_[request->kind_];
   Endpoint& target = *endpoints_[endpoint];
@@ -307,7 +410,8 @@
       static_cast<size_t>(options_.zones_) *
           (endpoint % static_cast<size_t>(options_.entries_per_zone_));
   Start(static_cast<size_t>(options_.kinds_[request->kind_].calls_kind_), entry,
-        request->deadline_, [this, request, endpoint, left](bool ok) {
+        request->deadline_, static_cast<int>(endpoint),
+        [this, request, endpoint, left](bool ok) {
           if (ok && left > 1 && !request->over_) {
             MakeCalls(request, endpoint, left - 1);
           } else {
@@ -367,45 +471,64 @@
                           now_);
   Release(endpoint);
   const uint32_t load = target.Load();
-  After(HopTime(request->entry_, endpoint), [this, request, endpoint, ok,
-                                             load] {
-    const ModelKind& kind = options_.kinds_[request->kind_];
-    for (const request::EndpointView& view :
-         entries_[request->entry_]->services_[kind.service_].endpoints_) {
-      if (view.endpoint_.id() == std::to_string(endpoint)) {
-        const base::Duration took = now_ - request->try_began_;
-        view.stats_->End(took, !ok, now_);
-        if (ok && options_.learns_speeds_) {
-          request::WorkEstimator& work = entries_[request->entry_]->work_;
-          work.Record(kind.name_, took, now_);
-          view.stats_->RecordSlowness(
-              static_cast<double>(took.count()) /
-              static_cast<double>(work.Of(kind.name_, now_).mean_.count()));
-        }
-        view.stats_->SetReportedLoad(load, now_);
+  const double link_use = LinkUse(endpoint);
+  After(HopTime(request->entry_, endpoint),
+        [this, request, endpoint, ok, load, link_use] {
+          // The answer to a call arrives behind what its caller's host gets.
+          const base::Duration queued =
+              request->parent_endpoint_ < 0
+                  ? base::Duration(0)
+                  : PutOnLink(static_cast<size_t>(request->parent_endpoint_),
+                              kMessageBytes);
+          After(queued, [this, request, endpoint, ok, load, link_use] {
+            Answered(request, endpoint, ok, load, link_use);
+          });
+        });
+}
+
+void OverloadModel::Answered(const RequestPtr& request,
+                             size_t endpoint,
+                             bool ok,
+                             uint32_t load,
+                             double link_use) {
+  const ModelKind& kind = options_.kinds_[request->kind_];
+  for (const request::EndpointView& view :
+       entries_[request->entry_]->services_[kind.service_].endpoints_) {
+    if (view.endpoint_.id() == std::to_string(endpoint)) {
+      const base::Duration took = now_ - request->try_began_;
+      view.stats_->End(took, !ok, now_);
+      if (ok && options_.learns_speeds_) {
+        request::WorkEstimator& work = entries_[request->entry_]->work_;
+        work.Record(kind.name_, took, now_);
+        view.stats_->RecordSlowness(
+            static_cast<double>(took.count()) /
+            static_cast<double>(work.Of(kind.name_, now_).mean_.count()));
       }
+      view.stats_->SetReportedLoad(load, now_);
+      view.stats_->SetLinkUse(link_use, now_);
     }
-    if (request->over_) {
-      return;
-    }
-    KindReport& report = reports_[request->kind_];
-    if (Counts(*request)) {
-      const bool in_time =
-          now_ <= request->began_ + options_.kinds_[request->kind_].objective_;
-      report.in_time_ += ok && in_time ? 1 : 0;
-      report.late_ += ok && !in_time ? 1 : 0;
-      report.failed_ += ok ? 0 : 1;
-      endpoints_[endpoint]->served_ += ok ? 1 : 0;
-      const bool away =
-          endpoints_[endpoint]->zone_ != entries_[request->entry_]->zone_;
-      spilled_ += away && request->done_ == nullptr ? 1 : 0;
-    }
-    Finish(request, ok);
-  });
+  }
+  if (request->over_) {
+    return;
+  }
+  KindReport& report = reports_[request->kind_];
+  if (Counts(*request)) {
+    const bool in_time =
+        now_ <= request->began_ + options_.kinds_[request->kind_].objective_;
+    report.in_time_ += ok && in_time ? 1 : 0;
+    report.late_ += ok && !in_time ? 1 : 0;
+    report.failed_ += ok ? 0 : 1;
+    endpoints_[endpoint]->served_ += ok ? 1 : 0;
+    const bool away =
+        endpoints_[endpoint]->zone_ != entries_[request->entry_]->zone_;
+    spilled_ += away && request->done_ == nullptr ? 1 : 0;
+  }
+  Finish(request, ok);
 }
 
 void OverloadModel::TurnedAway(const RequestPtr& request, size_t endpoint) {
   const uint32_t load = endpoints_[endpoint]->Load();
+  const double link_use = LinkUse(endpoint);
   turned_away_ += Counts(*request) ? 1 : 0;
   const ModelKind& refused = options_.kinds_[request->kind_];
   const base::Duration room = endpoints_[endpoint]->admission_.ForecastRoom(
@@ -416,13 +539,14 @@
   request->room_ =
       request->room_.count() == 0 ? room : std::min(room, request->room_);
   After(HopTime(request->entry_, endpoint), [this, request, endpoint, load,
-                                             room] {
+                                             room, link_use] {
     const ModelKind& kind = options_.kinds_[request->kind_];
     for (const request::EndpointView& view :
          entries_[request->entry_]->services_[kind.service_].endpoints_) {
       if (view.endpoint_.id() == std::to_string(endpoint)) {
         view.stats_->End(base::Duration(0), /*failed=*/true, now_);
         view.stats_->SetReportedLoad(load, now_);
+        view.stats_->SetLinkUse(link_use, now_);
         if (options_.marks_by_kind_) {
           entries_[request->entry_]->full_.Mark(kind.name_, view.endpoint_.id(),
                                                 room, now_);
--- a/benchmark/overload_model.h
+++ b/benchmark/overload_model.h
@@ -49,6 +49,9 @@
   base::Duration deadline_{0};
   uint32_t priority_ = 2;
   bool large_ = false;
+  // Mean size of the request's body; its spread is that of a logarithm.
+  double body_bytes_ = 0.0;
+  double body_spread_ = 0.6;
   int returns_ = 1;  // How often a refused caller comes back.
   // A share of the requests calls another kind while it holds its slot.
   int calls_kind_ = -1;
@@ -83,6 +86,12 @@
   bool marks_by_kind_ = false;
   // Entries learn the speeds of endpoints; see EndpointStats::RecordSlowness.
   bool learns_speeds_ = false;
+  // Incoming link of each endpoint's host, in bytes a second; 0: not limited.
+  // Requests to the endpoint and answers to the calls that it makes arrive one
+  // after the other.
+  double link_bytes_per_second_ = 0.0;
+  // Destinations are asked before large bodies are sent; see LinkSchedule.
+  bool asks_for_bodies_ = false;
   // The work of first requests is drawn on arrival, so that it does not depend
   // on the policy, and arrivals are recorded.
   bool records_arrivals_ = false;
@@ -133,11 +142,26 @@
   void Start(size_t kind,
              size_t entry,
              base::MonoTime latest,
+             int parent_endpoint,
              std::function<void(bool)> done);
   void Try(const RequestPtr& request);
+  // The way of a request and its body over the link of the endpoint's host.
+  void Send(const RequestPtr& request, size_t endpoint);
+  void AskForBody(const RequestPtr& request, size_t endpoint);
+  void SendBody(const RequestPtr& request, size_t endpoint);
+  void TakeGrants(size_t endpoint);
+  // Puts bytes on the link; returns how long they take to arrive.
+  base::Duration PutOnLink(size_t endpoint, double bytes);
+  double LinkUse(size_t endpoint) const;
   void Deliver(const RequestPtr& request, size_t endpoint);
   void Admitted(const RequestPtr& request, size_t endpoint);
   void WorkDone(const RequestPtr& request, size_t endpoint, bool ok);
+  // The answer has left the endpoint, with its load and the use of its link.
+  void Answered(const RequestPtr& request,
+                size_t endpoint,
+                bool ok,
+                uint32_t load,
+                double link_use);
   void Release(size_t endpoint);
   void TurnedAway(const RequestPtr& request, size_t endpoint);
   void Refuse(const RequestPtr& request);
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -195,6 +195,9 @@
      "A request behind a response that closed the connection was cancelled; "
      "its "
      "caller resends it."},
+    {kBodyAsked, Level::kInfo, "body-asked",
+     "Another daemon asked whether it may send a large body to an endpoint of "
+     "this host; the fields show what is due on the host's link."},
     {kOverloadShed, Level::kInfo, "overload-shed",
      "Requests were refused because others lose more by waiting."},
     {kSettingsReloaded, Level::kInfo, "settings-reloaded",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -94,6 +94,7 @@
   kAttemptLeftOpen = 515,
   kQuarantineCleared = 516,
   kPipelineCancelled = 517,
+  kBodyAsked = 518,
   kOverloadShed = 519,
   kSettingsReloaded = 520,
   kLogLinesDropped = 521,
--- a/src/daemon/serving/destination.cc
+++ b/src/daemon/serving/destination.cc
@@ -116,6 +116,7 @@
   if (admitted != ResultCode::kOk) {
     HopAnswer refused = NotAdmitted(*upstream, ticket, request, admitted);
     refused.cold_room_ = upstream->cold_->Room(clock_.Read().mono_);
+    refused.link_use_ = LinkUse();
     board_.DaemonMetrics().CountHeldBack(admitted);
     LogAdmission(*upstream, request, upstream->admission_.Running(), arrived,
                  clock_.Read().mono_, admitted);
@@ -142,6 +143,7 @@
   answer.calls_ = board_.Calls().Close(request.request_id_) + 1;
   answer.load_ = upstream->Load();
   answer.cold_room_ = upstream->cold_->Room(clock_.Read().mono_);
+  answer.link_use_ = LinkUse();
   if (upstream->info_.warm_up_end_) {
     answer.cold_ = clock_.Read().mono_ < *upstream->info_.warm_up_end_;
   }
@@ -315,6 +317,15 @@
   call.SetId(request.request_id_);
   request.cancel_ = &call.Gone();
   request.caller_connected_ = [&call] { return call.StillThere(); };
+  if (request.asked_bytes_ > 0) {
+    HopAnswer granted = co_await GrantBody(request);
+    EncodeHopAnswer(request, granted);
+    co_await SendAnswer(call, granted);
+    co_return;
+  }
+  const std::unique_ptr<ArrivingBody> arriving = BeginBody(call, request);
+  http::BodyReader& body =
+      arriving == nullptr ? static_cast<http::BodyReader&>(call) : *arriving;
   if (call.HasBody()) {
     http::BodyState state = http::BodyState::kMore;
     // A body that arrives slowly must not outlast the request. Run refuses the
@@ -322,12 +333,12 @@
     while (state == http::BodyState::kMore &&
            request.body_.size() < kMaxBufferedBodyBytes &&
            clock_.Read().mono_ < request.deadline_) {
-      state = co_await call.Read(request.body_, kMaxBufferedBodyBytes);
+      state = co_await body.Read(request.body_, kMaxBufferedBodyBytes);
     }
     if (state == http::BodyState::kFailed) {
       co_return;
     }
-    request.rest_ = state == http::BodyState::kMore ? &call : nullptr;
+    request.rest_ = state == http::BodyState::kMore ? &body : nullptr;
   }
   HopAnswer answer = co_await Run(request);
   EncodeHopAnswer(request, answer);
--- a/src/daemon/serving/destination.h
+++ b/src/daemon/serving/destination.h
@@ -22,6 +22,7 @@
 #include "request/answered_requests.h"
 #include "request/cold_limiter.h"
 #include "request/dialect.h"
+#include "request/link_schedule.h"
 #include "request/transit_delay.h"
 
 namespace buckthorngate::daemon::serving {
@@ -79,6 +80,11 @@
   void SetOverloadPolicy(request::OverloadPolicyKind policy) {
     overload_policy_ = policy;
   }
+  // Large bodies for this host are admitted one after the other: its incoming
+  // link carries this many bytes a second. To be called before the loop starts.
+  void SetSlowLink(double bytes_per_second) {
+    link_ = std::make_unique<request::LinkSchedule>(bytes_per_second);
+  }
   // Reports the listed requests that were answered here lately. To be called
   // when the quarantine has changed.
   void ReportListedAnswered();
@@ -118,6 +124,7 @@
   class Slot;
   class SlotHoldingBody;
   class ColdTurn;
+  class ArrivingBody;
 
   // Waits for a slot of the upstream. Returns kOk, or kEndpointDraining,
   // kZoneEvacuated, kEndpointOverloaded or kCallerGone, which mean that the
@@ -134,6 +141,23 @@
                         uint64_t ticket,
                         const HopRequest& request,
                         ResultCode code) const;
+  // destination_link.cc: bodies on this host's incoming link.
+  // Answers whether a body may be sent: kOk with a grant, or why not.
+  http::Task<HopAnswer> GrantBody(HopRequest& request);
+  // Waits until the link has room for the body. Returns kOk,
+  // kEndpointOverloaded or kCallerGone.
+  http::Task<ResultCode> AwaitLink(uint64_t ticket, HopRequest& request);
+  void LogGrant(const HopRequest& request,
+                base::MonoTime asked,
+                bool no_slot,
+                ResultCode code) const;
+  // Wakes the senders whose bodies were granted or refused.
+  void NotifyLinkWaiters();
+  // The body of a request, counted on the link; null if it has none or the link
+  // is not slow.
+  std::unique_ptr<ArrivingBody> BeginBody(http::ServerCall& call,
+                                          const HopRequest& request);
+  std::optional<double> LinkUse() const;
   // destination_cold.cc
   // Waits until the upstream may get the request, if it is cold. Returns kOk,
   // or kEndpointCold, kEndpointDraining, kZoneEvacuated or kCallerGone, which
@@ -204,6 +228,8 @@
   // the same second.
   std::map<std::string, std::shared_ptr<request::ColdLimiter>> cold_limiters_;
   request::TransitDelay transit_delay_;
+  std::unique_ptr<request::LinkSchedule> link_;  // Null: not limited.
+  std::map<uint64_t, Waiter*> link_waiters_;
 };
 
 }  // namespace buckthorngate::daemon::serving
--- a/src/daemon/serving/destination_upstream.h
+++ b/src/daemon/serving/destination_upstream.h
@@ -122,6 +122,40 @@
   const uint64_t ticket_;
 };
 
+// A body on its way over this host's slow link. Gives the link free when it has
+// arrived, or on destruction.
+class Destination::ArrivingBody : public http::BodyReader {
+ public:
+  ArrivingBody(Destination& owner, http::ServerCall& call, uint64_t ticket)
+      : owner_(owner), call_(call), ticket_(ticket) {}
+  ~ArrivingBody() override { Release(); }
+  ArrivingBody(const ArrivingBody&) = delete;
+  ArrivingBody& operator=(const ArrivingBody&) = delete;
+
+  http::Task<http::BodyState> Read(std::string& piece, size_t most) override {
+    const size_t before = piece.size();
+    const http::BodyState state = co_await call_.Read(piece, most);
+    owner_.link_->Received(ticket_, piece.size() - before);
+    if (state != http::BodyState::kMore) {
+      Release();
+    }
+    owner_.NotifyLinkWaiters();
+    co_return state;
+  }
+  std::optional<uint64_t> Length() const override { return call_.Length(); }
+  std::string_view Failure() const override { return call_.Failure(); }
+
+ private:
+  void Release() {
+    owner_.link_->Release(ticket_);
+    owner_.NotifyLinkWaiters();
+  }
+
+  Destination& owner_;
+  http::ServerCall& call_;
+  const uint64_t ticket_;
+};
+
 // The slot of an admitted request. Released exactly once: explicitly with the
 // request's result, or as failed on destruction.
 class Destination::Slot {
--- a/src/daemon/serving/entry.h
+++ b/src/daemon/serving/entry.h
@@ -40,6 +40,8 @@
   // Endpoints are drawn by their learned speed. On for slow links, on which an
   // attempt that is refused costs much.
   bool by_speed_ = false;
+  // Destinations are asked before large bodies are sent. On for slow links.
+  bool asks_for_bodies_ = false;
 };
 
 // Used on the loop's thread only.
--- a/src/daemon/serving/entry_attempt.cc
+++ b/src/daemon/serving/entry_attempt.cc
@@ -7,6 +7,7 @@
 #include "config/service_file.h"
 #include "daemon/serving/entry_call.h"
 #include "request/hop_headers.h"
+#include "request/link_schedule.h"
 #include "request/peer_failure_detector.h"
 #include "rollout/exposure_cap.h"
 
@@ -123,6 +124,7 @@
   request.caller_service_ = entry_.options_.service_;
   request.fingerprint_ = fingerprint_;
   request.route_ = RouteName();
+  request.asked_bytes_ = AskedBytes();
   request.below_retry_ = below_retry_ || retrying_;
   request.nested_ = nested_;
   request.priority_ = Priority();
@@ -138,6 +140,16 @@
   return request;
 }
 
+uint64_t Entry::Call::AskedBytes() const {
+  if (!entry_.options_.asks_for_bodies_ || !match_.route_->large_body()) {
+    return 0;
+  }
+  const uint64_t bytes =
+      streamed_ ? std::max<uint64_t>(call_.Length().value_or(0), body_.size())
+                : body_.size();
+  return bytes >= request::kMinAskedBytes ? bytes : 0;
+}
+
 Hop& Entry::Call::SelectHop(const Attempt& attempt) const {
   const bool own = attempt.endpoint_->endpoint_.host() == entry_.options_.host_;
   return own ? entry_.local_hop_ : entry_.remote_hop_;
@@ -202,6 +214,9 @@
     stats.SetReportedLoad(*attempt.answer_.load_, now);
     stats.SetColdRoom(attempt.answer_.cold_room_, now);
   }
+  if (attempt.answer_.link_use_) {
+    stats.SetLinkUse(*attempt.answer_.link_use_, now);
+  }
   if (outcome.code_ == ResultCode::kEndpointOverloaded) {
     RecordOverloaded(attempt, now);
   }
--- a/src/daemon/serving/entry_call.h
+++ b/src/daemon/serving/entry_call.h
@@ -118,6 +118,8 @@
                                ResultCode& code) const;
   request::VersionChoice ChooseVersions() const;
   HopRequest MakeHopRequest(const Attempt& attempt) const;
+  // Bytes of the body for which the destination is asked first; 0: none.
+  uint64_t AskedBytes() const;
   Hop& SelectHop(const Attempt& attempt) const;
   // Static because a losing hedged attempt may outlive its call.
   static http::Task<void> RunHop(Hop& hop, AttemptPtr attempt);
--- a/src/daemon/serving/hop.h
+++ b/src/daemon/serving/hop.h
@@ -56,6 +56,11 @@
   // Latency objective: until then an answer has its full value, after it less.
   base::MonoTime objective_;
   http::CancelSignal* cancel_ = nullptr;
+  // Bytes of a body for which the destination is asked before it is sent; 0: it
+  // is sent at once.
+  uint64_t asked_bytes_ = 0;
+  // The destination's grant for the body; empty: none.
+  std::string grant_;
   // Checks the caller's socket; needed after the process was suspended for
   // long, when a disconnect may not have been processed yet.
   std::function<bool()> caller_connected_;
@@ -87,6 +92,10 @@
   // Requests that the cold endpoint may take within the next second; nothing if
   // it is not limited.
   std::optional<uint32_t> cold_room_;
+  // Share of the destination's incoming link that bodies use, if it is slow.
+  std::optional<double> link_use_;
+  // With kOk, to a question for a body: the grant.
+  std::string grant_;
   // With kOk: the upstream's answer. `body_` is the whole body, or its
   // beginning if `rest_` is set, which then reads the rest.
   http::AnswerHead head_;
--- a/src/daemon/serving/hop_codec.cc
+++ b/src/daemon/serving/hop_codec.cc
@@ -32,6 +32,7 @@
   return value;
 }
 
+constexpr double kPermille = 1000.0;
 constexpr std::string_view kRetryAfter = "Retry-After";
 // Longer forecasts are not plausible, and are ignored.
 constexpr double kMaxRoomSeconds = 60.0;
@@ -57,7 +58,16 @@
   Headers& headers = head.headers_;
   headers.Set(request::kRequestIdHeader, request.request_id_);
   headers.Add(request::kAttemptHeader, request.attempt_id_);
-  headers.Add(request::kEndpointHeader, request.endpoint_id_);
+  if (request.asked_bytes_ > 0) {
+    headers.Add(request::kAskedEndpointHeader, request.endpoint_id_);
+    headers.Add(request::kBodyBytesHeader,
+                std::to_string(request.asked_bytes_));
+  } else {
+    headers.Add(request::kEndpointHeader, request.endpoint_id_);
+  }
+  if (!request.grant_.empty()) {
+    headers.Add(request::kGrantHeader, request.grant_);
+  }
   headers.Add(request::kCallerHeader, request.caller_host_);
   headers.Add(request::kFingerprintHeader, request.fingerprint_);
   headers.Add(request::kRouteHeader, request.route_);
@@ -93,6 +103,13 @@
   request.request_id_ = std::string(headers.Find(request::kRequestIdHeader));
   request.attempt_id_ = ExtractHeader(headers, request::kAttemptHeader);
   request.endpoint_id_ = ExtractHeader(headers, request::kEndpointHeader);
+  request.asked_bytes_ =
+      http::ParseNumber(headers.Find(request::kBodyBytesHeader)).value_or(0);
+  if (request.asked_bytes_ > 0) {
+    request.endpoint_id_ =
+        ExtractHeader(headers, request::kAskedEndpointHeader);
+  }
+  request.grant_ = ExtractHeader(headers, request::kGrantHeader);
   if (request.attempt_id_.empty() || request.endpoint_id_.empty()) {
     return tl::unexpected(ResultCode::kMalformed);
   }
@@ -143,6 +160,14 @@
   if (answer.cold_room_) {
     headers.Add(request::kColdRoomHeader, std::to_string(*answer.cold_room_));
   }
+  if (answer.link_use_) {
+    headers.Add(
+        request::kLinkUseHeader,
+        std::to_string(static_cast<int64_t>(*answer.link_use_ * kPermille)));
+  }
+  if (!answer.grant_.empty()) {
+    headers.Add(request::kGrantHeader, answer.grant_);
+  }
   if (answer.reached_) {
     headers.Add(request::kReachedHeader, "true");
   }
@@ -177,6 +202,12 @@
     answer.cold_room_ = static_cast<uint32_t>(
         std::min<uint64_t>(*cold_room, request::kMaxColdRoom));
   }
+  const std::optional<uint64_t> link_use =
+      http::ParseNumber(headers.Find(request::kLinkUseHeader));
+  if (link_use) {
+    answer.link_use_ = static_cast<double>(*link_use) / kPermille;
+  }
+  answer.grant_ = std::string(headers.Find(request::kGrantHeader));
   headers.EraseWithPrefix(request::kDaemonHeaderPrefix);
 }
 
--- a/src/daemon/serving/peer_client.cc
+++ b/src/daemon/serving/peer_client.cc
@@ -18,6 +18,18 @@
 // Covers many round trips between availability zones. After it the request is
 // sent to another endpoint.
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(100);
+// On a slow link a connect waits behind bodies: two that are buffered whole.
+constexpr double kBodiesBeforeConnect = 2.0;
+
+base::Duration ConnectTimeout(double link_rate) {
+  if (link_rate <= 0.0) {
+    return kConnectTimeout;
+  }
+  const double seconds = kBodiesBeforeConnect *
+                         static_cast<double>(kMaxBufferedBodyBytes) / link_rate;
+  return kConnectTimeout + base::Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
 // Time beyond the deadline for the destination's own deadline-exceeded answer
 // to arrive.
 constexpr base::Duration kDeadlineGrace = std::chrono::milliseconds(20);
@@ -26,15 +38,57 @@
 
 PeerClient::PeerClient(const base::Clock& clock,
                        http::EventLoop& loop,
-                       bool tells_sent_time)
+                       double link_rate)
     : clock_(clock),
       loop_(loop),
-      tells_sent_time_(tells_sent_time),
-      connections_(loop, {kPeerIdleTimeout, kConnectTimeout}),
+      tells_sent_time_(link_rate > 0.0),
+      connections_(loop, {kPeerIdleTimeout, ConnectTimeout(link_rate)}),
       probe_(loop),
       watch_(clock, loop, probe_) {}
 
+http::Task<HopAnswer> PeerClient::AskForBody(HopRequest& request) {
+  HopRequest question;
+  question.head_.method_ = "POST";
+  question.head_.target_ = "/";
+  question.peer_address_ = request.peer_address_;
+  question.endpoint_id_ = request.endpoint_id_;
+  question.request_id_ = request.request_id_;
+  question.attempt_id_ = request.attempt_id_;
+  question.caller_host_ = request.caller_host_;
+  question.account_ = request.account_;
+  question.route_ = request.route_;
+  question.nested_ = request.nested_;
+  question.priority_ = request.priority_;
+  question.deadline_ = request.deadline_;
+  question.objective_ = request.objective_;
+  question.asked_bytes_ = request.asked_bytes_;
+  question.cancel_ = request.cancel_;
+  question.on_peer_unresponsive_ = request.on_peer_unresponsive_;
+  question.on_peer_unreachable_ = request.on_peer_unreachable_;
+  HopAnswer answer = co_await Exchange(question);
+  if (answer.code_ == ResultCode::kMalformed) {
+    // A daemon that knows no such question.
+    answer.code_ = ResultCode::kOk;
+  }
+  request.grant_ = answer.grant_;
+  answer.not_run_ = answer.code_ != ResultCode::kOk;
+  answer.reached_ = false;
+  answer.upload_ = nullptr;
+  co_return answer;
+}
+
 http::Task<HopAnswer> PeerClient::Run(HopRequest& request) {
+  if (request.asked_bytes_ > 0) {
+    HopAnswer asked = co_await AskForBody(request);
+    if (asked.code_ != ResultCode::kOk) {
+      co_return asked;
+    }
+    request.asked_bytes_ = 0;
+  }
+  co_return co_await Exchange(request);
+}
+
+http::Task<HopAnswer> PeerClient::Exchange(HopRequest& request) {
   tl::expected<http::ClientConnectionPtr, ResultCode> connection =
       co_await connections_.Take(request.peer_address_, request.deadline_,
                                  *request.cancel_);
--- a/src/daemon/serving/peer_client.h
+++ b/src/daemon/serving/peer_client.h
@@ -13,14 +13,20 @@
 class PeerClient : public Hop {
  public:
   // Both must outlive the client.
-  // `tells_sent_time`: requests tell when they were sent (TransitDelay).
+  // `link_rate`: bytes a second of this host's link if it is slow, else 0.
+  // Requests then tell when they were sent (TransitDelay).
   PeerClient(const base::Clock& clock,
              http::EventLoop& loop,
-             bool tells_sent_time = false);
+             double link_rate = 0.0);
 
   http::Task<HopAnswer> Run(HopRequest& request) override;
 
  private:
+  // Asks the destination whether the body may be sent, and stores its grant in
+  // the request. The request has not run if the result is not kOk.
+  http::Task<HopAnswer> AskForBody(HopRequest& request);
+  http::Task<HopAnswer> Exchange(HopRequest& request);
+
   const base::Clock& clock_;
   http::EventLoop& loop_;
   const bool tells_sent_time_;
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -29,6 +29,12 @@
          settings.link_mbps_ < request::kSlowLinkMbps;
 }
 
+// Bytes a second of a slow link; 0 if the link is not slow.
+double SlowLinkRate(const startup::Settings& settings) {
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  return HasSlowLink(settings) ? settings.link_mbps_ * kBytesPerMegabit : 0.0;
+}
+
 http::ServerLimits PeerLimits(const http::ServerLimits& callers) {
   http::ServerLimits limits;
   limits.header_bytes_ = callers.header_bytes_ + kDaemonHeaderBytes;
@@ -89,10 +95,10 @@
           [this](const std::string& address, const rpc::CrashReport& report) {
             OnCrash(address, report);
           }),
-      peer_client_(clock, loop_, HasSlowLink(settings)),
+      peer_client_(clock, loop_, SlowLinkRate(settings)),
       entry_({settings.host_, incarnation, dialect_, settings.service_,
               settings.overload_mode_ == startup::OverloadMode::kValue,
-              HasSlowLink(settings)},
+              HasSlowLink(settings), HasSlowLink(settings)},
              clock,
              loop_,
              board_,
@@ -115,6 +121,9 @@
     destination_.AwaitConfiguration();
   }
   entry_.SetQuota(quota_);
+  if (HasSlowLink(settings)) {
+    destination_.SetSlowLink(SlowLinkRate(settings));
+  }
   board_.Authority().Enforce(node_->Authority().Validity());
   destination_.OnAnswered([this](const rpc::AnsweredReport& report) {
     node_loop_.PostTask(
--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -46,15 +46,31 @@
   policy_->RecordAdmitted(request, now);
 }
 
+bool AdmissionQueue::CannotFinish(const AdmissionRequest& request,
+                                  base::MonoTime now) const {
+  // While nothing runs the average service time may be outdated, and only a
+  // new request can update it.
+  return running_.empty() ? now >= request.deadline_
+                          : !policy_->CanFinish(request, StateAt(now));
+}
+
+bool AdmissionQueue::WouldRefuse(const AdmissionRequest& request,
+                                 base::MonoTime now) const {
+  if (draining_ || CannotFinish(request, now)) {
+    return true;
+  }
+  const double bound = StateAt(now).QueueBound(request);
+  const bool less_urgent_waits =
+      std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& waiter) {
+        return waiter.second.Rank() > request.Rank();
+      });
+  return static_cast<double>(waiting_.size()) >= bound && !less_urgent_waits;
+}
+
 AdmissionVerdict AdmissionQueue::Enter(const AdmissionRequest& request,
                                        base::MonoTime now) {
   const QueueState state = StateAt(now);
-  // While nothing runs the average service time may be outdated, and only a
-  // new request can update it.
-  const bool cannot_finish = running_.empty()
-                                 ? now >= request.deadline_
-                                 : !policy_->CanFinish(request, state);
-  if (draining_ || cannot_finish) {
+  if (draining_ || CannotFinish(request, now)) {
     return AdmissionVerdict::kRefused;
   }
   if (waiting_.empty() && HasFreeSlot()) {
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -53,6 +53,11 @@
     return Enter({ticket, caller, 0, false, deadline, deadline, ""}, now);
   }
 
+  // Whether Enter would refuse the request now, as far as that can be told
+  // without a change: it can't finish in time, or the queue is full of requests
+  // that are as urgent.
+  bool WouldRefuse(const AdmissionRequest& request, base::MonoTime now) const;
+
   // Frees the slot of an admitted request that has ended. The service time of
   // a request that did not fail updates the averages and the limit.
   void Leave(uint64_t ticket,
@@ -97,6 +102,8 @@
   }
 
  private:
+  // Whether the request cannot be answered before its deadline.
+  bool CannotFinish(const AdmissionRequest& request, base::MonoTime now) const;
   QueueState StateAt(base::MonoTime now) const {
     return {running_, running_by_caller_,       waiting_,
             limit_,   options_.queue_per_slot_, now};
--- a/src/request/endpoint_picker.cc
+++ b/src/request/endpoint_picker.cc
@@ -16,6 +16,8 @@
 constexpr double kOutlierFactor = 2.5;
 // Latency measurements older than this no longer make an endpoint an outlier.
 constexpr base::Duration kOutlierLifetime = std::chrono::seconds(2);
+// Least weight of an endpoint whose link is full, so that it is tried again.
+constexpr double kMinLinkRoom = 0.05;
 // Requests per slot at which all slots are occupied.
 constexpr double kFullLoad = 1.0;
 
@@ -40,23 +42,28 @@
   return stats.Slowness() > 0.0 ? 1.0 / stats.Slowness() : 1.0;
 }
 
-// Share of the requests that an endpoint is drawn for: what it can serve.
-double Weight(const EndpointView& endpoint, base::MonoTime now) {
+// Share of the requests that an endpoint is drawn for: what it can serve. Large
+// bodies are drawn to where its host's link has room.
+double Weight(const EndpointView& endpoint, bool large, base::MonoTime now) {
   const EndpointStats& stats = *endpoint.stats_;
   const double slots = std::max<uint32_t>(endpoint.endpoint_.slots(), 1);
-  return slots * Speed(stats) * WarmUpFactor(stats, now);
+  const double link =
+      large ? std::max(1.0 - stats.LinkUse(now), kMinLinkRoom) : 1.0;
+  return slots * Speed(stats) * WarmUpFactor(stats, now) * link;
 }
 
 // Cost of an endpoint: its load times its latency, or times the root of its
 // slowness if speeds are known. Lower is better.
 double Score(const EndpointView& endpoint,
              bool speeds_known,
+             bool large,
              base::MonoTime now) {
   const EndpointStats& stats = *endpoint.stats_;
   if (speeds_known) {
     // Endpoints are drawn by their speed already; the root prefers the faster
-    // one of two with the same load.
-    return Load(endpoint, now) / std::sqrt(Speed(stats));
+    // one of two with the same load. Of slots and link, the scarcer one counts.
+    const double slots = Load(endpoint, now) / std::sqrt(Speed(stats));
+    return large ? std::max(slots, stats.LinkUse(now)) : slots;
   }
   const double latency = stats.Latency().count() > 0
                              ? static_cast<double>(stats.Latency().count())
@@ -137,11 +144,13 @@
   }
   double sum = 0.0;
   for (size_t i = first; i < last; ++i) {
-    sum += Weight(pick.version_.endpoints_[i], pick.now_);
+    sum += Weight(pick.version_.endpoints_[i], pick.options_.large_transfer_,
+                  pick.now_);
   }
   double drawn = random.Unit() * sum;
   for (size_t i = first; i + 1 < last; ++i) {
-    drawn -= Weight(pick.version_.endpoints_[i], pick.now_);
+    drawn -= Weight(pick.version_.endpoints_[i], pick.options_.large_transfer_,
+                    pick.now_);
     if (drawn < 0.0) {
       return i;
     }
@@ -157,12 +166,14 @@
                               Eligibility eligibility,
                               base::Random& random) {
   const EndpointView* best = nullptr;
+  const auto score = [&pick](const EndpointView& endpoint) {
+    return Score(endpoint, pick.speeds_known_, pick.options_.large_transfer_,
+                 pick.now_);
+  };
   constexpr int kDraws = 2;
   const auto consider = [&](const EndpointView& endpoint) {
-    const bool better =
-        IsEligible(endpoint, pick, eligibility) &&
-        (best == nullptr || Score(endpoint, pick.speeds_known_, pick.now_) <
-                                Score(*best, pick.speeds_known_, pick.now_));
+    const bool better = IsEligible(endpoint, pick, eligibility) &&
+                        (best == nullptr || score(endpoint) < score(*best));
     if (better) {
       best = &endpoint;
     }
@@ -190,11 +201,18 @@
   const size_t own = pick.version_.own_zone_count_;
   const size_t all = pick.version_.endpoints_.size();
   const EndpointView* near = PickAmong(pick, 0, own, eligibility, random);
-  if (near != nullptr && Load(*near, pick.now_) < spill_load) {
+  const double near_use =
+      large && near != nullptr ? near->stats_->LinkUse(pick.now_) : 0.0;
+  const bool link_busy = near_use >= kSpillLinkUse;
+  if (near != nullptr && Load(*near, pick.now_) < spill_load && !link_busy) {
     return near;
   }
   const EndpointView* far = PickAmong(pick, own, all, eligibility, random);
   if (near != nullptr && far != nullptr) {
+    if (link_busy &&
+        far->stats_->LinkUse(pick.now_) + kSpillLinkGain < near_use) {
+      return far;
+    }
     return Load(*far, pick.now_) + spill_gain < Load(*near, pick.now_) ? far
                                                                        : near;
   }
--- a/src/request/endpoint_picker.h
+++ b/src/request/endpoint_picker.h
@@ -24,6 +24,10 @@
 // wait.
 inline constexpr double kLargeSpillLoad = 1.5;
 inline constexpr double kLargeSpillGain = 0.5;
+// Large bodies also leave the own zone if they use this share of the link of
+// the endpoint there, and less by the gain at the other one.
+inline constexpr double kSpillLinkUse = 0.6;
+inline constexpr double kSpillLinkGain = 0.1;
 
 // Whether any endpoint is excluded because it has just refused a request that
 // was as urgent as this rank or more.
--- a/src/request/endpoint_stats.h
+++ b/src/request/endpoint_stats.h
@@ -109,6 +109,22 @@
            cold_room_.load(std::memory_order_relaxed) > 0;
   }
 
+  // Stores the share of its host's incoming link that bodies use, as reported
+  // by its daemon.
+  void SetLinkUse(double use, base::MonoTime now) {
+    link_use_.store(use, std::memory_order_relaxed);
+    link_use_us_.store(now.time_since_epoch().count(),
+                       std::memory_order_relaxed);
+  }
+  // The reported share; zero if it is not known or old.
+  double LinkUse(base::MonoTime now) const {
+    const base::Duration age =
+        now.time_since_epoch() -
+        base::Duration(link_use_us_.load(std::memory_order_relaxed));
+    return age < kLinkUseLifetime ? link_use_.load(std::memory_order_relaxed)
+                                  : 0.0;
+  }
+
   int32_t InFlight() const {
     return in_flight_.load(std::memory_order_relaxed);
   }
@@ -142,6 +158,9 @@
   enum class Cold : uint8_t { kUnknown, kYes, kNo };
   // The room is that within a second.
   static constexpr base::Duration kColdRoomLifetime = std::chrono::seconds(1);
+  // An entry hears of a link about as often as it sends bodies there; the use
+  // is an average over seconds.
+  static constexpr base::Duration kLinkUseLifetime = std::chrono::seconds(5);
 
   const base::MonoTime created_;
   std::atomic<Cold> cold_{Cold::kUnknown};
@@ -156,6 +175,8 @@
   std::atomic<uint32_t> full_rank_{0};
   std::atomic<int64_t> latency_us_{0};
   std::atomic<double> slowness_{0.0};
+  std::atomic<double> link_use_{0.0};
+  std::atomic<int64_t> link_use_us_{0};
   std::atomic<int64_t> latency_updated_us_{0};
   std::atomic<int64_t> ejected_until_us_{0};
   std::atomic<uint32_t> consecutive_failures_{0};
--- a/src/request/hop_headers.h
+++ b/src/request/hop_headers.h
@@ -61,6 +61,18 @@
 // take within the next second; absent for one that is not cold.
 inline constexpr char kColdRoomHeader[] = "Bg-Cold-Room";
 
+// Between daemons only: asks whether a body of this many bytes may be sent to
+// the endpoint named by kAskedEndpointHeader. Such a question has no
+// kEndpointHeader, so that a daemon that doesn't know it refuses it.
+inline constexpr char kBodyBytesHeader[] = "Bg-Body-Bytes";
+inline constexpr char kAskedEndpointHeader[] = "Bg-Asked-Endpoint";
+// Between daemons only: the grant that answers such a question, and that is
+// sent with the body.
+inline constexpr char kGrantHeader[] = "Bg-Grant";
+// Between daemons only, on answers: use of the host's incoming link by bodies,
+// in thousandths; absent if its bandwidth is not known or large.
+inline constexpr char kLinkUseHeader[] = "Bg-Link-Use";
+
 // Prefix of the headers that only daemons may set.
 inline constexpr std::string_view kDaemonHeaderPrefix = "Bg-";
 
