--- a/src/distribution/relay_node.h
+++ b/src/distribution/relay_node.h
@@ -36,6 +36,9 @@
 // Interval of a relay's keepalives to sources and to subscribers on standby.
 inline constexpr base::Duration kKeepaliveInterval = std::chrono::seconds(1);
 
+// Width of the counter in the lower bits of a relay's nonces.
+inline constexpr int kRelayNonceCounterBits = 32;
+
 struct RelayOptions {
   std::string id_;
   std::string zone_;
@@ -76,7 +79,8 @@
 
   void Restore(const std::vector<rpc::JournalRecord>& records);
 
-  // relay_node.cc: configuration.
+  // relay_node.cc: subscribers. relay_sources.cc: the configuration from the
+  // sources, and confirmations.
   void OnResume(const rpc::Envelope& envelope, const base::Now& now);
   void OnAck(const rpc::Envelope& envelope, const base::Now& now);
   void OnConfig(const rpc::Envelope& envelope, const base::Now& now);
--- a/tests/body_grant_test.cc
+++ b/tests/body_grant_test.cc
@@ -199,8 +199,10 @@
 // Guards against a link that stays reserved for a caller that has left.
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesGivesTheLinkFree) {
   TwoDaemons daemons;
+  constexpr int kLeaving = 8;
   std::vector<std::unique_ptr<SentHop>> leaving;
-  for (int i = 0; i < 8; ++i) {
+  leaving.reserve(kLeaving);
+  for (int i = 0; i < kLeaving; ++i) {
     leaving.push_back(
         daemons.Upload("leaves-" + std::to_string(i), seconds(5)));
   }
