--- a/tests/body_grant_test.cc
+++ b/tests/body_grant_test.cc
@@ -128,6 +128,10 @@
     request.asked_bytes_ = kBodyBytes;
     return std::make_unique<SentHop>(client_, loop_, request, deadline);
   }
+  // The caller of the request leaves.
+  void Leave(SentHop& sent) {
+    loop_.RunAndWait([&sent] { sent.cancel_.Raise(); });
+  }
   CountingUpstream& Upstream() { return upstream_; }
   WatchedDestination& Watched() { return watched_; }
 
@@ -207,7 +211,7 @@
         daemons.Upload("leaves-" + std::to_string(i), seconds(5)));
   }
   for (const std::unique_ptr<SentHop>& hop : leaving) {
-    hop->cancel_.Raise();
+    daemons.Leave(*hop);
   }
   for (const std::unique_ptr<SentHop>& hop : leaving) {
     hop->ended_.get_future().wait();
