A proxy counts how long its revision is replaced while any relay is in contact

Callers could be served by a revision that another relay's heartbeats said was too old, while the proxy's own relay was silent and until it was left.

--- a/src/distribution/parent_selector.cc
+++ b/src/distribution/parent_selector.cc
@@ -234,6 +234,12 @@
   return found != candidates_.end() && Healthy(found->second, now);
 }
 
+bool ParentSelector::AnyConnected(base::MonoTime now) const {
+  return std::any_of(
+      candidates_.begin(), candidates_.end(),
+      [this, now](const auto& item) { return Healthy(item.second, now); });
+}
+
 base::Duration ParentSelector::ContactAge(base::MonoTime now) const {
   const auto found = candidates_.find(active_);
   if (found == candidates_.end() || !found->second.contacted_) {
--- a/src/distribution/parent_selector.h
+++ b/src/distribution/parent_selector.h
@@ -89,6 +89,8 @@
   const std::string& Active() const { return active_; }
   // Whether the active parent is healthy.
   bool Connected(base::MonoTime now) const;
+  // Whether any candidate is healthy.
+  bool AnyConnected(base::MonoTime now) const;
   const std::vector<std::string>& Candidates() const { return order_; }
   // Age of the active parent's own contact plus the time since its last
   // message; kMaxContactAge if it never sent one.
--- a/src/distribution/proxy_config.cc
+++ b/src/distribution/proxy_config.cc
@@ -129,7 +129,8 @@
 
 base::Duration ProxyNode::BehindFor(const base::Now& now) const {
   const std::optional<base::BootTime> since = lag_.Since();
-  return since && relay_connected_ ? now.boot_ - *since : base::Duration(0);
+  const bool reachable = parents_.AnyConnected(now.mono_);
+  return since && reachable ? now.boot_ - *since : base::Duration(0);
 }
 
 void ProxyNode::UpdateCurrency(const base::Now& now) {
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -93,7 +93,7 @@
            !outdated_ && (registry_received_ || !hosts_.UsesDiscovery());
   }
   // How long this proxy has known of a newer revision than its own; 0 while it
-  // knows of none, or is not connected to a relay that could send it.
+  // knows of none, or is not connected to any relay that could send it.
   base::Duration BehindFor(const base::Now& now) const;
   const config::ConfigState& Config() const { return config_.State(); }
   const registry::EndpointRegistry& Endpoints() const { return endpoints_; }
--- a/tests/config_transfer_test.cc
+++ b/tests/config_transfer_test.cc
@@ -192,6 +192,23 @@
   BOOST_TEST(large.Serves());
 }
 
+// Guards against a proxy that serves on because the relay it follows is silent,
+// while another one tells it of newer revisions.
+BOOST_AUTO_TEST_CASE(AnyRelayTellsThatARevisionIsTooOld) {
+  for (const char* silent : {"relay-1", "relay-2"}) {
+    LargeMesh large(5);
+    large.Mesh().Net().Cut(silent, kProxy);
+    for (int change = 0; change < 60; ++change) {
+      large.PublishSmallChange(milliseconds(120));
+      BOOST_REQUIRE_MESSAGE(!large.Serves() || large.Age() <= kApplyBound,
+                            silent << " is silent: a revision replaced "
+                                   << large.Age().count() / 1000
+                                   << " ms ago is served");
+    }
+    BOOST_TEST(large.Serves());
+  }
+}
+
 // Guards against a proxy that stops serving because it heard of a newer
 // revision right before it was cut off from all relays.
 BOOST_AUTO_TEST_CASE(AProxyThatIsCutOffServesWhatItHolds) {
