A connect to another daemon times out as before, also on slow links

Bodies are granted one after the other now, so the reason for the longer time is gone for the most part.

--- a/src/daemon/serving/peer_client.cc
+++ b/src/daemon/serving/peer_client.cc
@@ -18,18 +18,6 @@
 // Covers many round trips between availability zones. After it the request is
 // sent to another endpoint.
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(100);
-// On a slow link a connect waits behind bodies: two that are buffered whole.
-constexpr double kBodiesBeforeConnect = 2.0;
-
-base::Duration ConnectTimeout(double link_rate) {
-  if (link_rate <= 0.0) {
-    return kConnectTimeout;
-  }
-  const double seconds = kBodiesBeforeConnect *
-                         static_cast<double>(kMaxBufferedBodyBytes) / link_rate;
-  return kConnectTimeout + base::Duration(static_cast<int64_t>(seconds * 1e6));
-}
-
 // Time beyond the deadline for the destination's own deadline-exceeded answer
 // to arrive.
 constexpr base::Duration kDeadlineGrace = std::chrono::milliseconds(20);
@@ -38,11 +26,11 @@
 
 PeerClient::PeerClient(const base::Clock& clock,
                        http::EventLoop& loop,
-                       double link_rate)
+                       bool tells_sent_time)
     : clock_(clock),
       loop_(loop),
-      tells_sent_time_(link_rate > 0.0),
-      connections_(loop, {kPeerIdleTimeout, ConnectTimeout(link_rate)}),
+      tells_sent_time_(tells_sent_time),
+      connections_(loop, {kPeerIdleTimeout, kConnectTimeout}),
       probe_(loop),
       watch_(clock, loop, probe_) {}
 
--- a/src/daemon/serving/peer_client.h
+++ b/src/daemon/serving/peer_client.h
@@ -13,11 +13,10 @@
 class PeerClient : public Hop {
  public:
   // Both must outlive the client.
-  // `link_rate`: bytes a second of this host's link if it is slow, else 0.
-  // Requests then tell when they were sent (TransitDelay).
+  // `tells_sent_time`: requests tell when they were sent (TransitDelay).
   PeerClient(const base::Clock& clock,
              http::EventLoop& loop,
-             double link_rate = 0.0);
+             bool tells_sent_time = false);
 
   http::Task<HopAnswer> Run(HopRequest& request) override;
 
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -95,7 +95,7 @@
           [this](const std::string& address, const rpc::CrashReport& report) {
             OnCrash(address, report);
           }),
-      peer_client_(clock, loop_, SlowLinkRate(settings)),
+      peer_client_(clock, loop_, HasSlowLink(settings)),
       entry_({settings.host_, incarnation, dialect_, settings.service_,
               settings.overload_mode_ == startup::OverloadMode::kValue,
               HasSlowLink(settings), HasSlowLink(settings)},
--- a/tests/body_grant_test.cc
+++ b/tests/body_grant_test.cc
@@ -104,7 +104,7 @@
                      [](const std::string&, const rpc::CrashReport&) {}),
         watched_(destination_),
         peers_(loop_, watched_),
-        client_(clock_, loop_, kLinkRate) {
+        client_(clock_, loop_, /*tells_sent_time=*/true) {
     destination_.SetSlowLink(kLinkRate);
     daemon::serving::UpstreamInfo info;
     info.endpoint_id_ = MakeHopRequest().endpoint_id_;
