--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -6,7 +6,7 @@
   libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
   libboost-dev libboost-test-dev libcpp-httplib-dev libcli11-dev
   liblog4cplus-dev libexpected-dev nlohmann-json3-dev libtomlplusplus-dev liburcu-dev
-  libxxhash-dev libssl-dev libbenchmark-dev"
+  libxxhash-dev libssl-dev zlib1g-dev libbenchmark-dev"
 missing=""
 for package in $PACKAGES; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
