--- a/src/config/snapshot_codec.cc
+++ b/src/config/snapshot_codec.cc
@@ -13,8 +13,7 @@
 
 namespace io = google::protobuf::io;
 
-// The fastest level of zlib: higher ones cost several times the processor time
-// and save little on routes.
+// The fastest level of zlib, since control hosts have little processor time.
 constexpr int kCompressionLevel = 1;
 
 }  // namespace
