--- a/review/lab.cc
+++ b/review/lab.cc
@@ -266,12 +266,19 @@
   if (!ReadHead(head, until)) {
     return "";
   }
+  std::string body;
+  if (HeaderOf(head, "Transfer-Encoding") == "chunked") {
+    return ReadChunks(body, until) ? head + "\r\n\r\n" + body : "";
+  }
   const std::string length = HeaderOf(head, "Content-Length");
   const size_t size = length.empty() ? 0 : std::stoul(length);
-  while (unread_.size() < size && Fill(until)) {
+  while (unread_.size() < size) {
+    if (!Fill(until)) {
+      return "";
+    }
   }
   std::string request = head + "\r\n\r\n" + unread_.substr(0, size);
-  unread_.erase(0, std::min(size, unread_.size()));
+  unread_.erase(0, size);
   return request;
 }
 
--- a/review/lab.h
+++ b/review/lab.h
@@ -83,8 +83,8 @@
   Answer ReadAnswer(std::chrono::milliseconds timeout, bool to_head = false);
   // Waits for bytes and returns what has come, without taking it.
   std::string Peek(std::chrono::milliseconds timeout);
-  // Reads the head of a request and the body that its Content-Length tells;
-  // empty once the connection has ended.
+  // Reads a request: its head, and its body behind the empty line. Empty if the
+  // connection ends before its end.
   std::string ReadRequest();
 
  private:
