--- a/review/lab.cc
+++ b/review/lab.cc
@@ -299,8 +299,11 @@
   return socket.ReadAnswer(timeout);
 }
 
-Lab::Lab(const std::vector<std::string>& services, Record& record)
-    : record_(record) {
+Lab::Lab(const std::vector<std::string>& services,
+         Record& record,
+         bool spare,
+         unsigned number)
+    : record_(record), spare_(spare) {
   signal(SIGPIPE, SIG_IGN);
   std::string pattern =
       (std::filesystem::temp_directory_path() / "lab-XXXXXX").string();
@@ -311,13 +314,19 @@
   const unsigned block = static_cast<unsigned>(getpid());
   const std::string network = "127." + std::to_string(20 + block % 200) + "." +
                               std::to_string(block / 200 % 250) + ".";
-  for (size_t i = 0; i < kZones + services.size(); ++i) {
+  const size_t first_ip = 4 + size_t{5} * number;
+  const size_t regular = kZones + services.size();
+  for (size_t i = 0; i < regular + (spare ? 1 : 0); ++i) {
     Machine machine;
-    machine.ip_ = network + std::to_string(10 + i);
+    machine.ip_ = network + std::to_string(first_ip + i);
     machine.zone_ = "zone-" + std::to_string(1 + i % kZones);
-    machine.name_ = i < kZones ? "core-" + std::to_string(1 + i)
-                               : "side-" + std::to_string(1 + i - kZones);
-    machine.service_ = i < kZones ? "" : services[i - kZones];
+    machine.name_ = "core-" + std::to_string(1 + i);
+    if (i == regular) {
+      machine.zone_ = machines_.front().zone_;
+    } else if (i >= kZones) {
+      machine.name_ = "side-" + std::to_string(1 + i - kZones);
+      machine.service_ = services[i - kZones];
+    }
     if (!IsFree(machine.ip_)) {
       throw std::runtime_error("a port is in use at " + machine.ip_);
     }
@@ -402,7 +411,8 @@
 
 bool Lab::Start(const Machine& machine) {
   const bool first = !std::exchange(started_[machine.name_], true);
-  WriteSettings(machine, first);
+  const bool later = spare_ && machine.name_ == Spare().name_;
+  WriteSettings(machine, first && !later);
   const std::string settings =
       "BUCKTHORNGATE_BOOT=" + folder_ + "/" + machine.name_ + ".toml";
   const std::string log = folder_ + "/" + machine.name_ + ".log";
@@ -425,7 +435,7 @@
 }
 
 bool Lab::StartAll() {
-  return std::all_of(machines_.begin(), machines_.end(),
+  return std::all_of(machines_.begin(), machines_.end() - (spare_ ? 1 : 0),
                      [this](const Machine& machine) { return Start(machine); });
 }
 
@@ -456,27 +466,52 @@
   return pid > 0;
 }
 
+Answer Lab::CallControl(size_t machine,
+                        const std::string& method,
+                        const std::string& target,
+                        const std::string& headers,
+                        const std::string& body) {
+  const size_t count = kZones + (spare_ ? 1 : 0);
+  const size_t number = machine % count;
+  std::string ip = number < kZones ? Core(number).ip_ : Spare().ip_;
+  Answer answer;
+  for (int hop = 0; hop < 3; ++hop) {
+    answer =
+        Call(ip, kControlPort, method, target, headers, body, kControlTimeout);
+    const std::string location = answer.Header("Location");
+    if (answer.status_ != 307 || location.size() < 8) {
+      break;
+    }
+    ip = location.substr(7, location.find(':', 7) - 7);
+  }
+  record_.Add(method + " " + target + " at " + ip + ": " +
+              std::to_string(answer.status_));
+  return answer;
+}
+
+bool Lab::Reads(const std::string& text, milliseconds timeout) {
+  size_t next = 0;
+  return Await(
+      [&] {
+        const Answer answer =
+            CallControl(next++, "GET", "/config/get", "Host: h\r\n", "");
+        return answer.status_ == 200 &&
+               answer.body_.find(text) != std::string::npos;
+      },
+      timeout);
+}
+
 bool Lab::Put(uint64_t base,
               const std::string& configuration,
               milliseconds timeout) {
   const steady_clock::time_point until = steady_clock::now() + timeout;
   size_t next = 0;
   while (steady_clock::now() < until) {
-    std::string ip = Core(next++ % kZones).ip_;
-    Answer answer;
-    for (int hop = 0; hop < 3; ++hop) {
-      answer = Call(ip, kControlPort, "POST", "/config/put",
+    const Answer answer =
+        CallControl(next++, "POST", "/config/put",
                     "Content-Type: application/json\r\nX-Base-Version: " +
                         std::to_string(base) + "\r\n",
-                    configuration, kControlTimeout);
-      const std::string location = answer.Header("Location");
-      if (answer.status_ != 307 || location.size() < 8) {
-        break;
-      }
-      ip = location.substr(7, location.find(':', 7) - 7);
-    }
-    record_.Add("put on " + std::to_string(base) + " at " + ip + ": " +
-                std::to_string(answer.status_));
+                    configuration);
     if (answer.status_ == 200) {
       return true;
     }
--- a/review/lab.h
+++ b/review/lab.h
@@ -119,14 +119,20 @@
 class Lab {
  public:
   // Creates three core machines in three zones, and one sidecar machine for
-  // each of `services`, in turn in these zones.
-  Lab(const std::vector<std::string>& services, Record& record);
+  // each of `services`, in turn in these zones. With `spare`, there is one more
+  // core machine in the first zone, which is started by Start only. Labs of one
+  // process differ in `number`, which is below 50.
+  Lab(const std::vector<std::string>& services,
+      Record& record,
+      bool spare = false,
+      unsigned number = 0);
   // Ends all processes.
   ~Lab();
   Lab(const Lab&) = delete;
   Lab& operator=(const Lab&) = delete;
 
   const Machine& Core(size_t number) const { return machines_.at(number); }
+  const Machine& Spare() const { return machines_.back(); }
   const Machine& Side(size_t number) const { return machines_.at(3 + number); }
 
   bool StartAll();
@@ -140,6 +146,9 @@
   // Whether the process is there.
   bool Runs(const Machine& machine);
 
+  // Whether a read of the configuration is answered with one that contains
+  // `text`, by any core machine within `timeout`.
+  bool Reads(const std::string& text, std::chrono::milliseconds timeout);
   // Sends a configuration until it is acknowledged, as the operator does; false
   // if it is refused or not acknowledged within `timeout`.
   bool Put(uint64_t base,
@@ -153,11 +162,18 @@
 
  private:
   void WriteSettings(const Machine& machine, bool first_start);
+  // Calls control at a core machine, and follows it to the leader.
+  Answer CallControl(size_t machine,
+                     const std::string& method,
+                     const std::string& target,
+                     const std::string& headers,
+                     const std::string& body);
   // Ends the case as one that could not run, once it has taken too long.
   void Watch();
 
   Record& record_;
   std::string folder_;
+  const bool spare_;
   std::vector<Machine> machines_;
   std::mutex mutex_;
   std::map<std::string, pid_t> processes_;
