--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -153,6 +153,11 @@
      "An endpoint of this host is cold and gets a limited rate of requests."},
     {kEndpointWarm, Level::kInfo, "endpoint-warm",
      "An endpoint of this host is no longer cold."},
+    {kDepartureStored, Level::kInfo, "departure-stored",
+     "Relays have stored that an upstream leaves; its report is acknowledged."},
+    {kDeparturesKnown, Level::kInfo, "departures-known",
+     "A daemon that has started accepts announcements from now on; the fields "
+     "tell which relays have reported departures by then."},
     {kRequestQuarantined, Level::kError, "request-quarantined",
      "A request that crashes upstreams is refused from now on."},
     {kRequestRefused, Level::kInfo, "request-refused",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -76,6 +76,8 @@
   kEndpointReplaced = 411,
   kEndpointCold = 412,
   kEndpointWarm = 413,
+  kDepartureStored = 414,
+  kDeparturesKnown = 415,
   kRequestQuarantined = 500,
   kRequestRefused = 501,
   kAnswerCrossed = 502,
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -84,15 +84,18 @@
 }
 
 void ProxyRole::Impl::AwaitDepartureStored(const std::string& instance) {
+  const std::chrono::steady_clock::time_point began =
+      std::chrono::steady_clock::now();
   const bool stored = AwaitOnNode(
       [&](const base::Now&) { return node_->DepartureStored(instance); },
       kDepartureStoredTimeout);
-  if (!stored) {
-    base::LogEvent(
-        base::EventId::kDepartureNotStored,
-        {{"instance", instance},
-         {"waited_ms", std::to_string(kDepartureStoredTimeout.count())}});
-  }
+  const std::chrono::steady_clock::duration waited =
+      std::chrono::steady_clock::now() - began;
+  base::LogEvent(
+      stored ? base::EventId::kDepartureStored
+             : base::EventId::kDepartureNotStored,
+      {{"instance", instance},
+       {"waited_ms", std::to_string(waited / std::chrono::milliseconds(1))}});
 }
 
 ResultCode ProxyRole::Impl::Announce(
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -144,6 +144,7 @@
   void SendDepartures(const base::Now& now);
   void OnDepartureStored(const rpc::Departure& stored);
   void LearnDepartures(const rpc::Envelope& envelope, base::MonoTime now);
+  void LogDeparturesKnown(base::MonoTime now) const;
   // Sends all entries of this host to a relay that lacks some of them.
   void SendAllLocal(const std::string& relay);
 
@@ -196,6 +197,8 @@
   std::optional<base::MonoTime> first_departures_;
   std::optional<base::MonoTime> first_timer_;
   bool departures_known_ = false;
+  // Departures that relays have reported, each as often as one did.
+  int learned_departures_ = 0;
   uint64_t evidence_sequence_ = 0;
   uint64_t view_version_ = 0;
   uint64_t bytes_in_ = 0;
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/events.h"
 #include "distribution/proxy_node.h"
 #include "registry/endpoint_log.h"
 
@@ -130,6 +131,7 @@
                                 base::MonoTime now) {
   departures_from_.insert(envelope.from());
   first_departures_ = first_departures_.value_or(now);
+  learned_departures_ += envelope.floor().departures_size();
   for (const rpc::Departure& departure : envelope.floor().departures()) {
     const std::string address = local_.AddressOf(departure.instance());
     if (local_.Learn(departure)) {
@@ -151,8 +153,26 @@
   const bool others_late =
       first_departures_ && now - *first_departures_ >= kOtherRelaysDelay;
   const bool no_relay = first_timer_ && now - *first_timer_ >= kNoRelayDelay;
-  departures_known_ = departures_known_ || all || others_late || no_relay;
-  return departures_known_;
+  const bool known = departures_known_ || all || others_late || no_relay;
+  if (known && !departures_known_) {
+    LogDeparturesKnown(now);
+  }
+  departures_known_ = known;
+  return known;
+}
+
+void ProxyNode::LogDeparturesKnown(base::MonoTime now) const {
+  std::string relays;
+  for (const std::string& relay : departures_from_) {
+    relays += (relays.empty() ? "" : " ") + relay;
+  }
+  const base::Duration waited = now - first_timer_.value_or(now);
+  base::LogEvent(
+      base::EventId::kDeparturesKnown,
+      {{"relays", relays},
+       {"followed", std::to_string(parents_.Candidates().size())},
+       {"learned", std::to_string(learned_departures_)},
+       {"waited_ms", std::to_string(waited / std::chrono::milliseconds(1))}});
 }
 
 void ProxyNode::SendAllLocal(const std::string& relay) {
