DRAIN: a departure is acknowledged once a majority of the relays has stored it

A heartbeat from before arrives late, and some 40 requests reach the upstream seconds after it was told that it gets none. A heartbeat that says "draining" had the same fault.

Cause: after 0.4 s without a relay the report was acknowledged all the same, from the memory of a daemon that has no disk. The same in further places: a report that is sent again was late and so acknowledged at once; one relay was enough, although that relay may be lost together with the daemon, whose next start waited for one relay only.

Why it works: relays sync before they answer, a majority must have answered before the acknowledgement, and a majority must have reported before a daemon that has started believes an announcement, so one relay is in both, whoever is killed.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -137,8 +137,9 @@
      "A relay receives heartbeats from most known hosts again, or has dropped "
      "the others from its list."},
     {kDepartureNotStored, Level::kWarning, "departure-not-stored",
-     "No relay has stored in time that an upstream leaves; if this daemon "
-     "restarts, a late heartbeat may bring the upstream back."},
+     "No majority of the relays has stored in time that an upstream leaves; "
+     "its "
+     "report is not acknowledged, but this daemon sends it no more requests."},
     {kEndpointDeregistered, Level::kInfo, "endpoint-deregistered",
      "An upstream has deregistered."},
     {kEndpointWithdrawn, Level::kInfo, "endpoint-withdrawn",
@@ -154,7 +155,8 @@
     {kEndpointWarm, Level::kInfo, "endpoint-warm",
      "An endpoint of this host is no longer cold."},
     {kDepartureStored, Level::kInfo, "departure-stored",
-     "Relays have stored that an upstream leaves; its report is acknowledged."},
+     "A majority of the relays has stored that an upstream leaves; its report "
+     "is acknowledged."},
     {kDeparturesKnown, Level::kInfo, "departures-known",
      "A daemon that has started accepts announcements from now on; the fields "
      "tell which relays have reported departures by then."},
--- a/src/daemon/control/admin_server.cc
+++ b/src/daemon/control/admin_server.cc
@@ -118,12 +118,10 @@
       return OnAnnounce(call);
     }
     if (path == "/drain") {
-      handlers_.drain_(FindParameter(call, "address"));
-      return TextAnswer(base::kStatusOk, "ok\n");
+      return Acknowledge(handlers_.drain_(FindParameter(call, "address")));
     }
     if (path == "/leave") {
-      handlers_.leave_(FindParameter(call, "address"));
-      return TextAnswer(base::kStatusOk, "ok\n");
+      return Acknowledge(handlers_.leave_(FindParameter(call, "address")));
     }
     return TextAnswer(base::kStatusNotFound, "");
   }
@@ -143,7 +141,10 @@
           base::kStatusBadRequest,
           std::string(Describe(ResultCode::kMissingKey).message_) + "\n");
     }
-    const ResultCode code = handlers_.announce_(announcement);
+    return Acknowledge(handlers_.announce_(announcement));
+  }
+
+  static BufferedResponse Acknowledge(ResultCode code) {
     // An announcement that is older than the known one has nothing to repeat.
     if (code == ResultCode::kOk || code == ResultCode::kNumberStale) {
       return TextAnswer(base::kStatusOk, "ok\n");
--- a/src/daemon/control/admin_server.h
+++ b/src/daemon/control/admin_server.h
@@ -16,8 +16,8 @@
 // first three serve upstreams and are null on a daemon without the proxy role.
 struct AdminHandlers {
   std::function<ResultCode(const registry::Announcement&)> announce_;
-  std::function<void(const std::string& address)> drain_;
-  std::function<void(const std::string& address)> leave_;
+  std::function<ResultCode(const std::string& address)> drain_;
+  std::function<ResultCode(const std::string& address)> leave_;
   std::function<std::string()> metrics_;
   std::function<bool()> ready_;
 };
--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -65,9 +65,10 @@
   // daemon has just started and does not know yet which upstreams have left.
   // Leave deregisters the start at `started_ms` (Unix time, 0 if not reported)
   // of an instance and all earlier ones; it returns kOk, kNoEndpoint, or
-  // kAddressHeld for a later start than the one that runs. This daemon has
-  // applied a change when the call returns, and a relay has stored a drain or a
-  // deregistration, if one can be reached.
+  // kAddressHeld for a later start than the one that runs. Both return
+  // kTimedOut for a drain or a deregistration that no majority of the relays
+  // has stored yet: this daemon has applied it and goes on delivering it, but
+  // it must not be acknowledged. With the other codes a majority holds it.
   virtual ResultCode Announce(const registry::Announcement& announcement) = 0;
   virtual ResultCode Leave(const std::string& instance, int64_t started_ms) = 0;
 
--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -173,10 +173,10 @@
     return Announce(announcement);
   };
   handlers.drain_ = [this](const std::string& address) {
-    DrainUpstream(address);
+    return DrainUpstream(address);
   };
   handlers.leave_ = [this](const std::string& address) {
-    RemoveUpstream(address);
+    return RemoveUpstream(address);
   };
   handlers.metrics_ = [this] {
     board_.DaemonMetrics().SetFailedHandlers(loop_.FailedHandlers());
@@ -334,11 +334,11 @@
 ResultCode ProxyRole::Announce(const registry::Announcement& announcement) {
   return impl_->Announce(announcement);
 }
-void ProxyRole::DrainUpstream(const std::string& address) {
-  impl_->DrainUpstream(address);
+ResultCode ProxyRole::DrainUpstream(const std::string& address) {
+  return impl_->DrainUpstream(address);
 }
-void ProxyRole::RemoveUpstream(const std::string& address) {
-  impl_->RemoveUpstream(address);
+ResultCode ProxyRole::RemoveUpstream(const std::string& address) {
+  return impl_->RemoveUpstream(address);
 }
 ResultCode ProxyRole::RemoveInstance(const std::string& instance,
                                      int64_t started_ms) {
--- a/src/daemon/serving/proxy_role.h
+++ b/src/daemon/serving/proxy_role.h
@@ -40,8 +40,8 @@
 
   // Registration of the host's upstreams; see ControlApi.
   ResultCode Announce(const registry::Announcement& announcement);
-  void DrainUpstream(const std::string& address);
-  void RemoveUpstream(const std::string& address);
+  ResultCode DrainUpstream(const std::string& address);
+  ResultCode RemoveUpstream(const std::string& address);
   ResultCode RemoveInstance(const std::string& instance, int64_t started_ms);
   bool Ready();
 
--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -43,8 +43,8 @@
   void Stop();
   rpc::QueryReply Query(const rpc::QueryRequest& request);
   ResultCode Announce(const registry::Announcement& announcement);
-  void DrainUpstream(const std::string& address);
-  void RemoveUpstream(const std::string& address);
+  ResultCode DrainUpstream(const std::string& address);
+  ResultCode RemoveUpstream(const std::string& address);
   ResultCode RemoveInstance(const std::string& instance, int64_t started_ms);
   bool Ready();
 
@@ -80,9 +80,9 @@
   // returns whether it holds.
   bool AwaitOnNode(const std::function<bool(const base::Now&)>& condition,
                    std::chrono::milliseconds timeout);
-  // Waits until a relay has stored the instance's departure, and logs if none
-  // does in time.
-  void AwaitDepartureStored(const std::string& instance);
+  // Waits until relays have stored the instance's departure, and logs whether
+  // they have. Otherwise it must not be acknowledged: kTimedOut.
+  ResultCode AwaitDepartureStored(const std::string& instance);
   void CloseConnections();
   // Polls on the event loop until `busy` returns 0 or the deadline is reached.
   void AwaitIdle(const std::function<int64_t()>& busy,
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -83,11 +83,15 @@
   }
 }
 
-void ProxyRole::Impl::AwaitDepartureStored(const std::string& instance) {
+ResultCode ProxyRole::Impl::AwaitDepartureStored(const std::string& instance) {
   const std::chrono::steady_clock::time_point began =
       std::chrono::steady_clock::now();
+  distribution::DepartureHolders holders;
   const bool stored = AwaitOnNode(
-      [&](const base::Now&) { return node_->DepartureStored(instance); },
+      [&](const base::Now&) {
+        holders = node_->HoldersOf(instance);
+        return node_->DepartureStored(instance);
+      },
       kDepartureStoredTimeout);
   const std::chrono::steady_clock::duration waited =
       std::chrono::steady_clock::now() - began;
@@ -95,7 +99,10 @@
       stored ? base::EventId::kDepartureStored
              : base::EventId::kDepartureNotStored,
       {{"instance", instance},
+       {"stored_by", std::to_string(holders.stored_by_)},
+       {"relays", std::to_string(holders.relays_)},
        {"waited_ms", std::to_string(waited / std::chrono::milliseconds(1))}});
+  return stored ? ResultCode::kOk : ResultCode::kTimedOut;
 }
 
 ResultCode ProxyRole::Impl::Announce(
@@ -112,13 +119,14 @@
     return ResultCode::kTimedOut;
   }
   const ResultCode code = ApplyAnnouncement(announcement);
-  if (code != ResultCode::kOk) {
+  // A report that is sent again is late, and its acknowledgement binds as well.
+  const bool acknowledged =
+      code == ResultCode::kOk || code == ResultCode::kNumberStale;
+  if (!announcement.draining_ || !acknowledged) {
     return code;
   }
-  if (announcement.draining_) {
-    AwaitDepartureStored(announcement.instance_);
-  }
-  return ResultCode::kOk;
+  const ResultCode stored = AwaitDepartureStored(announcement.instance_);
+  return stored == ResultCode::kOk ? code : stored;
 }
 
 ResultCode ProxyRole::Impl::ApplyAnnouncement(
@@ -224,7 +232,7 @@
   }
 }
 
-void ProxyRole::Impl::DrainUpstream(const std::string& address) {
+ResultCode ProxyRole::Impl::DrainUpstream(const std::string& address) {
   std::string id;
   std::string instance;
   {
@@ -238,17 +246,17 @@
   }
   base::LogEvent(base::EventId::kEndpointDraining,
                  {{"endpoint", id}, {"instance", instance}});
-  AwaitDepartureStored(instance);
+  return AwaitDepartureStored(instance);
 }
 
-void ProxyRole::Impl::RemoveUpstream(const std::string& address) {
+ResultCode ProxyRole::Impl::RemoveUpstream(const std::string& address) {
   std::string instance;
   Remove([&](registry::LocalEndpoints& local, const base::Now&) {
     instance = local.InstanceAt(address);
     local.Leave(address);
     return local.EndpointId(address);
   });
-  AwaitDepartureStored(instance);
+  return AwaitDepartureStored(instance);
 }
 
 ResultCode ProxyRole::Impl::RemoveInstance(const std::string& instance,
@@ -278,8 +286,7 @@
   if (check != AnnouncementCheck::kAccepted) {
     return IgnoreReport("deregister", report, holder, check);
   }
-  AwaitDepartureStored(instance);
-  return ResultCode::kOk;
+  return AwaitDepartureStored(instance);
 }
 
 void ProxyRole::Impl::Remove(
--- a/src/distribution/proxy_node.cc
+++ b/src/distribution/proxy_node.cc
@@ -105,7 +105,7 @@
       OnQuarantine(envelope.quarantine());
       break;
     case rpc::Envelope::kDepartureStored:
-      OnDepartureStored(envelope.departure_stored());
+      departures_.OnStored(envelope.from(), envelope.departure_stored());
       break;
     case rpc::Envelope::kClaimReply:
       claims_.OnReply(envelope.from(), envelope.claim_reply(), now, outbox_);
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -22,6 +22,7 @@
 #include "base/random.h"
 #include "distribution/config_store.h"
 #include "distribution/control_hosts.h"
+#include "distribution/departure_delivery.h"
 #include "distribution/parent_selector.h"
 #include "distribution/revision_lag.h"
 #include "distribution/snapshot_cache.h"
@@ -82,8 +83,12 @@
   // Ids of this host's endpoints that were announced before their departure
   // became known, since the last call.
   std::vector<std::string> TakeDepartedEndpoints();
-  // Whether a relay has synced the departure of the instance, if there is one.
-  bool DepartureStored(const std::string& instance) const;
+  // Whether a majority of the relays has synced the departures of the instance,
+  // if there are any: then a start of this daemon, or of relays, finds them.
+  bool DepartureStored(const std::string& instance) const {
+    return departures_.Stored(instance, parents_.Candidates());
+  }
+  DepartureHolders HoldersOf(const std::string& instance) const;
 
   // Whether the request path may serve: the floor is known, the configuration
   // is not below it nor known to be too old, and with discovery a registry has
@@ -140,9 +145,8 @@
   void OnRegistry(const rpc::Envelope& envelope, const base::Now& now);
   void OnRegistryDigest(const rpc::Envelope& envelope, const base::Now& now);
   void SendLocalChanges();
-  // Sends departures to all relays until one of them has stored each.
+  // Sends departures until the relays have stored them.
   void SendDepartures(const base::Now& now);
-  void OnDepartureStored(const rpc::Departure& stored);
   void LearnDepartures(const rpc::Envelope& envelope, base::MonoTime now);
   void LogDeparturesKnown(base::MonoTime now) const;
   // Sends all entries of this host to a relay that lacks some of them.
@@ -189,9 +193,7 @@
   std::map<std::string, uint64_t> sent_sequences_;
   uint64_t local_version_sent_ = 0;
   std::vector<std::string> departed_endpoints_;
-  // Departures that no relay has stored yet.
-  std::vector<rpc::Departure> unstored_departures_;
-  base::MonoTime next_departure_send_;
+  DepartureDelivery departures_;
   // Relays whose floors have brought departures, and when the first came.
   std::set<std::string> departures_from_;
   std::optional<base::MonoTime> first_departures_;
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -10,12 +10,12 @@
 namespace buckthorngate::distribution {
 namespace {
 
-constexpr base::Duration kDepartureResend = std::chrono::milliseconds(250);
-// After the first relay has reported departures, the others have this long.
+// After the first relay has reported departures, those beyond a majority have
+// this long.
 constexpr base::Duration kOtherRelaysDelay = std::chrono::milliseconds(300);
-// Without any relay, a daemon with stored state accepts announcements after
-// this long: a zone that is cut off must serve what it can.
-constexpr base::Duration kNoRelayDelay = std::chrono::seconds(10);
+// Without a majority of the relays, a daemon accepts announcements after this
+// long: a zone that is cut off must serve what it can.
+constexpr base::Duration kNoMajorityDelay = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -95,36 +95,15 @@
 
 void ProxyNode::SendDepartures(const base::Now& now) {
   for (rpc::Departure& departure : local_.TakeDepartures()) {
-    departure.set_expires_ms(
-        base::ToUnixMs(now.wall_ + registry::kDepartureLifetime));
-    unstored_departures_.push_back(std::move(departure));
-    next_departure_send_ = now.mono_;
+    departures_.Add(std::move(departure), now);
   }
-  if (unstored_departures_.empty() || now.mono_ < next_departure_send_) {
-    return;
-  }
-  next_departure_send_ = now.mono_ + kDepartureResend;
-  for (const rpc::Departure& departure : unstored_departures_) {
-    for (const std::string& relay : parents_.Candidates()) {
-      *outbox_.Add(options_.identity_.host_, relay).mutable_departure() =
-          departure;
-    }
-  }
-}
-
-void ProxyNode::OnDepartureStored(const rpc::Departure& stored) {
-  std::erase_if(unstored_departures_, [&stored](const rpc::Departure& held) {
-    return held.instance() == stored.instance() &&
-           held.started_ms() == stored.started_ms() &&
-           held.left() == stored.left();
-  });
+  departures_.Send(options_.identity_.host_, parents_.Candidates(), now,
+                   outbox_);
 }
 
-bool ProxyNode::DepartureStored(const std::string& instance) const {
-  return std::none_of(unstored_departures_.begin(), unstored_departures_.end(),
-                      [&instance](const rpc::Departure& held) {
-                        return held.instance() == instance;
-                      });
+DepartureHolders ProxyNode::HoldersOf(const std::string& instance) const {
+  const std::vector<std::string>& relays = parents_.Candidates();
+  return {departures_.StoredBy(instance, relays), relays.size()};
 }
 
 void ProxyNode::LearnDepartures(const rpc::Envelope& envelope,
@@ -146,14 +125,17 @@
 
 bool ProxyNode::DeparturesKnown(base::MonoTime now) {
   const std::vector<std::string>& relays = parents_.Candidates();
-  const bool all = std::all_of(relays.begin(), relays.end(),
-                               [this](const std::string& relay) {
-                                 return departures_from_.count(relay) != 0;
-                               });
+  const size_t reported = static_cast<size_t>(std::count_if(
+      relays.begin(), relays.end(), [this](const std::string& relay) {
+        return departures_from_.contains(relay);
+      }));
   const bool others_late =
       first_departures_ && now - *first_departures_ >= kOtherRelaysDelay;
-  const bool no_relay = first_timer_ && now - *first_timer_ >= kNoRelayDelay;
-  const bool known = departures_known_ || all || others_late || no_relay;
+  const bool enough = reported == relays.size() ||
+                      (others_late && reported >= MajorityOf(relays.size()));
+  const bool no_majority =
+      first_timer_ && now - *first_timer_ >= kNoMajorityDelay;
+  const bool known = departures_known_ || enough || no_majority;
   if (known && !departures_known_) {
     LogDeparturesKnown(now);
   }
--- a/tests/blocking_server_test.cc
+++ b/tests/blocking_server_test.cc
@@ -193,8 +193,12 @@
       };
       handlers.drain_ = [this](const std::string& address) {
         drained_ = address;
+        return code_;
+      };
+      handlers.leave_ = [this](const std::string& address) {
+        left_ = address;
+        return code_;
       };
-      handlers.leave_ = [this](const std::string& address) { left_ = address; };
     }
     handlers.metrics_ = [] { return "a 1\n"; };
     handlers.ready_ = [this] { return ready_.load(); };
@@ -259,6 +263,10 @@
   BOOST_TEST(admin.drained_ == "127.0.0.1:2");
   BOOST_TEST(admin.Status(PostForm("/leave", "address=127.0.0.1:3")) == 200);
   BOOST_TEST(admin.left_ == "127.0.0.1:3");
+  // A departure that was not stored is not acknowledged.
+  admin.code_ = ResultCode::kTimedOut;
+  BOOST_TEST(admin.Status(PostForm("/drain", "address=127.0.0.1:2")) == 503);
+  BOOST_TEST(admin.Status(PostForm("/leave", "address=127.0.0.1:3")) == 503);
 }
 
 BOOST_AUTO_TEST_CASE(PagesOfTheAdminServer) {
--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -84,6 +84,76 @@
   ExpectTheQueueIsRefusedAtOnce("deregister");
 }
 
+// A daemon beside an upstream, and its only relay in another daemon.
+class ShopBesideCore {
+ public:
+  ShopBesideCore() {
+    core_.ServeNoCallers();
+    core_.Start();
+    daemon_.Follow(core_);
+    daemon_.Start();
+    own_.address_ = "127.0.0.1:" + std::to_string(upstream_.Port());
+    BOOST_REQUIRE(PollUntil([this] { return daemon_.Beat(own_) == 200; }));
+    BOOST_REQUIRE(daemon_.AwaitServed("/shop/first"));
+    late_ = own_;
+    late_.sequence_ = 2;
+  }
+
+  // The upstream reports that it leaves, with the same words each time.
+  int Leave(const std::string& report) {
+    HeartbeatFields draining = own_;
+    draining.sequence_ = 3;
+    draining.state_ = "draining";
+    return report == "deregister" ? daemon_.Deregister(own_)
+                                  : daemon_.Beat(draining);
+  }
+  size_t Runs(const std::string& path) const {
+    return upstream_.Calls(path).size();
+  }
+
+  PlatformDaemon core_;
+  PlatformDaemon daemon_;
+  RecordingUpstream upstream_;
+  HeartbeatFields own_;
+  HeartbeatFields late_;  // Sent before it leaves.
+};
+
+// Guards against DRAIN of review/13: a departure is acknowledged while no relay
+// has stored it, and is forgotten when the daemon is killed.
+void ExpectNoPromiseThatADaemonAloneKeeps(const std::string& report) {
+  ShopBesideCore shop;
+  shop.core_.Stop();
+  // The second report is a repetition, of which the daemon knows already.
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(shop.Leave(report) == 503, report);
+  }
+  // Nothing more is sent there all the same, whatever arrives late.
+  BOOST_TEST(shop.daemon_.Beat(shop.late_) == 200, report);
+  BOOST_TEST(shop.daemon_.Get("/shop/refused") == 503, report);
+  BOOST_TEST(shop.Runs("/shop/refused") == 0u, report);
+  // Once a relay can be asked, the promise outlives both.
+  shop.core_.Start();
+  BOOST_TEST(PollUntil([&] { return shop.Leave(report) == 200; }), report);
+  shop.core_.Stop();
+  shop.daemon_.Stop();
+  shop.core_.Start();
+  shop.daemon_.Start();
+  BOOST_TEST(PollUntil([&] { return shop.daemon_.Beat(shop.late_) == 200; }),
+             report);
+  BOOST_TEST(!PollUntil([&] { return shop.daemon_.Get("/shop/late") == 200; },
+                        std::chrono::seconds(2)),
+             report);
+  BOOST_TEST(shop.Runs("/shop/late") == 0u, report);
+}
+
+BOOST_AUTO_TEST_CASE(ADeregistrationIsAcknowledgedOnceARelayHasIt) {
+  ExpectNoPromiseThatADaemonAloneKeeps("deregister");
+}
+
+BOOST_AUTO_TEST_CASE(ADrainIsAcknowledgedOnceARelayHasIt) {
+  ExpectNoPromiseThatADaemonAloneKeeps("draining");
+}
+
 // A restart of the daemon alone is no departure.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatStaysIsUsedAfterARestart) {
   ServedShop shop;
--- a/tests/platform_daemon.cc
+++ b/tests/platform_daemon.cc
@@ -152,6 +152,23 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
+void PlatformDaemon::ServeNoCallers() {
+  settings_.host_ = "core";
+  settings_.proxy_ = false;
+  settings_.source_id_.clear();
+  settings_.relay_id_.clear();
+  settings_.sources_.clear();
+  settings_.relays_.clear();
+  daemon::startup::CompleteSettings(settings_);
+}
+
+void PlatformDaemon::Follow(const PlatformDaemon& core) {
+  settings_.source_ = false;
+  settings_.relay_ = false;
+  settings_.sources_ = core.settings_.sources_;
+  settings_.relays_ = core.settings_.relays_;
+}
+
 void PlatformDaemon::Start() {
   daemon_ = std::make_unique<daemon::startup::Daemon>(settings_,
                                                       platform::MakeDialect());
@@ -159,7 +176,7 @@
   adapter_ =
       std::make_unique<platform::PlatformAdapter>(settings_, daemon_->Api());
   if (started != ResultCode::kOk || adapter_->Start() != ResultCode::kOk ||
-      !PollUntil([this] { return Publish(); })) {
+      (settings_.source_ && !PollUntil([this] { return Publish(); }))) {
     throw std::runtime_error("the daemon does not start");
   }
 }
--- a/tests/platform_daemon.h
+++ b/tests/platform_daemon.h
@@ -80,6 +80,11 @@
   PlatformDaemon(const PlatformDaemon&) = delete;
   PlatformDaemon& operator=(const PlatformDaemon&) = delete;
 
+  // Has no proxy, but a source and a relay; to be called before Start.
+  void ServeNoCallers();
+  // Has a proxy only, which follows the source and the relay of `core`; to be
+  // called before Start.
+  void Follow(const PlatformDaemon& core);
   // Bounds revocations; to be called before Start.
   void SetRevocationBound(std::chrono::milliseconds bound) {
     settings_.revocation_bound_ = bound;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -978,6 +978,69 @@
   BOOST_TEST(mesh.Proxy("proxy-1-1").DeparturesKnown(mesh.Net().Now().mono_));
 }
 
+// A zone with three relays and a daemon that serves an upstream.
+class ZoneWithThreeRelays {
+ public:
+  explicit ZoneWithThreeRelays(uint64_t seed) : mesh_(seed) {
+    mesh_.AddSources(1);
+    for (const char* id : kRelays) {
+      mesh_.AddRelay(id, "zone-1");
+    }
+    mesh_.AddProxy(kProxy, "zone-1");
+    mesh_.AwaitLeader();
+    mesh_.Net().Run(std::chrono::seconds(2));
+    Announce();
+  }
+
+  void Announce() {
+    mesh_.Proxy(kProxy).Local().Announce({"a", "v1", "127.0.0.1:1", 20, "x"},
+                                         mesh_.Net().Now().mono_);
+  }
+  bool Stored() { return mesh_.Proxy(kProxy).DepartureStored("x"); }
+  bool Known() {
+    return mesh_.Proxy(kProxy).DeparturesKnown(mesh_.Net().Now().mono_);
+  }
+
+  static constexpr const char* kRelays[] = {"relay-1", "relay-2", "relay-3"};
+  static constexpr char kProxy[] = "proxy-1-1";
+
+  TestMesh mesh_;
+};
+
+// Guards against a departure that is acknowledged while one relay alone has it:
+// with the loss of that relay and a kill of the daemon it is forgotten.
+BOOST_AUTO_TEST_CASE(ADepartureOutlivesARelayAndItsDaemon) {
+  for (const char* lost : ZoneWithThreeRelays::kRelays) {
+    ZoneWithThreeRelays zone(9);
+    TestMesh& mesh = zone.mesh_;
+    mesh.Crash("relay-2");
+    mesh.Crash("relay-3");
+    BOOST_TEST(zone.mesh_.Proxy(zone.kProxy).Local().Leave("127.0.0.1:1"));
+    mesh.Net().Run(std::chrono::seconds(1));
+    BOOST_TEST(!zone.Stored(), lost);
+    mesh.Restart("relay-2");
+    mesh.Net().Run(std::chrono::seconds(3));
+    BOOST_TEST(zone.Stored(), lost);
+    mesh.Restart("relay-3");
+    for (const char* id : ZoneWithThreeRelays::kRelays) {
+      mesh.Crash(id);
+    }
+    mesh.Crash(zone.kProxy);
+    mesh.Restart(zone.kProxy);
+    for (const char* id : ZoneWithThreeRelays::kRelays) {
+      if (std::string(id) != lost) {
+        BOOST_TEST(!zone.Known(), lost);
+        mesh.Restart(id);
+        mesh.Net().Run(std::chrono::seconds(1));
+      }
+    }
+    mesh.Net().Run(std::chrono::seconds(3));
+    BOOST_TEST(zone.Known(), lost);
+    zone.Announce();
+    BOOST_TEST(!mesh.Proxy(zone.kProxy).Local().Ready("127.0.0.1:1"), lost);
+  }
+}
+
 // Guards against a destination that serves an upstream whose departure a slow
 // relay reports after its announcement was accepted.
 BOOST_AUTO_TEST_CASE(ADepartureThatIsReportedLateDrainsTheEndpoint) {
