MIXED: an answer that ends with its connection is whole only after an orderly end

What callers saw: an upstream answers a long upload early, with a 200 without a length, sends a part of the body and resets the connection while the upload is still written. Callers got the part as a complete answer.

Cause: a reset is told once. The write of the upload was told, and the reader then saw the bytes that had come and an end as if in order, which completes an answer without a length.

Why it works: the connection remembers the first failure of a write. Such an answer is whole if there is none, or if it is a broken pipe, which a first write gets only after the other side's orderly end has arrived.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -159,6 +159,9 @@
       if (error == bhttp::error::need_buffer) {
         error = {};
       }
+      if (error) {
+        connection->NoteWriteFailure(error);
+      }
       piece.clear();
       if (!last) {
         state = co_await reader.Read(piece, kPieceBytes);
--- a/src/http/client_answer.cc
+++ b/src/http/client_answer.cc
@@ -72,6 +72,9 @@
 
 Task<BodyState> Exchange::ReadPiece(std::string& piece, size_t most) {
   ClientConnection::Parser& parser = *connection_->parser_;
+  if (!failure_text_.empty()) {
+    co_return BodyState::kFailed;
+  }
   if (parser.is_done()) {
     co_return BodyState::kEnd;
   }
@@ -107,6 +110,15 @@
     parser.put_eof(ended);
     error = ended;
   }
+  if (!error && parser.is_done() && parser.need_eof()) {
+    // A write that failed before this read may be noted in the next turn only.
+    co_await asio::post(asio::use_awaitable);
+    if (!connection_->EndedInOrder()) {
+      co_return Cut("ended with an upload that failed: " +
+                        connection_->write_failure_.message(),
+                    /*malformed=*/false);
+    }
+  }
   if (error == beast::error::timeout) {
     co_return CutLate();
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -35,6 +35,20 @@
   }
   bool Open() { return stream_.socket().is_open(); }
 
+  // A write has failed. The system tells of a reset only once: if the write was
+  // told, reads see the bytes that came and then an end as if in order.
+  void NoteWriteFailure(const ErrorCode& error) {
+    if (!write_failure_) {
+      write_failure_ = error;
+    }
+  }
+  // Whether an end that a read sees is the orderly end of what the other side
+  // sent. A broken pipe follows only such an end: a connection that is reset
+  // before it fails its first write as reset.
+  bool EndedInOrder() const {
+    return !write_failure_ || write_failure_ == asio::error::broken_pipe;
+  }
+
   // Whether an idle connection can be used: still open, and no bytes on it.
   bool Quiet();
 
@@ -51,6 +65,8 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kBufferBytes};
   std::optional<Parser> parser_;
+  // The first failure of a write.
+  ErrorCode write_failure_;
   base::MonoTime unused_after_;
 };
 
