LOST: an answer that is broken off takes no requests behind it along

Cause: requests behind an answer began while it could still be cut, and a cut streamed answer must end its connection.

--- a/src/daemon/serving/proxy_role.cc
+++ b/src/daemon/serving/proxy_role.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "daemon/serving/cut_log.h"
 #include "daemon/serving/proxy_role_impl.h"
+#include "daemon/serving/refusal.h"
 #include "request/transit_delay.h"
 #include "storage/file_journal.h"
 #include "storage/memory_journal.h"
@@ -145,6 +146,13 @@
   callers_.OnCut([this](const http::CutCall& call) {
     RecordCutCall(blackboard::CallSide::kEntry, call);
   });
+  callers_.OnBrokenOff([this](const http::CutCall& call) {
+    const Refusal refusal{ResultCode::kUpstreamFailed, /*not_run=*/false,
+                          call.id_};
+    board_.DaemonMetrics().CountResult(refusal.code_);
+    return http::BrokenOffAnswer{RefusalHead(refusal, dialect_),
+                                 RefusalBody(refusal.code_)};
+  });
   callers_.OnPipelined(
       [this] { board_.DaemonMetrics().CountPipelinedRequest(); });
   callers_.OnPipelineCancelled([this](std::string_view id) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -79,6 +79,12 @@
   virtual void Abort() = 0;
 };
 
+// Takes the place of an answer that was broken off.
+struct BrokenOffAnswer {
+  AnswerHead head_;
+  std::string body_;
+};
+
 class Handler {
  public:
   virtual ~Handler() = default;
@@ -126,6 +132,12 @@
     on_cut_ = std::move(told);
   }
 
+  // Asked for the answer in the place of one that was broken off before any of
+  // it was sent; 502 without a body if unset.
+  void OnBrokenOff(std::function<BrokenOffAnswer(const CutCall& call)> asked) {
+    on_broken_off_ = std::move(asked);
+  }
+
   // Told of each request that is begun while one before it on its connection
   // is not answered yet.
   void OnPipelined(std::function<void()> told) {
@@ -152,9 +164,12 @@
   size_t open_calls_ = 0;
   // Those of `open_calls_` that were begun behind another.
   size_t pipelined_calls_ = 0;
+  // Of streamed answers that are held, since requests run behind them.
+  size_t held_bytes_ = 0;
   std::set<Connection*> connections_;
   MalformedTold on_malformed_;
   std::function<void(const CutCall&)> on_cut_;
+  std::function<BrokenOffAnswer(const CutCall&)> on_broken_off_;
   std::function<void()> on_pipelined_;
   std::function<void(std::string_view)> on_pipeline_cancelled_;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -184,6 +184,7 @@
   read_at_.reset();
   body_error_.reset();
   body_failure_.clear();
+  streaming_ = false;
 }
 
 Task<void> Server::Connection::HandleOne() {
@@ -209,6 +210,7 @@
   }
   if (failure == nullptr) {
     co_await AnswerMalformedBody();
+    co_await AnswerBrokenOff();
   }
   if (server_ != nullptr) {
     --server_->open_calls_;
@@ -225,6 +227,9 @@
 
 void Server::Connection::EndRequest(const std::string& failure) {
   handling_ = false;
+  if (held_) {
+    TakeHeld();
+  }
   if (server_ == nullptr) {
     keep_ = false;
     CancelBehind();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -101,6 +101,26 @@
   // Tells of them as cut.
   void ReportCutBehind(CutCause cause, const std::string& detail);
 
+  // server_connection_held.cc: a streamed answer with requests behind it.
+  struct HeldAnswer {
+    AnswerHead head_;
+    std::optional<uint64_t> length_;
+    std::string body_;
+  };
+  // Whether so many further bytes of a streamed answer may be held.
+  bool MayHold(size_t bytes) const;
+  void Hold(const AnswerHead& head, std::optional<uint64_t> length);
+  void HoldMore(std::string_view piece);
+  // Gives the memory back.
+  HeldAnswer TakeHeld();
+  // Sends what is held; false if that failed.
+  Task<bool> SendHeld(HeldAnswer held);
+  // Answers in the place of a held answer that was broken off.
+  Task<void> AnswerBrokenOff();
+  Task<bool> BeginStream(const AnswerHead& head,
+                         std::optional<uint64_t> length);
+  Task<bool> WritePiece(std::string_view piece);
+
   // Empty while the caller is there, else what tells that it is not.
   std::string HowItLeft();
   void NoteReadWhole();
@@ -129,6 +149,10 @@
   std::shared_ptr<CancelSignal> gone_;
   std::optional<Stream> answer_;
   std::optional<bhttp::response_serializer<bhttp::buffer_body>> serializer_;
+  // Invariant: its bytes are counted in the server's held_bytes_.
+  std::optional<HeldAnswer> held_;
+  // A streamed answer is written, which may still be broken off.
+  bool streaming_ = false;
   // Bounds reads of a body beside the idle time.
   base::MonoTime read_until_ = base::MonoTime::max();
   bool watching_ = false;
--- a/src/http/server_connection_answer.cc
+++ b/src/http/server_connection_answer.cc
@@ -119,6 +119,16 @@
 
 Task<bool> Server::Connection::Begin(const AnswerHead& head,
                                      std::optional<uint64_t> length) {
+  if (HasCallsBehind() && MayHold(length.value_or(0))) {
+    Hold(head, length);
+    co_return true;
+  }
+  co_return co_await BeginStream(head, length);
+}
+
+Task<bool> Server::Connection::BeginStream(const AnswerHead& head,
+                                           std::optional<uint64_t> length) {
+  streaming_ = true;
   answer_.emplace();
   FillHead(head, *answer_);
   if (length) {
@@ -144,6 +154,20 @@
 }
 
 Task<bool> Server::Connection::Write(std::string_view piece) {
+  if (held_ && MayHold(piece.size())) {
+    HoldMore(piece);
+    co_return true;
+  }
+  if (held_) {
+    const bool sent = co_await SendHeld(TakeHeld());
+    if (!sent) {
+      co_return false;
+    }
+  }
+  co_return co_await WritePiece(piece);
+}
+
+Task<bool> Server::Connection::WritePiece(std::string_view piece) {
   if (piece.empty()) {
     co_return true;
   }
@@ -165,6 +189,12 @@
 }
 
 Task<bool> Server::Connection::Finish() {
+  if (held_) {
+    const bool sent = co_await SendHeld(TakeHeld());
+    if (!sent) {
+      co_return false;
+    }
+  }
   bhttp::buffer_body::value_type& body = answer_->body();
   body.data = nullptr;
   body.size = 0;
@@ -174,6 +204,7 @@
   co_await bhttp::async_write(stream_, *serializer_,
                               asio::redirect_error(asio::use_awaitable, error));
   answered_ = !error;
+  streaming_ = false;
   if (error) {
     NoteWriteError(error);
   }
--- a/src/http/server_connection_pipeline.cc
+++ b/src/http/server_connection_pipeline.cc
@@ -32,7 +32,7 @@
 }
 
 bool Server::Connection::MayBeginBehind() const {
-  return keep_ && server_ != nullptr && !server_->draining_ &&
+  return keep_ && server_ != nullptr && !server_->draining_ && !streaming_ &&
          !pipeline_->stopped_ &&
          pipeline_->calls_.size() + 1 < server_->limits_.pipelined_calls_ &&
          pipeline_->waiting_bytes_ < kMaxWaitingAnswerBytes &&
@@ -134,6 +134,9 @@
   cut_ = call->TakeTurn();
   ReadOn();
   co_await call->AwaitEnd();
+  if (call->HandlerFailure().empty()) {
+    co_await AnswerBrokenOff();
+  }
   EndRequest(call->HandlerFailure());
 }
 
--- a/tests/pipeline_harness.cc
+++ b/tests/pipeline_harness.cc
@@ -53,6 +53,15 @@
     co_await Stream(call, piece);
     co_return;
   }
+  if (kind == "long") {
+    const std::string piece(http::kPieceBytes, 's');
+    co_await Stream(call, piece, kLongPieces);
+    co_return;
+  }
+  if (kind == "breaks") {
+    co_await Break(call);
+    co_return;
+  }
   if (kind == "large") {
     ++pieces_made_;
     const std::string large(http::kPieceBytes, 'l');
@@ -77,12 +86,13 @@
 }
 
 http::Task<void> SteeredHandler::Stream(http::ServerCall& call,
-                                        const std::string& piece) {
+                                        const std::string& piece,
+                                        int pieces) {
   http::AnswerHead head;
   head.status_ = 200;
   ++pieces_made_;
   bool sent = co_await call.Begin(head, std::nullopt);
-  for (int i = 0; sent && i < kStreamPieces; ++i) {
+  for (int i = 0; sent && i < pieces; ++i) {
     pieces_made_ += i > 0 ? 1 : 0;
     sent = co_await call.Write(piece);
   }
@@ -91,6 +101,18 @@
   }
 }
 
+http::Task<void> SteeredHandler::Break(http::ServerCall& call) {
+  http::AnswerHead head;
+  head.status_ = 200;
+  const bool begun = co_await call.Begin(head, 2 * http::kPieceBytes);
+  const std::string piece(http::kPieceBytes, 'b');
+  const bool sent = begun && co_await call.Write(piece);
+  if (sent) {
+    co_await Wait(call);
+    call.NoteBodyFailure("broken off by the handler");
+  }
+}
+
 http::Task<void> SteeredHandler::Random(http::ServerCall& call) {
   const std::vector<std::string> parts = Split(call.Head().target_);
   const std::string& connection = parts.at(1);
@@ -149,7 +171,10 @@
 }
 
 void PipelineServer::Release(const std::string& name) {
-  loop_.RunAndWait([&] { handler_.released_.insert("/wait/" + name); });
+  loop_.RunAndWait([&] {
+    handler_.released_.insert("/wait/" + name);
+    handler_.released_.insert("/breaks/" + name);
+  });
 }
 
 void PipelineServer::Drain() {
--- a/tests/pipeline_harness.h
+++ b/tests/pipeline_harness.h
@@ -17,7 +17,9 @@
 namespace buckthorngate::tests {
 
 // "/now/NAME" answers at once, "/wait/NAME" once it is released, "/large/NAME"
-// answers one piece, "/stream/NAME" three pieces, "/throws/NAME" throws, and
+// answers one piece, "/stream/NAME" three pieces, "/throws/NAME" throws,
+// "/breaks/NAME" breaks its answer off behind a piece once it is released,
+// "/long/NAME" answers 20 pieces, and
 // "/random/CONNECTION/NUMBER/DELAY_US/SIZE/KIND" waits for the delay and
 // answers SIZE bytes, streamed if KIND is "s". Bodies of answers name the
 // target.
@@ -28,12 +30,16 @@
   http::Task<void> Handle(http::ServerCall& call) override;
 
   static constexpr int kStreamPieces = 3;
+  static constexpr int kLongPieces = 20;
 
  private:
   friend class PipelineServer;
 
   http::Task<void> Wait(http::ServerCall& call);
-  http::Task<void> Stream(http::ServerCall& call, const std::string& piece);
+  http::Task<void> Stream(http::ServerCall& call,
+                          const std::string& piece,
+                          int pieces = kStreamPieces);
+  http::Task<void> Break(http::ServerCall& call);
   http::Task<void> Random(http::ServerCall& call);
   http::Task<void> Send(http::ServerCall& call, const std::string& body);
 
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -151,6 +151,62 @@
   BOOST_TEST(served.ServingConnections() == 0u);
 }
 
+// Guards against LOST of review/12: requests that run behind a streamed answer
+// get none when it is broken off.
+BOOST_AUTO_TEST_CASE(RequestsBehindAnAnswerThatIsBrokenOffAreAnswered) {
+  for (const bool first : {true, false}) {
+    PipelineServer served;
+    RawSocket caller(served.Port());
+    caller.Send((first ? "" : Get("/now/before")) + Get("/breaks/a") +
+                Get("/now/b") + Get("/now/c", "Connection: close\r\n"));
+    BOOST_TEST(served.AwaitBegun(first ? 3 : 4));
+    served.Release("a");
+    const std::string answers = caller.ReadAll();
+    BOOST_TEST(Count(answers, "HTTP/1.1 502") == 1u, first);
+    BOOST_TEST(Count(answers, "bbbb") == 0u, first);
+    BOOST_TEST(answers.find("HTTP/1.1 502") < answers.find("</now/b>"), first);
+    BOOST_TEST(answers.find("</now/b>") < answers.find("</now/c>"), first);
+    BOOST_REQUIRE(served.Cuts().size() == 1u);
+    BOOST_TEST(served.Cuts()[0].answered_after_);
+    BOOST_TEST(served.Cuts()[0].detail_ == "broken off by the handler");
+  }
+}
+
+// A request that comes while a streamed answer is written doesn't begin before
+// the answer is whole, and so isn't lost when it is broken off.
+BOOST_AUTO_TEST_CASE(NothingBeginsBehindAnAnswerThatIsBeingStreamed) {
+  PipelineServer served;
+  RawSocket caller(served.Port());
+  caller.Send(Get("/breaks/a"));
+  BOOST_TEST(!caller.ReadUntil("bbbb").empty());
+  caller.Send(Get("/now/b"));
+  std::this_thread::sleep_for(kShortly);
+  BOOST_TEST(served.Begun() == Names{"/breaks/a"});
+  served.Release("a");
+  BOOST_TEST(Count(caller.ReadAll(), "HTTP/1.1") == 1u);
+  BOOST_TEST(served.Begun() == Names{"/breaks/a"});
+}
+
+// A whole answer that was held, or is too long to be held, arrives as it is.
+BOOST_AUTO_TEST_CASE(AStreamedAnswerWithRequestsBehindItArrivesWhole) {
+  for (const std::string target : {"/stream/a", "/long/a"}) {
+    PipelineServer served;
+    RawSocket caller(served.Port());
+    caller.Send(Get(target) + Get("/now/b") +
+                Get("/now/c", "Connection: close\r\n"));
+    const std::string answers = caller.ReadAll();
+    const size_t pieces = target == "/long/a" ? SteeredHandler::kLongPieces
+                                              : SteeredHandler::kStreamPieces;
+    BOOST_TEST(
+        static_cast<size_t>(std::count(answers.begin(), answers.end(), 's')) >=
+            pieces * http::kPieceBytes,
+        target);
+    BOOST_TEST(Count(answers, "HTTP/1.1 200") == 3u, target);
+    BOOST_TEST(answers.find("</now/b>") < answers.find("</now/c>"), target);
+    BOOST_TEST(served.Cuts().empty(), target);
+  }
+}
+
 // Guards against requests that run on for a caller that has left, and against a
 // cut request that is told never or twice.
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesCancelsAll) {
