--- a/src/http/beast.cc
+++ b/src/http/beast.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace buckthorngate::http {
@@ -58,6 +59,12 @@
   }
 }
 
+bool HasUnknownTransferCoding(const bhttp::fields& fields) {
+  const auto [begin, end] = fields.equal_range(bhttp::field::transfer_encoding);
+  return begin != end && (std::next(begin) != end ||
+                          !beast::iequals(begin->value(), "chunked"));
+}
+
 bool IsMalformed(const ErrorCode& error) {
   return error.category() ==
              make_error_code(bhttp::error::bad_method).category() &&
--- a/src/http/beast.h
+++ b/src/http/beast.h
@@ -22,6 +22,10 @@
 void CopyHeaders(const bhttp::fields& from, Headers& to);
 void CopyHeaders(const Headers& from, bhttp::fields& to);
 
+// Whether the message names a transfer coding other than chunked, which alone
+// is known here: the end of its body cannot be told, or its bytes are coded.
+bool HasUnknownTransferCoding(const bhttp::fields& fields);
+
 // Whether the error is the other side's bytes, not the connection's end.
 bool IsMalformed(const ErrorCode& error);
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -147,6 +147,11 @@
   co_await bhttp::async_read_header(
       stream_, buffer_, *parser_,
       asio::redirect_error(asio::use_awaitable, error));
+  if (!error && HasUnknownTransferCoding(parser_->get())) {
+    // The parser takes it for a request without a body, and the body's bytes
+    // for requests.
+    error = bhttp::error::bad_transfer_encoding;
+  }
   if (error) {
     if (IsMalformed(error)) {
       co_await AnswerMalformed(error);
--- a/src/http/server_connection_pipeline.cc
+++ b/src/http/server_connection_pipeline.cc
@@ -22,7 +22,8 @@
 bool Server::Connection::MayBePipelined(const Parser& parser) {
   const boost::optional<std::uint64_t> length = parser.content_length();
   const beast::string_view method = parser.get().method_string();
-  return parser.is_done() && !parser.chunked() && (!length || *length == 0) &&
+  return parser.is_done() && !parser.chunked() &&
+         !HasUnknownTransferCoding(parser.get()) && (!length || *length == 0) &&
          parser.get().count(bhttp::field::expect) == 0 &&
          IsSafeMethod({method.data(), method.size()});
 }
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -387,6 +387,44 @@
   }
 }
 
+// Guards against UNASKED of review/14: a request whose transfer coding is not
+// chunked runs without its body, and its body runs as requests.
+BOOST_AUTO_TEST_CASE(ABodyOfAnUnknownTransferCodingIsRefused) {
+  for (const std::string coding :
+       {"gzip", "chunked, gzip", "gzip, chunked", "identity", "xchunked",
+        "chunked\r\nTransfer-Encoding: chunked"}) {
+    for (const std::string method : {"POST", "GET"}) {
+      for (const bool first : {true, false}) {
+        PipelineServer served;
+        RawSocket caller(served.Port());
+        caller.Send((first ? "" : Get("/wait/before")) + method +
+                    " /now/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+                    coding + "\r\n\r\n" + Get("/now/smuggled"));
+        std::this_thread::sleep_for(kShortly);
+        served.Release("before");
+        const std::string answers = caller.ReadAll();
+        BOOST_TEST(Count(answers, "HTTP/1.1 400") == 1u, coding);
+        BOOST_TEST(Count(answers, "Connection: close") == 1u, coding);
+        BOOST_TEST(served.Begun() == (first ? Names{} : Names{"/wait/before"}),
+                   coding);
+      }
+    }
+  }
+}
+
+// A body in chunks is taken, however the coding is written.
+BOOST_AUTO_TEST_CASE(ABodyInChunksIsTaken) {
+  for (const std::string coding : {"chunked", "Chunked", " chunked "}) {
+    PipelineServer served;
+    RawSocket caller(served.Port());
+    caller.Send(
+        "POST /now/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Transfer-Encoding: " +
+        coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    BOOST_TEST(Count(caller.ReadAll(), "</now/abody>") == 1u, coding);
+  }
+}
+
 // Guards against unbounded memory behind a slow first request.
 BOOST_AUTO_TEST_CASE(LargeAnswersBehindASlowOneAreBounded) {
   for (const std::string target : {"/large/x", "/stream/x"}) {
