DRAIN: a departure that is learned from one relay isn't acknowledged for it alone

What callers would see: a departure reaches one relay of three and isn't acknowledged; the daemon restarts and learns it from there; the upstream asks again and gets 200. With the loss of that relay and a kill of the daemon a late heartbeat brings the upstream back.

Cause: what a daemon has learned counted as delivered.

Why it works: a learned departure is delivered like an own one, with the relays that reported it as its first holders. Relays that lack it get it, too.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -138,8 +138,8 @@
      "the others from its list."},
     {kDepartureNotStored, Level::kWarning, "departure-not-stored",
      "No majority of the relays has stored in time that an upstream leaves; "
-     "its "
-     "report is not acknowledged, but this daemon sends it no more requests."},
+     "its report is not acknowledged, but this daemon sends it no more "
+     "requests."},
     {kEndpointDeregistered, Level::kInfo, "endpoint-deregistered",
      "An upstream has deregistered."},
     {kEndpointWithdrawn, Level::kInfo, "endpoint-withdrawn",
--- a/src/distribution/departure_delivery.cc
+++ b/src/distribution/departure_delivery.cc
@@ -74,13 +74,30 @@
   }
 }
 
+DepartureDelivery::Entry* DepartureDelivery::Find(
+    const rpc::Departure& departure) {
+  const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                  [&departure](const Entry& entry) {
+                                    return IsSame(entry.departure_, departure);
+                                  });
+  return found == entries_.end() ? nullptr : &*found;
+}
+
 void DepartureDelivery::OnStored(const std::string& relay,
                                  const rpc::Departure& stored) {
-  for (Entry& entry : entries_) {
-    if (IsSame(entry.departure_, stored)) {
-      entry.stored_by_.insert(relay);
-    }
+  Entry* entry = Find(stored);
+  if (entry != nullptr) {
+    entry->stored_by_.insert(relay);
+  }
+}
+
+void DepartureDelivery::OnReported(const std::string& relay,
+                                   const rpc::Departure& reported,
+                                   const base::Now& now) {
+  if (Find(reported) == nullptr) {
+    Add(reported, now);
   }
+  OnStored(relay, reported);
 }
 
 void DepartureDelivery::DropDelivered(const std::vector<std::string>& relays,
--- a/src/distribution/departure_delivery.h
+++ b/src/distribution/departure_delivery.h
@@ -41,6 +41,11 @@
             const base::Now& now,
             base::Outbox& outbox);
   void OnStored(const std::string& relay, const rpc::Departure& stored);
+  // A relay has told of a departure that an earlier start of this daemon was
+  // told of. Others may lack it.
+  void OnReported(const std::string& relay,
+                  const rpc::Departure& reported,
+                  const base::Now& now);
 
   // Whether a majority of the relays has stored all departures of the instance
   // that were added. Never while the list is full: one may be missing.
@@ -61,6 +66,7 @@
     bool HasMajority(const std::vector<std::string>& relays) const;
   };
 
+  Entry* Find(const rpc::Departure& departure);
   // Ends entries that all relays have stored, or a majority for their lifetime.
   void DropDelivered(const std::vector<std::string>& relays,
                      const base::Now& now);
--- a/src/distribution/proxy_config.cc
+++ b/src/distribution/proxy_config.cc
@@ -93,7 +93,7 @@
   parents_.RecordContact(envelope.from(), envelope.floor().relay_revision(),
                          base::Duration(0), now.mono_);
   lag_.Heard(envelope.floor().relay_revision(), now.boot_);
-  LearnDepartures(envelope, now.mono_);
+  LearnDepartures(envelope, now);
   if (floor_known_) {
     return;
   }
--- a/src/distribution/proxy_node.h
+++ b/src/distribution/proxy_node.h
@@ -147,7 +147,7 @@
   void SendLocalChanges();
   // Sends departures until the relays have stored them.
   void SendDepartures(const base::Now& now);
-  void LearnDepartures(const rpc::Envelope& envelope, base::MonoTime now);
+  void LearnDepartures(const rpc::Envelope& envelope, const base::Now& now);
   void LogDeparturesKnown(base::MonoTime now) const;
   // Sends all entries of this host to a relay that lacks some of them.
   void SendAllLocal(const std::string& relay);
--- a/src/distribution/proxy_registry.cc
+++ b/src/distribution/proxy_registry.cc
@@ -107,11 +107,12 @@
 }
 
 void ProxyNode::LearnDepartures(const rpc::Envelope& envelope,
-                                base::MonoTime now) {
+                                const base::Now& now) {
   departures_from_.insert(envelope.from());
-  first_departures_ = first_departures_.value_or(now);
+  first_departures_ = first_departures_.value_or(now.mono_);
   learned_departures_ += envelope.floor().departures_size();
   for (const rpc::Departure& departure : envelope.floor().departures()) {
+    departures_.OnReported(envelope.from(), departure, now);
     const std::string address = local_.AddressOf(departure.instance());
     if (local_.Learn(departure)) {
       departed_endpoints_.push_back(local_.EndpointId(address));
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -1041,6 +1041,28 @@
   }
 }
 
+// Guards against a departure that is acknowledged by a daemon that has learned
+// it from the only relay that has it.
+BOOST_AUTO_TEST_CASE(ALearnedDepartureIsStoredOnceAMajorityHasIt) {
+  ZoneWithThreeRelays zone(10);
+  TestMesh& mesh = zone.mesh_;
+  mesh.Crash("relay-2");
+  mesh.Crash("relay-3");
+  BOOST_TEST(mesh.Proxy(zone.kProxy).Local().Leave("127.0.0.1:1"));
+  mesh.Net().Run(std::chrono::seconds(1));
+  mesh.Crash(zone.kProxy);
+  mesh.Restart(zone.kProxy);
+  mesh.Net().Run(std::chrono::seconds(1));
+  // The upstream has got no acknowledgement and reports again.
+  BOOST_TEST(
+      !mesh.Proxy(zone.kProxy).Local().LeaveInstance("x", /*started_ms=*/0));
+  mesh.Net().Run(std::chrono::seconds(1));
+  BOOST_TEST(!zone.Stored());
+  mesh.Restart("relay-3");
+  mesh.Net().Run(std::chrono::seconds(3));
+  BOOST_TEST(zone.Stored());
+}
+
 // Guards against a destination that serves an upstream whose departure a slow
 // relay reports after its announcement was accepted.
 BOOST_AUTO_TEST_CASE(ADepartureThatIsReportedLateDrainsTheEndpoint) {
