DRAIN: a departure has the time for its acknowledgement that upstreams give it

The upstream's report is to be acknowledged in calm.

Cause: it had 0.4 s, from a time when one relay was enough and no answer was acknowledged as well. Upstreams wait a second.

A report has 0.85 s from its arrival now, of which the wait for the departures that relays know may take the first 0.5 s, as before.

--- a/src/daemon/serving/proxy_role_impl.h
+++ b/src/daemon/serving/proxy_role_impl.h
@@ -76,13 +76,16 @@
   // Runs on the node loop: drains upstreams that were announced before their
   // departure became known.
   void DrainDepartedUpstreams();
-  // Polls on the node loop until the condition holds or `timeout` has passed;
+  // Polls on the node loop until the condition holds or `until` has come;
   // returns whether it holds.
   bool AwaitOnNode(const std::function<bool(const base::Now&)>& condition,
-                   std::chrono::milliseconds timeout);
-  // Waits until relays have stored the instance's departure, and logs whether
-  // they have. Otherwise it must not be acknowledged: kTimedOut.
-  ResultCode AwaitDepartureStored(const std::string& instance);
+                   std::chrono::steady_clock::time_point until);
+  // Waits until relays have stored the instance's departure, whose report came
+  // at `arrived`, and logs whether they have. Otherwise it must not be
+  // acknowledged: kTimedOut.
+  ResultCode AwaitDepartureStored(
+      const std::string& instance,
+      std::chrono::steady_clock::time_point arrived);
   void CloseConnections();
   // Polls on the event loop until `busy` returns 0 or the deadline is reached.
   void AwaitIdle(const std::function<int64_t()>& busy,
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -10,10 +10,10 @@
 
 using registry::AnnouncementCheck;
 
-// Upstreams wait a second for the answer to a report; both waits together stay
-// below it.
+// Upstreams wait a second for the answer to a report. Of that, the wait until
+// departures are known may take the first part.
+constexpr std::chrono::milliseconds kReportTimeout{850};
 constexpr std::chrono::milliseconds kDeparturesKnownTimeout{500};
-constexpr std::chrono::milliseconds kDepartureStoredTimeout{400};
 constexpr std::chrono::milliseconds kNodePollInterval{5};
 
 ResultCode CodeOf(AnnouncementCheck check) {
@@ -69,9 +69,7 @@
 
 bool ProxyRole::Impl::AwaitOnNode(
     const std::function<bool(const base::Now&)>& condition,
-    std::chrono::milliseconds timeout) {
-  const std::chrono::steady_clock::time_point until =
-      std::chrono::steady_clock::now() + timeout;
+    std::chrono::steady_clock::time_point until) {
   while (true) {
     bool holds = false;
     const bool asked = node_loop_.RunAndWait(
@@ -83,18 +81,18 @@
   }
 }
 
-ResultCode ProxyRole::Impl::AwaitDepartureStored(const std::string& instance) {
-  const std::chrono::steady_clock::time_point began =
-      std::chrono::steady_clock::now();
+ResultCode ProxyRole::Impl::AwaitDepartureStored(
+    const std::string& instance,
+    std::chrono::steady_clock::time_point arrived) {
   distribution::DepartureHolders holders;
   const bool stored = AwaitOnNode(
       [&](const base::Now&) {
         holders = node_->HoldersOf(instance);
         return node_->DepartureStored(instance);
       },
-      kDepartureStoredTimeout);
+      arrived + kReportTimeout);
   const std::chrono::steady_clock::duration waited =
-      std::chrono::steady_clock::now() - began;
+      std::chrono::steady_clock::now() - arrived;
   base::LogEvent(
       stored ? base::EventId::kDepartureStored
              : base::EventId::kDepartureNotStored,
@@ -107,11 +105,13 @@
 
 ResultCode ProxyRole::Impl::Announce(
     const registry::Announcement& announcement) {
+  const std::chrono::steady_clock::time_point arrived =
+      std::chrono::steady_clock::now();
   const bool known = AwaitOnNode(
       [this](const base::Now& now) {
         return node_->DeparturesKnown(now.mono_);
       },
-      kDeparturesKnownTimeout);
+      arrived + kDeparturesKnownTimeout);
   if (!known) {
     base::LogEvent(base::EventId::kAnnouncementIgnored,
                    {{"instance", announcement.instance_},
@@ -125,7 +125,8 @@
   if (!announcement.draining_ || !acknowledged) {
     return code;
   }
-  const ResultCode stored = AwaitDepartureStored(announcement.instance_);
+  const ResultCode stored =
+      AwaitDepartureStored(announcement.instance_, arrived);
   return stored == ResultCode::kOk ? code : stored;
 }
 
@@ -233,6 +234,8 @@
 }
 
 ResultCode ProxyRole::Impl::DrainUpstream(const std::string& address) {
+  const std::chrono::steady_clock::time_point arrived =
+      std::chrono::steady_clock::now();
   std::string id;
   std::string instance;
   {
@@ -246,21 +249,25 @@
   }
   base::LogEvent(base::EventId::kEndpointDraining,
                  {{"endpoint", id}, {"instance", instance}});
-  return AwaitDepartureStored(instance);
+  return AwaitDepartureStored(instance, arrived);
 }
 
 ResultCode ProxyRole::Impl::RemoveUpstream(const std::string& address) {
+  const std::chrono::steady_clock::time_point arrived =
+      std::chrono::steady_clock::now();
   std::string instance;
   Remove([&](registry::LocalEndpoints& local, const base::Now&) {
     instance = local.InstanceAt(address);
     local.Leave(address);
     return local.EndpointId(address);
   });
-  return AwaitDepartureStored(instance);
+  return AwaitDepartureStored(instance, arrived);
 }
 
 ResultCode ProxyRole::Impl::RemoveInstance(const std::string& instance,
                                            int64_t started_ms) {
+  const std::chrono::steady_clock::time_point arrived =
+      std::chrono::steady_clock::now();
   AnnouncementCheck check = AnnouncementCheck::kAccepted;
   registry::Announcement report;
   report.instance_ = instance;
@@ -286,7 +293,7 @@
   if (check != AnnouncementCheck::kAccepted) {
     return IgnoreReport("deregister", report, holder, check);
   }
-  return AwaitDepartureStored(instance);
+  return AwaitDepartureStored(instance, arrived);
 }
 
 void ProxyRole::Impl::Remove(
