A departure without an instance is not logged as stored by relays

A drain or a leave at the admin address of an upstream that named no instance records no departure, so there is nothing that relays could store; it was logged as departure-stored by all of them. The answer is 200 as before, and OPERATIONS says that nobody keeps it; the comment of ControlApi says so, too.

--- a/src/daemon/control/control_api.h
+++ b/src/daemon/control/control_api.h
@@ -68,7 +68,8 @@
   // kAddressHeld for a later start than the one that runs. Both return
   // kTimedOut for a drain or a deregistration that no majority of the relays
   // has stored yet: this daemon has applied it and goes on delivering it, but
-  // it must not be acknowledged. With the other codes a majority holds it.
+  // it must not be acknowledged. With the other codes a majority holds it,
+  // unless the report names no instance.
   virtual ResultCode Announce(const registry::Announcement& announcement) = 0;
   virtual ResultCode Leave(const std::string& instance, int64_t started_ms) = 0;
 
--- a/src/daemon/serving/proxy_upstreams.cc
+++ b/src/daemon/serving/proxy_upstreams.cc
@@ -84,6 +84,11 @@
 ResultCode ProxyRole::Impl::AwaitDepartureStored(
     const std::string& instance,
     std::chrono::steady_clock::time_point arrived) {
+  if (instance.empty()) {
+    // Its later starts could not be told from this one, so nothing was recorded
+    // that relays could store.
+    return ResultCode::kOk;
+  }
   distribution::DepartureHolders holders;
   const bool stored = AwaitOnNode(
       [&](const base::Now&) {
--- a/src/distribution/departure_delivery.h
+++ b/src/distribution/departure_delivery.h
@@ -20,7 +20,7 @@
 
 namespace buckthorngate::distribution {
 
-// Members of a majority of so many relays.
+// How many of so many relays are a majority.
 constexpr size_t MajorityOf(size_t relays) {
   return relays / 2 + 1;
 }
